Lay the foundation: build, style, ports, request-path messages

Cause: an empty repository. Ports for the peer network, timers, events and random numbers come first, so that decision code stays free of sockets.

--- /dev/null
+++ b/include/pistachiowheel/pistachiowheel.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Operators' library: describe a deployment in plain structs and print the configuration to submit.
+namespace pw {
+
+/// Rank of a kind of request. Under overload the lowest is shed first.
+enum class Importance : std::uint8_t {
+    Low, ///< Catalogue and bundle reads.
+    Normal,
+    High,
+    Critical, ///< Curtailment orders, recorded prices, declarations.
+    Count
+};
+
+/// A group of backend servers that answer the same routes.
+struct Service {
+    std::string name;
+    std::uint32_t slotsPerServer = 64; ///< Requests that one backend server runs at once, at most.
+    std::uint32_t connectionsPerServer = 256; ///< Connections that one backend server takes, at most.
+};
+
+/// Maps requests to a service. The longest matching path prefix wins.
+struct Route {
+    std::string name;
+    std::string method = "GET"; ///< HTTP method, matched whole.
+    std::string pathPrefix; ///< Begins with "/"; matched at segment borders.
+    std::string service; ///< Name of the service that answers.
+    Importance importance = Importance::Normal;
+    bool idempotent = true; ///< False: runs at most once, never re-sent once it may have run.
+    bool open = false; ///< True: served without a key.
+    bool nestedOnly = false; ///< True: only for calls of backend servers, never for callers.
+    std::chrono::milliseconds deadline { 2000 };
+    std::uint32_t attempts = 16; ///< Attempt budget of a root request, its nested calls included.
+};
+
+/// A tenant whose requests are counted together over the whole fleet.
+struct Workspace {
+    std::string name;
+    double rate = 100; ///< Requests a second.
+    double burst = 100; ///< Requests above the rate that may come at once.
+};
+
+/// Everything that operators configure.
+struct Deployment {
+    std::vector<Service> services;
+    std::vector<Route> routes;
+    std::vector<Workspace> workspaces;
+};
+
+/// \returns \p deployment as the YAML text that `pistachiowheel config submit` takes.
+std::string toYaml(const Deployment& deployment);
+
+} // namespace pw
--- /dev/null
+++ b/src/adapters/codec_call.cpp
@@ -0,0 +1,165 @@
+#include "adapters/codec_call.h"
+
+#include "adapters/codec.h"
+#include "call.capnp.h"
+
+#include <algorithm>
+
+namespace pw {
+namespace {
+
+    using detail::fromData;
+    using detail::fromText;
+    using detail::toData;
+    using detail::toText;
+
+    template <typename Builder>
+    void writeHeaders(Builder message, const std::vector<HeaderLine>& headers)
+    {
+        auto list = message.initHeaders(static_cast<unsigned>(headers.size()));
+        for (unsigned n = 0; n < headers.size(); ++n) {
+            list[n].setName(toText(headers[n].name));
+            list[n].setValue(toText(headers[n].value));
+        }
+    }
+
+    template <typename Reader>
+    std::vector<HeaderLine> readHeaders(Reader message)
+    {
+        std::vector<HeaderLine> result;
+        result.reserve(message.getHeaders().size());
+        for (auto line : message.getHeaders()) {
+            result.push_back({ fromText(line.getName()), fromText(line.getValue()) });
+        }
+        return result;
+    }
+
+    template <typename Enum>
+    Enum readEnum(std::uint8_t value)
+    {
+        return static_cast<Enum>(std::min<std::uint8_t>(value, static_cast<std::uint8_t>(Enum::Count) - 1));
+    }
+
+    void writeLoad(proto::LoadHint::Builder message, const LoadHint& load)
+    {
+        message.setRunning(load.running);
+        message.setQueued(load.queued);
+        message.setLimit(load.limit);
+        message.setAdmissionFloor(static_cast<std::uint8_t>(load.admissionFloor));
+        message.setLeaving(load.leaving);
+    }
+
+    LoadHint readLoad(proto::LoadHint::Reader message)
+    {
+        return { message.getRunning(), message.getQueued(), message.getLimit(),
+            readEnum<Importance>(message.getAdmissionFloor()), message.getLeaving() };
+    }
+
+    Call readCall(proto::Call::Reader message)
+    {
+        Call call;
+        call.id = message.getId();
+        call.route = fromText(message.getRoute());
+        call.service = fromText(message.getService());
+        call.method = fromText(message.getMethod());
+        call.target = fromText(message.getTarget());
+        call.headers = readHeaders(message);
+        call.body = fromData(message.getBody());
+        call.workspace = fromText(message.getWorkspace());
+        call.requestId = fromText(message.getRequestId());
+        call.importance = readEnum<Importance>(message.getImportance());
+        call.idempotent = message.getIdempotent();
+        call.nested = message.getNested();
+        call.depth = message.getDepth();
+        call.attempts = message.getAttempts();
+        call.timeLeft = std::chrono::microseconds(message.getTimeLeftMicros());
+        return call;
+    }
+
+    Answer readAnswer(proto::Answer::Reader message)
+    {
+        Answer answer;
+        answer.id = message.getId();
+        answer.refusal.verdict = readEnum<Verdict>(message.getVerdict());
+        answer.refusal.reason = readEnum<Reason>(message.getReason());
+        answer.refusal.retryAfter = std::chrono::milliseconds(message.getRetryAfterMillis());
+        answer.status = message.getStatus();
+        answer.headers = readHeaders(message);
+        answer.body = fromData(message.getBody());
+        answer.attemptsUnused = message.getAttemptsUnused();
+        answer.load = readLoad(message.getLoad());
+        for (auto name : message.getDownstream()) {
+            answer.downstream.push_back(fromText(name));
+        }
+        answer.saturated = fromText(message.getSaturated());
+        return answer;
+    }
+
+} // namespace
+
+Bytes encodeCall(const Call& call)
+{
+    capnp::MallocMessageBuilder builder;
+    auto message = builder.initRoot<proto::Call>();
+    message.setId(call.id);
+    message.setRoute(toText(call.route));
+    message.setService(toText(call.service));
+    message.setMethod(toText(call.method));
+    message.setTarget(toText(call.target));
+    writeHeaders(message, call.headers);
+    message.setBody(toData(call.body));
+    message.setWorkspace(toText(call.workspace));
+    message.setRequestId(toText(call.requestId));
+    message.setImportance(static_cast<std::uint8_t>(call.importance));
+    message.setIdempotent(call.idempotent);
+    message.setNested(call.nested);
+    message.setDepth(call.depth);
+    message.setAttempts(call.attempts);
+    message.setTimeLeftMicros(static_cast<std::uint32_t>(std::max<std::int64_t>(call.timeLeft.count(), 0)));
+    return detail::toBytes(builder);
+}
+
+Bytes encodeAnswer(const Answer& answer)
+{
+    capnp::MallocMessageBuilder builder;
+    auto message = builder.initRoot<proto::Answer>();
+    message.setId(answer.id);
+    message.setVerdict(static_cast<std::uint8_t>(answer.refusal.verdict));
+    message.setReason(static_cast<std::uint8_t>(answer.refusal.reason));
+    message.setRetryAfterMillis(static_cast<std::uint32_t>(answer.refusal.retryAfter.count()));
+    message.setStatus(static_cast<std::uint16_t>(answer.status));
+    writeHeaders(message, answer.headers);
+    message.setBody(toData(answer.body));
+    message.setAttemptsUnused(answer.attemptsUnused);
+    writeLoad(message.initLoad(), answer.load);
+    auto list = message.initDownstream(static_cast<unsigned>(answer.downstream.size()));
+    for (unsigned n = 0; n < answer.downstream.size(); ++n) {
+        list.set(n, toText(answer.downstream[n]));
+    }
+    message.setSaturated(toText(answer.saturated));
+    return detail::toBytes(builder);
+}
+
+Bytes encodeCancel(std::uint64_t callId)
+{
+    capnp::MallocMessageBuilder builder;
+    builder.initRoot<proto::Cancel>().setId(callId);
+    return detail::toBytes(builder);
+}
+
+std::optional<Call> decodeCall(std::span<const std::byte> bytes)
+{
+    return detail::fromBytes<proto::Call>(bytes, readCall);
+}
+
+std::optional<Answer> decodeAnswer(std::span<const std::byte> bytes)
+{
+    return detail::fromBytes<proto::Answer>(bytes, readAnswer);
+}
+
+std::optional<std::uint64_t> decodeCancel(std::span<const std::byte> bytes)
+{
+    return detail::fromBytes<proto::Cancel>(bytes, [](proto::Cancel::Reader message) { return message.getId(); });
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/adapters/codec_call.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/call.h"
+#include "ports/peer_network.h"
+
+#include <optional>
+
+/// Codec of the request path between daemons; see call.capnp.
+namespace pw {
+
+Bytes encodeCall(const Call& call);
+Bytes encodeAnswer(const Answer& answer);
+Bytes encodeCancel(std::uint64_t callId);
+
+/// Each returns nothing when \p bytes hold no valid message.
+std::optional<Call> decodeCall(std::span<const std::byte> bytes);
+std::optional<Answer> decodeAnswer(std::span<const std::byte> bytes);
+std::optional<std::uint64_t> decodeCancel(std::span<const std::byte> bytes);
+
+} // namespace pw
--- /dev/null
+++ b/src/core/call.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/types.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pw {
+
+/// One HTTP header line.
+struct HeaderLine {
+    std::string name;
+    std::string value;
+};
+
+/// One attempt at a request, from an entry role to the daemon beside a backend server.
+struct Call {
+    std::uint64_t id = 0; ///< Unique to the entry daemon's process.
+    std::string route;
+    std::string service;
+    std::string method;
+    std::string target; ///< Path and query.
+    std::vector<HeaderLine> headers; ///< Never the caller's key.
+    std::string body;
+    std::string workspace; ///< Empty on open routes.
+    std::string requestId; ///< Caller's id for re-sends; empty when it sent none.
+    Importance importance = Importance::Normal; ///< The root's.
+    bool idempotent = true;
+    bool nested = false; ///< Made by a backend server while it worked on another request.
+    std::uint8_t depth = 0; ///< Zero for a root.
+    std::uint32_t attempts = 0; ///< Attempt budget that this call may spend on nested calls.
+    std::chrono::microseconds timeLeft { 0 }; ///< Until the root's deadline.
+};
+
+/// What a server-side daemon sees of its backend server, sent with every answer.
+struct LoadHint {
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t limit = 0; ///< Current concurrency limit; zero when not known.
+    Importance admissionFloor = Importance::Low; ///< Lowest importance that is admitted now.
+    bool leaving = false;
+};
+
+/// End of a call.
+struct Answer {
+    std::uint64_t id = 0; ///< The call's.
+    Refusal refusal; ///< Reason::None and Verdict::Ran for a whole answer.
+    int status = 0; ///< HTTP status of a whole answer.
+    std::vector<HeaderLine> headers;
+    std::string body;
+    std::uint32_t attemptsUnused = 0; ///< Part of Call::attempts that goes back.
+    LoadHint load;
+    std::vector<std::string> downstream; ///< Services that nested calls reached, each once.
+    std::string saturated; ///< Downstream service that shed work of this call, if any.
+
+    /// \returns whether the backend server gave a whole answer.
+    bool whole() const { return refusal.reason == Reason::None; }
+};
+
+} // namespace pw
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "pistachiowheel/pistachiowheel.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace pw {
+
+/// The only clock of the decision code: monotonic, so that steps of the wall clock do not matter.
+using MonotonicClock = std::chrono::steady_clock;
+using TimePoint = MonotonicClock::time_point;
+using Duration = MonotonicClock::duration;
+
+/// Says whether a request may have run at a backend server.
+enum class Verdict : std::uint8_t {
+    NotRun, ///< No byte reached a backend server, or the backend server itself said so.
+    MayHaveRun, ///< It cannot be known.
+    Ran, ///< The backend server answered.
+    Count
+};
+
+/// Why a request was refused or failed.
+enum class Reason : std::uint8_t {
+    None,
+    Malformed,
+    TooLarge,
+    NoRoute,
+    RouteNotAllowed,
+    UnknownKey,
+    KeysNotValid, ///< This daemon's validity lease has lapsed, it may not judge keys.
+    RateExceeded,
+    Overloaded, ///< The server-side daemon shed the request.
+    DownstreamOverloaded, ///< A service further down the route's chain is saturated.
+    NoBackendServer,
+    Leaving, ///< The backend server or its daemon is leaving.
+    DeadlineExceeded,
+    BudgetExhausted, ///< The attempt budget of the root request is spent.
+    BadToken, ///< A context token that is forged, replayed or expired.
+    TooDeep,
+    Unreachable, ///< The daemon beside the backend server could not be reached.
+    BackendFailed, ///< The backend server closed, truncated or mis-framed its answer.
+    BackendRefused, ///< The backend server said that it did not run the request.
+    Cancelled,
+    DuplicateRunning, ///< A request with the same id is running.
+    DuplicateUnknown, ///< A request with the same id was started, its outcome is not known.
+    ClaimUnavailable, ///< No quorum could be asked whether the request id is new.
+    Count
+};
+
+/// Row of the reason table.
+struct ReasonInfo {
+    std::string_view name; ///< Stable code shown to callers.
+    int httpStatus; ///< Status of an answer that carries it.
+};
+
+/// \returns the code and the HTTP status of \p reason.
+const ReasonInfo& reasonInfo(Reason reason);
+
+/// \returns the stable name of \p verdict, as callers see it.
+std::string_view verdictName(Verdict verdict);
+
+/// How a request or an attempt ended without a whole answer.
+struct Refusal {
+    Verdict verdict = Verdict::NotRun;
+    Reason reason = Reason::None;
+    std::chrono::milliseconds retryAfter { 0 }; ///< Zero when asking again is no use.
+};
+
+} // namespace pw
--- /dev/null
+++ b/src/ports/events.cpp
@@ -0,0 +1,36 @@
+#include "ports/events.h"
+
+namespace pw {
+namespace {
+
+    constexpr std::array<EventInfo, static_cast<std::size_t>(Event::Count)> eventTable { {
+        { 100, "daemon-started", Level::Info, false },
+        { 101, "daemon-stopping", Level::Info, false },
+        { 102, "daemon-stopped", Level::Info, false },
+        { 103, "settings-refused", Level::Error, false },
+        { 200, "link-opened", Level::Debug, false },
+        { 201, "link-closed", Level::Debug, false },
+        { 202, "link-refused", Level::Warning, false },
+        { 203, "frame-refused", Level::Warning, false },
+        { 300, "request-refused", Level::Info, true },
+        { 301, "request-done", Level::Debug, true },
+        { 302, "route-decision", Level::Info, true },
+        { 303, "retry-decision", Level::Info, true },
+        { 304, "admission-refused", Level::Info, true },
+        { 400, "backend-announced", Level::Info, false },
+        { 401, "backend-left", Level::Info, false },
+        { 402, "backend-lapsed", Level::Warning, false },
+        { 403, "backend-failed", Level::Warning, true },
+        { 500, "configuration-applied", Level::Info, false },
+        { 501, "validity-lapsed", Level::Warning, false },
+        { 502, "validity-renewed", Level::Info, false },
+    } };
+
+} // namespace
+
+const EventInfo& eventInfo(Event event)
+{
+    return eventTable.at(static_cast<std::size_t>(event));
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/ports/events.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace pw {
+
+/// Severity of an event.
+enum class Level : std::uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+    Count
+};
+
+/// Numbered events. Each has a row in the table of events.cpp and in docs/EVENTS.md.
+enum class Event : std::uint16_t {
+    DaemonStarted,
+    DaemonStopping,
+    DaemonStopped,
+    SettingsRefused,
+    LinkOpened,
+    LinkClosed,
+    LinkRefused,
+    FrameRefused,
+    RequestRefused,
+    RequestDone,
+    RouteDecision,
+    RetryDecision,
+    AdmissionRefused,
+    BackendAnnounced,
+    BackendLeft,
+    BackendLapsed,
+    BackendFailed,
+    ConfigurationApplied,
+    ValidityLapsed,
+    ValidityRenewed,
+    Count
+};
+
+/// Row of the event table.
+struct EventInfo {
+    std::uint16_t number; ///< Stable, never reused.
+    std::string_view name;
+    Level level;
+    bool decision; ///< A routing, admission or placement decision: sampled by settings.
+};
+
+/// \returns the row of \p event.
+const EventInfo& eventInfo(Event event);
+
+/// A named value of an event line. Never holds a key or a secret.
+struct EventField {
+    EventField(std::string_view fieldName, std::string_view text)
+        : name(fieldName)
+        , value(text)
+    {
+    }
+    EventField(std::string_view fieldName, const char* text)
+        : name(fieldName)
+        , value(text)
+    {
+    }
+    EventField(std::string_view fieldName, const std::string& text)
+        : name(fieldName)
+        , value(text)
+    {
+    }
+    template <typename Number>
+    EventField(std::string_view fieldName, Number number)
+        : name(fieldName)
+        , value(std::to_string(number))
+    {
+    }
+
+    std::string_view name;
+    std::string value;
+};
+
+/// Port: where event lines go.
+class EventLog {
+public:
+    virtual ~EventLog() = default;
+
+    /// \returns whether a line of \p event would be written now; counts towards sampling.
+    virtual bool wants(Event event) = 0;
+
+    /// Writes one line.
+    virtual void write(Event event, std::initializer_list<EventField> fields) = 0;
+};
+
+/// Writes a line when the log wants it. Arguments are built only then.
+#define PW_EVENT(log, event, ...)                \
+    do {                                         \
+        if ((log).wants(event)) {                \
+            (log).write(event, { __VA_ARGS__ }); \
+        }                                        \
+    } while (false)
+
+} // namespace pw
--- /dev/null
+++ b/src/proto/call.capnp
@@ -0,0 +1,53 @@
+@0xb2f5a1c8d3e47960;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("pw::proto");
+
+struct HeaderLine {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Call {
+  id @0 :UInt64;
+  route @1 :Text;
+  service @2 :Text;
+  method @3 :Text;
+  target @4 :Text;
+  headers @5 :List(HeaderLine);
+  body @6 :Data;
+  workspace @7 :Text;
+  requestId @8 :Text;
+  importance @9 :UInt8;
+  idempotent @10 :Bool;
+  nested @11 :Bool;
+  depth @12 :UInt8;
+  attempts @13 :UInt32;
+  timeLeftMicros @14 :UInt32;
+}
+
+struct LoadHint {
+  running @0 :UInt32;
+  queued @1 :UInt32;
+  limit @2 :UInt32;
+  admissionFloor @3 :UInt8;
+  leaving @4 :Bool;
+}
+
+struct Answer {
+  id @0 :UInt64;
+  verdict @1 :UInt8;
+  reason @2 :UInt8;
+  retryAfterMillis @3 :UInt32;
+  status @4 :UInt16;
+  headers @5 :List(HeaderLine);
+  body @6 :Data;
+  attemptsUnused @7 :UInt32;
+  load @8 :LoadHint;
+  downstream @9 :List(Text);
+  saturated @10 :Text;
+}
+
+struct Cancel {
+  id @0 :UInt64;
+}
--- /dev/null
+++ b/tools/pistachiowheeld/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
