Add authenticated links between daemons, timers, route table and header rules

Each pair of daemons shares one multiplexed TCP connection: framed Cap'n Proto messages after a mutual HMAC proof of the fleet's secret. A link on which something was sent and nothing came back for 3 s is closed, since a silent partition is not seen by TCP. A message whose link never opened is given back as certainly unsent, so that a refusal can truthfully say 'not run'.

--- /dev/null
+++ b/src/adapters/crypto.cpp
@@ -0,0 +1,64 @@
+#include "adapters/crypto.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+#include <cstdlib>
+
+namespace pw::crypto {
+namespace {
+
+    const unsigned char* unsignedBytes(std::string_view text)
+    {
+        return reinterpret_cast<const unsigned char*>(text.data());
+    }
+
+} // namespace
+
+KeyDigest digest(std::string_view text)
+{
+    KeyDigest result {};
+    unsigned length = 0;
+    EVP_Digest(text.data(), text.size(), reinterpret_cast<unsigned char*>(result.data()), &length, EVP_sha256(), nullptr);
+    return result;
+}
+
+Mac mac(std::string_view secret, std::string_view message)
+{
+    Mac result {};
+    unsigned length = 0;
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), unsignedBytes(message), message.size(),
+        reinterpret_cast<unsigned char*>(result.data()), &length);
+    return result;
+}
+
+bool sameMac(std::span<const std::byte> a, std::span<const std::byte> b)
+{
+    return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string randomBytes(std::size_t count)
+{
+    std::string result(count, '\0');
+    if (RAND_bytes(reinterpret_cast<unsigned char*>(result.data()), static_cast<int>(count)) != 1) {
+        std::abort(); // Without random numbers no token and no nonce is safe.
+    }
+    return result;
+}
+
+std::string toHex(std::string_view bytes)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string result;
+    result.reserve(bytes.size() * 2);
+    for (auto c : bytes) {
+        auto value = static_cast<unsigned char>(c);
+        result.push_back(digits[value >> 4]);
+        result.push_back(digits[value & 15]);
+    }
+    return result;
+}
+
+} // namespace pw::crypto
--- /dev/null
+++ b/src/adapters/peer_link.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "adapters/libevent_util.h"
+#include "core/types.h"
+#include "ports/events.h"
+#include "ports/peer_network.h"
+
+#include <sigc++/sigc++.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pw {
+
+/// What all links of a daemon share.
+struct LinkContext {
+    event_base* base = nullptr;
+    EventLog* log = nullptr;
+    PeerAddress self;
+    std::string fleetSecret;
+};
+
+/// One TCP connection between two daemons: framing, mutual proof of the fleet's secret, liveness.
+///
+/// A frame is an 8-byte header (length and kind, little endian) and a Cap'n Proto message. Each side sends Hello
+/// with a nonce, then Proof over both nonces; no other frame is taken before the peer's proof.
+class PeerLink : public sigc::trackable {
+public:
+    /// Dials \p peer.
+    static std::unique_ptr<PeerLink> dial(const LinkContext& context, const PeerAddress& peer);
+    /// Takes over an accepted connection.
+    static std::unique_ptr<PeerLink> accept(const LinkContext& context, evutil_socket_t fd);
+
+    PeerLink(const PeerLink&) = delete;
+    PeerLink& operator=(const PeerLink&) = delete;
+
+    /// \returns false when the backlog is full; nothing was sent then.
+    bool send(MessageKind kind, const Bytes& message);
+
+    /// Checks idle time and liveness; called about twice a second. May close the link.
+    void check(TimePoint now);
+
+    /// \returns the peer's address; empty on an accepted link before its proof.
+    const PeerAddress& peer() const { return m_peer; }
+    /// \returns whether the peer has proved the fleet's secret.
+    bool open() const { return m_open; }
+    /// \returns whether this side dialled.
+    bool dialled() const { return m_dialled; }
+
+    /// Emitted when the peer's proof was accepted.
+    sigc::signal<void()>& opened() { return m_opened; }
+    /// Emitted once when the link is of no more use; its owner must not destroy it inside the handler.
+    sigc::signal<void()>& closed() { return m_closed; }
+    /// Emitted for each message of an open link.
+    sigc::signal<void(MessageKind, std::span<const std::byte>)>& received() { return m_received; }
+
+private:
+    PeerLink(const LinkContext& context, bool dialled);
+
+    static void onReadable(bufferevent*, void* argument);
+    static void onEvent(bufferevent*, short what, void* argument);
+
+    void attach(bufferevent* buffer);
+    void greet();
+    void readFrames();
+    bool readFrame();
+    void takeFrame(std::uint16_t kind, std::span<const std::byte> message);
+    bool takeHello(std::span<const std::byte> message);
+    bool takeProof(std::span<const std::byte> message);
+    void writeFrame(std::uint16_t kind, std::span<const std::byte> message);
+    std::string proofText(bool ofDialler) const;
+    void refuse(std::string_view why);
+    void close(std::string_view why);
+
+    const LinkContext& m_context;
+    bool m_dialled;
+    bool m_open = false;
+    bool m_dead = false;
+    bool m_probed = false;
+    PeerAddress m_peer;
+    PeerAddress m_claimedPeer; ///< What Hello said, trusted only after the proof.
+    std::string m_nonce;
+    std::string m_peerNonce;
+    TimePoint m_started;
+    TimePoint m_lastReceived;
+    std::optional<TimePoint> m_unanswered; ///< First send since the last frame from the peer.
+    detail::BufferEventPtr m_buffer;
+    sigc::signal<void()> m_opened;
+    sigc::signal<void()> m_closed;
+    sigc::signal<void(MessageKind, std::span<const std::byte>)> m_received;
+};
+
+} // namespace pw
--- /dev/null
+++ b/src/adapters/peer_network_libevent.cpp
@@ -0,0 +1,197 @@
+#include "adapters/peer_network_libevent.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace pw {
+namespace {
+
+    constexpr std::chrono::milliseconds linkCheckInterval { 250 };
+    constexpr int listenBacklog = 1024;
+    constexpr std::size_t maxWaitingMessages = 4096; ///< For one peer while its link opens.
+
+} // namespace
+
+PeerNetworkLibevent::PeerNetworkLibevent(LinkContext context, Timers& timers)
+    : m_context(std::move(context))
+    , m_timers(timers)
+{
+}
+
+PeerNetworkLibevent::~PeerNetworkLibevent()
+{
+    shutdown();
+}
+
+bool PeerNetworkLibevent::init(std::string& reason)
+{
+    detail::SocketAddress address;
+    if (!detail::parseAddress(m_context.self, address)) {
+        reason = "not an ip:port address: " + m_context.self;
+        return false;
+    }
+    m_listener.reset(evconnlistener_new_bind(m_context.base, onAccepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        listenBacklog, address.get(), static_cast<int>(address.length)));
+    if (!m_listener) {
+        reason = "cannot listen on " + m_context.self + ": " + std::strerror(errno);
+        return false;
+    }
+    checkLinks();
+    return true;
+}
+
+void PeerNetworkLibevent::shutdown()
+{
+    m_stopped = true;
+    m_timers.cancel(m_checkTimer);
+    m_timers.cancel(m_sweepTimer);
+    m_listener.reset();
+    m_peers.clear();
+    m_links.clear();
+    m_dead.clear();
+}
+
+bool PeerNetworkLibevent::send(const PeerAddress& to, MessageKind kind, const Bytes& message)
+{
+    if (m_stopped) {
+        return false;
+    }
+    auto& peer = m_peers[to];
+    if (!peer.open.empty()) {
+        return peer.open.back()->send(kind, message);
+    }
+    if (peer.waiting.size() >= maxWaitingMessages || (!peer.dialling && !dial(to, peer))) {
+        return false;
+    }
+    peer.waiting.push_back({ kind, message });
+    return true;
+}
+
+bool PeerNetworkLibevent::dial(const PeerAddress& to, Peer& peer)
+{
+    auto link = PeerLink::dial(m_context, to);
+    if (!link) {
+        return false;
+    }
+    peer.dialling = link.get();
+    add(std::move(link));
+    return true;
+}
+
+void PeerNetworkLibevent::onMessage(MessageKind kind, Handler handler)
+{
+    m_handlers.at(static_cast<std::size_t>(kind)) = std::move(handler);
+}
+
+void PeerNetworkLibevent::onLost(LostHandler handler)
+{
+    m_lost.connect(handler);
+}
+
+void PeerNetworkLibevent::onUnsent(MessageKind kind, UnsentHandler handler)
+{
+    m_unsentHandlers.at(static_cast<std::size_t>(kind)) = std::move(handler);
+}
+
+void PeerNetworkLibevent::onAccepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* argument)
+{
+    auto* network = static_cast<PeerNetworkLibevent*>(argument);
+    network->add(PeerLink::accept(network->m_context, fd));
+}
+
+void PeerNetworkLibevent::add(std::unique_ptr<PeerLink> link)
+{
+    auto* raw = link.get();
+    raw->opened().connect([this, raw] { opened(raw); });
+    raw->closed().connect([this, raw] { closed(raw); });
+    raw->received().connect([this, raw](MessageKind kind, std::span<const std::byte> message) { received(raw, kind, message); });
+    m_links.emplace(raw, std::move(link));
+}
+
+void PeerNetworkLibevent::opened(PeerLink* link)
+{
+    auto& peer = m_peers[link->peer()];
+    if (peer.dialling == link) {
+        peer.dialling = nullptr;
+    }
+    peer.open.push_back(link);
+    auto waiting = std::exchange(peer.waiting, {});
+    std::ranges::for_each(waiting, [&](const Waiting& it) { link->send(it.kind, it.message); });
+}
+
+void PeerNetworkLibevent::closed(PeerLink* link)
+{
+    auto node = m_links.extract(link);
+    m_dead.push_back(std::move(node.mapped()));
+    if (!m_sweepTimer) {
+        m_sweepTimer = m_timers.after(Duration::zero(), [this] { sweep(); });
+    }
+    auto it = m_peers.find(link->peer());
+    if (link->peer().empty() || it == m_peers.end()) {
+        return;
+    }
+    if (it->second.dialling == link) {
+        it->second.dialling = nullptr;
+        dialFailed(link->peer());
+    } else if (std::erase(it->second.open, link) && it->second.open.empty()) {
+        reportLost(link->peer());
+    }
+}
+
+void PeerNetworkLibevent::dialFailed(const PeerAddress& peer)
+{
+    auto& state = m_peers[peer];
+    if (!state.open.empty()) {
+        return;
+    }
+    auto waiting = std::exchange(state.waiting, {});
+    m_peers.erase(peer);
+    std::ranges::for_each(waiting, [&](const Waiting& it) {
+        if (auto& handler = m_unsentHandlers.at(static_cast<std::size_t>(it.kind))) {
+            handler(peer, it.message);
+        }
+    });
+    reportLost(peer);
+}
+
+void PeerNetworkLibevent::reportLost(const PeerAddress& peer)
+{
+    // The link owns the string that came in, and handlers may change the peer table.
+    auto lost = peer; // NOLINT(performance-unnecessary-copy-initialization)
+    if (auto it = m_peers.find(lost); it != m_peers.end() && it->second.open.empty() && !it->second.dialling) {
+        m_peers.erase(it);
+    }
+    m_lost.emit(lost);
+}
+
+void PeerNetworkLibevent::received(PeerLink* link, MessageKind kind, std::span<const std::byte> message)
+{
+    if (auto& handler = m_handlers.at(static_cast<std::size_t>(kind))) {
+        handler(link->peer(), message);
+    }
+}
+
+void PeerNetworkLibevent::checkLinks()
+{
+    auto now = m_timers.now();
+    std::vector<PeerLink*> links;
+    links.reserve(m_links.size());
+    std::ranges::transform(m_links, std::back_inserter(links), [](const auto& it) { return it.first; });
+    std::ranges::for_each(links, [&](PeerLink* link) {
+        if (m_links.contains(link)) {
+            link->check(now);
+        }
+    });
+    m_checkTimer = m_timers.after(linkCheckInterval, [this] { checkLinks(); });
+}
+
+void PeerNetworkLibevent::sweep()
+{
+    m_sweepTimer = 0;
+    m_dead.clear();
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/adapters/peer_network_libevent.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "adapters/peer_link.h"
+#include "ports/timers.h"
+
+#include <array>
+#include <map>
+#include <vector>
+
+namespace pw {
+
+/// PeerNetwork over TCP: one multiplexed link to each peer that is spoken to, opened when needed.
+class PeerNetworkLibevent : public PeerNetwork {
+public:
+    PeerNetworkLibevent(LinkContext context, Timers& timers);
+    ~PeerNetworkLibevent() override;
+    PeerNetworkLibevent(const PeerNetworkLibevent&) = delete;
+    PeerNetworkLibevent& operator=(const PeerNetworkLibevent&) = delete;
+
+    /// Listens on the daemon's own address.
+    /// \param reason receives what went wrong when false is returned.
+    bool init(std::string& reason);
+    /// Closes every link and stops listening; send() returns false from then on.
+    void shutdown();
+
+    bool send(const PeerAddress& to, MessageKind kind, const Bytes& message) override;
+    void onMessage(MessageKind kind, Handler handler) override;
+    void onLost(LostHandler handler) override;
+    void onUnsent(MessageKind kind, UnsentHandler handler) override;
+    const PeerAddress& self() const override { return m_context.self; }
+
+    /// \returns the number of links that are open or being opened.
+    std::size_t linkCount() const { return m_links.size(); }
+
+private:
+    struct Waiting {
+        MessageKind kind;
+        Bytes message;
+    };
+    /// The links to one peer; two when both sides dialled at once.
+    struct Peer {
+        std::vector<PeerLink*> open;
+        std::vector<Waiting> waiting; ///< Messages for when the dialled link opens.
+        PeerLink* dialling = nullptr;
+    };
+
+    static void onAccepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* argument);
+
+    void add(std::unique_ptr<PeerLink> link);
+    void opened(PeerLink* link);
+    void closed(PeerLink* link);
+    void received(PeerLink* link, MessageKind kind, std::span<const std::byte> message);
+    void dialFailed(const PeerAddress& peer);
+    bool dial(const PeerAddress& to, Peer& peer);
+    void checkLinks();
+    void sweep();
+    void reportLost(const PeerAddress& peer);
+
+    LinkContext m_context;
+    Timers& m_timers;
+    bool m_stopped = false;
+    TimerId m_checkTimer = 0;
+    TimerId m_sweepTimer = 0;
+    detail::ListenerPtr m_listener;
+    std::map<PeerLink*, std::unique_ptr<PeerLink>> m_links;
+    std::vector<std::unique_ptr<PeerLink>> m_dead; ///< Freed outside their own signals.
+    std::map<PeerAddress, Peer> m_peers;
+    std::array<Handler, static_cast<std::size_t>(MessageKind::Count)> m_handlers;
+    std::array<UnsentHandler, static_cast<std::size_t>(MessageKind::Count)> m_unsentHandlers;
+    sigc::signal<void(const PeerAddress&)> m_lost;
+};
+
+} // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -23,8 +23,14 @@
 inline constexpr milliseconds callerIdleTimeout { 30000 };
 /// Time to connect to another daemon and to prove the fleet's secret.
 inline constexpr milliseconds linkHandshakeTimeout { 1000 };
-/// Idle time after which a link between daemons is closed.
-inline constexpr milliseconds linkIdleTimeout { 30000 };
+/// Idle time after which a link between daemons is closed; longer than any deadline.
+inline constexpr milliseconds linkIdleTimeout { 75000 };
+/// Time without a frame from the peer, counted from something sent, after which it is asked for one.
+inline constexpr milliseconds linkProbeAfter { 1000 };
+/// Time without a frame from the peer, counted from something sent, after which the link is closed.
+inline constexpr milliseconds linkDeadAfter { 3000 };
+/// Time past a request's deadline that an entry daemon leaves the server-side daemon to give the truer verdict.
+inline constexpr milliseconds deadlineGrace { 20 };
 /// Time to connect to the backend server beside a daemon.
 inline constexpr milliseconds backendConnectTimeout { 500 };
 /// Deadline of a route that names none.
--- /dev/null
+++ b/src/core/header_rules.cpp
@@ -0,0 +1,89 @@
+#include "core/header_rules.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace pw {
+namespace {
+
+    constexpr std::array<std::string_view, 13> connectionHeaders {
+        "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+        "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Host", "Content-Length", "Expect", "Date"
+    };
+    constexpr std::string_view ownPrefix = "Pistachio-";
+
+    char lower(char c)
+    {
+        return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    }
+
+    bool startsWith(std::string_view name, std::string_view prefix)
+    {
+        return name.size() >= prefix.size() && sameHeader(name.substr(0, prefix.size()), prefix);
+    }
+
+    /// \returns whether a Connection header names \p name as hop-by-hop.
+    bool namedByConnection(const std::vector<HeaderLine>& headers, std::string_view name)
+    {
+        return std::ranges::any_of(headers, [&](const HeaderLine& it) {
+            if (!sameHeader(it.name, "Connection")) {
+                return false;
+            }
+            auto found = std::ranges::search(it.value, name, {}, lower, lower);
+            return !found.empty();
+        });
+    }
+
+} // namespace
+
+bool sameHeader(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, {}, lower, lower);
+}
+
+std::size_t countHeader(const std::vector<HeaderLine>& headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(headers, [&](const HeaderLine& it) { return sameHeader(it.name, name); }));
+}
+
+std::optional<std::string_view> singleHeader(const std::vector<HeaderLine>& headers, std::string_view name)
+{
+    if (countHeader(headers, name) != 1) {
+        return std::nullopt;
+    }
+    auto it = std::ranges::find_if(headers, [&](const HeaderLine& line) { return sameHeader(line.name, name); });
+    return std::string_view(it->value);
+}
+
+std::vector<HeaderLine> forwardedHeaders(const std::vector<HeaderLine>& headers)
+{
+    auto hasConnection = countHeader(headers, "Connection") > 0;
+    std::vector<HeaderLine> result;
+    result.reserve(headers.size());
+    std::ranges::copy_if(headers, std::back_inserter(result), [&](const HeaderLine& it) {
+        if (startsWith(it.name, ownPrefix)) {
+            return false;
+        }
+        if (std::ranges::any_of(connectionHeaders, [&](std::string_view name) { return sameHeader(it.name, name); })) {
+            return false;
+        }
+        return !hasConnection || !namedByConnection(headers, it.name);
+    });
+    return result;
+}
+
+bool hasMisplacedKey(std::string_view target, const std::vector<HeaderLine>& headers, std::string_view body)
+{
+    if (target.find(keyPrefix) != std::string_view::npos || body.find(keyPrefix) != std::string_view::npos) {
+        return true;
+    }
+    return std::ranges::any_of(headers, [](const HeaderLine& it) {
+        if (it.name.find(keyPrefix) != std::string::npos) {
+            return true;
+        }
+        return it.value.find(keyPrefix) != std::string::npos && !sameHeader(it.name, header::key);
+    });
+}
+
+} // namespace pw
--- a/src/ports/peer_network.h
+++ b/src/ports/peer_network.h
@@ -41,6 +41,7 @@
 public:
     using Handler = std::function<void(const PeerAddress& from, std::span<const std::byte> message)>;
     using LostHandler = std::function<void(const PeerAddress& peer)>;
+    using UnsentHandler = std::function<void(const PeerAddress& to, std::span<const std::byte> message)>;
 
     virtual ~PeerNetwork() = default;
 
@@ -54,6 +55,10 @@
     /// Adds a handler called when the last link to a peer closed or could not be opened.
     virtual void onLost(LostHandler handler) = 0;
 
+    /// Sets the one handler of messages of \p kind that send() took but that certainly never left this process,
+    /// because no link could be opened.
+    virtual void onUnsent(MessageKind, UnsentHandler) { }
+
     /// \returns the address under which this daemon is known to others.
     virtual const PeerAddress& self() const = 0;
 };
