--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -91,9 +91,9 @@
     m_lost.connect(handler);
 }
 
-void PeerNetworkLibevent::onUnsent(MessageKind kind, UnsentHandler handler)
+void PeerNetworkLibevent::onUnsent(MessageKind kind, const UnsentHandler& handler)
 {
-    m_unsentHandlers.at(static_cast<std::size_t>(kind)) = std::move(handler);
+    m_unsentHandlers.at(static_cast<std::size_t>(kind)) = handler;
 }
 
 void PeerNetworkLibevent::onAccepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* argument)
--- a/src/adapters/peer_network_libevent.h
+++ b/src/adapters/peer_network_libevent.h
@@ -26,7 +26,7 @@
     bool send(const PeerAddress& to, MessageKind kind, const Bytes& message) override;
     void onMessage(MessageKind kind, Handler handler) override;
     void onLost(LostHandler handler) override;
-    void onUnsent(MessageKind kind, UnsentHandler handler) override;
+    void onUnsent(MessageKind kind, const UnsentHandler& handler) override;
     const PeerAddress& self() const override { return m_context.self; }
 
     /// \returns the number of links that are open or being opened.
--- a/src/ports/peer_network.h
+++ b/src/ports/peer_network.h
@@ -57,7 +57,7 @@
 
     /// Sets the one handler of messages of \p kind that send() took but that certainly never left this process,
     /// because no link could be opened.
-    virtual void onUnsent(MessageKind, UnsentHandler) { }
+    virtual void onUnsent(MessageKind, const UnsentHandler&) { }
 
     /// \returns the address under which this daemon is known to others.
     virtual const PeerAddress& self() const = 0;
