Add the decision library: limits, admission, gate, picker, retries, contexts

The entry and server roles need the interfaces of the decisions before the decisions are measured. These are first working versions; nothing is measured yet.

--- a/src/config.h
+++ b/src/config.h
@@ -38,6 +38,101 @@
 /// Longest caller request id, in bytes.
 inline constexpr std::size_t maxRequestIdBytes = 128;
 
+/// Share of the announced slots at which a new backend server's limit begins.
+inline constexpr double coldStartShare = 0.125;
+/// Share of a limit that must be in use before a sample may raise it.
+inline constexpr double limitInUseShare = 0.8;
+/// Factor by which a limit falls when its strategy backs off.
+inline constexpr double limitDecrease = 0.9;
+/// Service time over the best or the long-term one above which latency strategies back off.
+inline constexpr int limitLatencyTolerance = 2;
+/// Window in which the best service time is looked for.
+inline constexpr milliseconds limitBaselineWindow { 10000 };
+/// Weights of a new sample in the gradient strategy's averages.
+inline constexpr double gradientRecentWeight = 0.1;
+inline constexpr double gradientLongTermWeight = 0.002;
+/// Factor by which the gradient strategy's long-term average falls while it is far above the recent one.
+inline constexpr double gradientFall = 0.95;
+/// Share of the way to its target that the gradient strategy goes in one round of its limit.
+inline constexpr double gradientSmoothing = 0.5;
+/// Growth of the delay strategy's limit for each whole answer, in requests.
+inline constexpr double delayLimitGrowth = 0.05;
+/// Shortest time between two decreases of the delay strategy's limit.
+inline constexpr milliseconds delayLimitInterval { 100 };
+/// Weight of a new sample in the average service time.
+inline constexpr double serviceTimeWeight = 0.1;
+/// Silence after which an estimate of the service time begins to fade, and the time in which it halves.
+inline constexpr milliseconds serviceTimeHalfLife { 250 };
+/// Share of the expected service time that must be left before the deadline for a request to start.
+inline constexpr double startServiceShare = 0.5;
+/// Waiting requests for each one that may run.
+inline constexpr double queueLimitShare = 1.0;
+/// Waiting requests that are always allowed, however low the limit.
+inline constexpr std::size_t minQueueBound = 8;
+/// Interval over which the admission floor is judged.
+inline constexpr milliseconds admissionInterval { 100 };
+/// Bounds of the time after which a refused caller is told to ask again.
+inline constexpr milliseconds minRetryAfter { 50 };
+inline constexpr milliseconds maxRetryAfter { 5000 };
+/// Workspaces whose virtual time is remembered by one queue.
+inline constexpr std::size_t maxRememberedWorkspaces = 4096;
+
+/// Interval of the downstream gate's counters.
+inline constexpr milliseconds gateInterval { 100 };
+/// Part of the downstream gate's counts that is kept at the end of an interval.
+inline constexpr double gateDecay = 0.7;
+/// Requests let through for each one that the downstream service took, while it sheds and while it does not.
+inline constexpr double gateProbe = 1.05;
+inline constexpr double gateGrowth = 2.0;
+/// Share of shed requests below which a downstream service counts as not shedding.
+inline constexpr double gateQuietShare = 0.01;
+/// Time after which a route's downstream service that was not seen again is forgotten.
+inline constexpr milliseconds downstreamMemory { 60000 };
+/// Keys that one downstream gate counts at most.
+inline constexpr std::size_t maxGateKeys = 16384;
+
+/// Load over limit from which a backend server counts as loaded.
+inline constexpr double loadedShare = 0.8;
+/// Age past which a load hint of a backend server is not used.
+inline constexpr milliseconds loadHintMemory { 500 };
+/// Outstanding requests allowed at a backend server that has not answered yet.
+inline constexpr std::uint32_t coldOutstanding = 2;
+/// Consecutive failures after which a backend server is avoided.
+inline constexpr std::uint32_t failuresToAvoid = 3;
+/// First and longest time for which a failing backend server is avoided before it is probed.
+inline constexpr milliseconds minAvoidTime { 100 };
+inline constexpr milliseconds maxAvoidTime { 1000 };
+/// Weight of a new sample in the picker's average latency of a backend server.
+inline constexpr double latencyWeight = 0.2;
+/// Time in which the picker's memory of a slow backend server halves.
+inline constexpr milliseconds slowHalfLife { 1000 };
+/// A server is slow from this many times the latency of the fastest one of its service plus the margin.
+inline constexpr int slowTolerance = 2;
+inline constexpr milliseconds slowMargin { 5 };
+/// Largest factor by which a slow backend server's load is scaled.
+inline constexpr double maxSlowFactor = 8.0;
+
+/// Retries earned by each whole answer.
+inline constexpr double retryRatio = 0.05;
+/// Retries that can be saved up.
+inline constexpr double maxRetryTokens = 10.0;
+/// Retries that a daemon starts with.
+inline constexpr double initialRetryTokens = 3.0;
+/// First and longest backoff before a retry.
+inline constexpr milliseconds minRetryBackoff { 5 };
+inline constexpr milliseconds maxRetryBackoff { 250 };
+/// Tries of one call at its hop, the first included.
+inline constexpr std::uint32_t maxTriesPerHop = 3;
+/// Share of the time left that a backoff may use.
+inline constexpr double maxBackoffShare = 0.25;
+
+/// Part of a running request's attempts that is kept back from each nested call for its siblings.
+inline constexpr double siblingReserveShare = 0.25;
+/// Weight of a new sample in the number of nested calls that a route makes at once.
+inline constexpr double siblingMemoryWeight = 0.02;
+/// Routes whose nested calls are remembered by one context table.
+inline constexpr std::size_t maxRememberedRoutes = 1024;
+
 /// Age of a validity lease past which a daemon refuses keyed requests.
 inline constexpr milliseconds validityLease { 2000 };
 /// Interval at which a daemon renews its validity lease with its control member.
--- /dev/null
+++ b/src/core/admission.cpp
@@ -0,0 +1,192 @@
+#include "core/admission.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace pw {
+namespace {
+
+    Duration scaled(Duration value, double factor)
+    {
+        return Duration(static_cast<Duration::rep>(static_cast<double>(value.count()) * factor));
+    }
+
+} // namespace
+
+Admission::Admission(std::unique_ptr<Limit> limit)
+    : m_limit(std::move(limit))
+{
+    assert(m_limit);
+}
+
+OfferResult Admission::offer(const AdmissionItem& item, TimePoint now)
+{
+    rollInterval(now);
+    if (m_leaving) {
+        return { AdmissionOutcome::Refused, { Verdict::NotRun, Reason::Leaving, config::minRetryAfter } };
+    }
+    if (item.deadline <= now) {
+        return { AdmissionOutcome::Refused, { Verdict::NotRun, Reason::DeadlineExceeded, {} } };
+    }
+    auto free = running() < m_limit->current();
+    if (free && m_queue.size() == 0) {
+        // Nothing waits: the estimate may be wrong, so an idle slot is never left unused for it.
+        m_queue.charge(item.workspace);
+        start(item, now, now);
+        return {};
+    }
+    if (!canFinish(item, expectedWait(item, now), now)) {
+        noteShed(item.importance, now);
+        return { AdmissionOutcome::Refused, refusal(Reason::Overloaded, now) };
+    }
+    if (m_queue.size() >= queueBound()) {
+        auto victim = m_queue.displace(item);
+        if (!victim) {
+            noteShed(item.importance, now);
+            return { AdmissionOutcome::Refused, refusal(Reason::Overloaded, now) };
+        }
+        noteShed(victim->item.importance, now);
+        m_shed.push_back({ victim->item.id, refusal(Reason::Overloaded, now) });
+    }
+    m_queue.push(item, now);
+    return { AdmissionOutcome::Queued, {} };
+}
+
+void Admission::finish(std::uint64_t id, const RunResult& result, TimePoint now)
+{
+    auto it = m_running.find(id);
+    if (it == m_running.end()) {
+        return;
+    }
+    auto serviceTime = std::max(Duration(0), now - it->second.started - result.nestedTime);
+    LimitSample sample { serviceTime, it->second.queueDelay, running(), result.outcome };
+    m_running.erase(it);
+    m_limit->onSample(sample, now);
+    if (result.outcome == RunOutcome::Ok || result.outcome == RunOutcome::Timeout) {
+        m_serviceTime.add(now - it->second.started, now);
+    }
+}
+
+void Admission::cancel(std::uint64_t id, TimePoint now)
+{
+    if (!m_queue.erase(id)) {
+        finish(id, { RunOutcome::Cancelled, {} }, now);
+    }
+}
+
+AdmissionWork Admission::poll(TimePoint now)
+{
+    rollInterval(now);
+    AdmissionWork work;
+    work.shed.swap(m_shed);
+    auto needed = scaled(m_serviceTime.estimate(now), config::startServiceShare);
+    for (const auto& waiting : m_queue.expire(now + needed)) {
+        noteShed(waiting.item.importance, now);
+        work.shed.push_back({ waiting.item.id, refusal(Reason::Overloaded, now) });
+    }
+    while (running() < m_limit->current()) {
+        auto next = m_queue.pop();
+        if (!next) {
+            break;
+        }
+        start(next->item, next->since, now);
+        work.start.push_back(next->item.id);
+    }
+    return work;
+}
+
+std::optional<TimePoint> Admission::nextWake() const
+{
+    if (!m_shed.empty()) {
+        return TimePoint::min();
+    }
+    auto earliest = m_queue.earliestDeadline();
+    if (!earliest) {
+        return std::nullopt;
+    }
+    return *earliest - scaled(m_serviceTime.estimate(*earliest), config::startServiceShare);
+}
+
+LoadHint Admission::hint() const
+{
+    return { running(), queued(), m_limit->current(), m_floor, m_leaving };
+}
+
+void Admission::setCapacity(std::uint32_t slots, std::uint32_t connections)
+{
+    m_limit->setCapacity(slots, connections);
+}
+
+void Admission::setLeaving(bool leaving)
+{
+    m_leaving = leaving;
+}
+
+void Admission::setWorkspaceWeights(std::map<std::string, double> rates)
+{
+    m_queue.setWeights(std::move(rates));
+}
+
+void Admission::start(const AdmissionItem& item, TimePoint queuedAt, TimePoint now)
+{
+    assert(!m_running.contains(item.id));
+    m_running.emplace(item.id, Running { now, now - queuedAt });
+    noteStarted(item.importance, now);
+}
+
+bool Admission::canFinish(const AdmissionItem& item, Duration wait, TimePoint now) const
+{
+    auto needed = scaled(m_serviceTime.estimate(now), config::startServiceShare);
+    return now + wait + needed < item.deadline;
+}
+
+Duration Admission::expectedWait(const AdmissionItem& item, TimePoint now) const
+{
+    auto turns = static_cast<double>(m_queue.ahead(item) + 1) / m_limit->current();
+    return scaled(m_serviceTime.estimate(now), turns);
+}
+
+std::size_t Admission::queueBound() const
+{
+    auto share = static_cast<std::size_t>(std::ceil(m_limit->current() * config::queueLimitShare));
+    return std::max(config::minQueueBound, share);
+}
+
+Refusal Admission::refusal(Reason reason, TimePoint now) const
+{
+    // The queue in front of a new request drains in this time, if nothing else comes.
+    auto drain = scaled(m_serviceTime.estimate(now), static_cast<double>(m_queue.size() + 1) / m_limit->current());
+    auto rounded = std::chrono::ceil<std::chrono::milliseconds>(drain);
+    return { Verdict::NotRun, reason, std::clamp(rounded, config::minRetryAfter, config::maxRetryAfter) };
+}
+
+void Admission::noteShed(Importance importance, TimePoint now)
+{
+    rollInterval(now);
+    ++m_tally.at(static_cast<std::size_t>(importance)).shed;
+}
+
+void Admission::noteStarted(Importance importance, TimePoint now)
+{
+    rollInterval(now);
+    ++m_tally.at(static_cast<std::size_t>(importance)).started;
+}
+
+void Admission::rollInterval(TimePoint now)
+{
+    if (now - m_intervalBegan < config::admissionInterval) {
+        return;
+    }
+    m_intervalBegan = now;
+    // The floor is the lowest importance of which something was started, or nothing had to be shed.
+    auto admitted = [](const Tally& tally) { return tally.started > 0 || tally.shed == 0; };
+    auto it = std::ranges::find_if(m_tally, admitted);
+    auto top = static_cast<std::ptrdiff_t>(Importance::Count) - 1;
+    m_floor = static_cast<Importance>(std::min(it - m_tally.begin(), top));
+    m_tally.fill({});
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/core/context_table.cpp
@@ -0,0 +1,146 @@
+#include "core/context_table.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace pw {
+namespace {
+
+    std::string toHex(const ContextTable::Token& token)
+    {
+        static constexpr std::string_view digits = "0123456789abcdef";
+        std::string text;
+        text.reserve(2 * token.size());
+        for (auto byte : token) {
+            auto value = std::to_integer<unsigned>(byte);
+            text += digits[value >> 4U];
+            text += digits[value & 15U];
+        }
+        return text;
+    }
+
+    NestedResult refused(Reason reason)
+    {
+        return { std::nullopt, { Verdict::NotRun, reason, {} } };
+    }
+
+} // namespace
+
+ContextTable::ContextTable(TokenSource source)
+    : m_source(std::move(source))
+{
+}
+
+std::string ContextTable::open(const Call& call, TimePoint now)
+{
+    Context context;
+    context.base = { call.id, call.workspace, call.route, call.importance, now + call.timeLeft, call.attempts, call.depth };
+    context.remaining = call.attempts;
+    auto token = toHex(m_source());
+    auto [it, inserted] = m_contexts.emplace(token, std::move(context));
+    assert(inserted);
+    return it->first;
+}
+
+NestedResult ContextTable::beginNested(std::string_view token, TimePoint now)
+{
+    auto it = m_contexts.find(std::string(token));
+    if (it == m_contexts.end()) {
+        return refused(Reason::BadToken);
+    }
+    auto& context = it->second;
+    if (now >= context.base.deadline) {
+        return refused(Reason::DeadlineExceeded);
+    }
+    if (context.base.depth + 1 >= config::maxCallDepth) {
+        return refused(Reason::TooDeep);
+    }
+    if (context.remaining == 0) {
+        return refused(Reason::BudgetExhausted);
+    }
+    auto grant = context.base;
+    grant.attempts = shareOf(context);
+    ++grant.depth;
+    context.remaining -= grant.attempts;
+    if (context.active == 0) {
+        context.activeSince = now;
+    }
+    ++context.active;
+    context.mostActive = std::max(context.mostActive, context.active);
+    return { grant, {} };
+}
+
+void ContextTable::endNested(
+    std::string_view token, std::uint32_t unused, const std::string& service, const Answer* answer, TimePoint now)
+{
+    auto it = m_contexts.find(std::string(token));
+    if (it == m_contexts.end() || it->second.active == 0) {
+        return;
+    }
+    auto& context = it->second;
+    context.remaining = std::min(context.base.attempts, context.remaining + unused);
+    release(context, now);
+    context.downstream.insert(service);
+    if (!answer) {
+        return;
+    }
+    context.downstream.insert(answer->downstream.begin(), answer->downstream.end());
+    if (!answer->saturated.empty()) {
+        context.saturated = answer->saturated;
+    } else if (answer->refusal.reason == Reason::Overloaded) {
+        context.saturated = service;
+    }
+}
+
+ClosedContext ContextTable::close(std::string_view token, TimePoint now)
+{
+    auto it = m_contexts.find(std::string(token));
+    if (it == m_contexts.end()) {
+        return {};
+    }
+    auto& context = it->second;
+    remember(context.base.route, context.mostActive);
+    while (context.active > 0) {
+        release(context, now);
+    }
+    ClosedContext closed { context.remaining, { context.downstream.begin(), context.downstream.end() },
+        std::move(context.saturated), context.nestedTime };
+    m_contexts.erase(it);
+    return closed;
+}
+
+void ContextTable::release(Context& context, TimePoint now)
+{
+    assert(context.active > 0);
+    if (--context.active == 0) {
+        context.nestedTime += now - context.activeSince;
+    }
+}
+
+std::uint32_t ContextTable::shareOf(const Context& context) const
+{
+    auto known = m_parallel.find(context.base.route);
+    auto expected = known == m_parallel.end() ? 1.0 : known->second;
+    auto still = std::max(1.0, std::round(expected) - context.active);
+    auto reserve = static_cast<std::uint32_t>(context.remaining * config::siblingReserveShare);
+    auto even = static_cast<std::uint32_t>(std::ceil(context.remaining / still));
+    return std::clamp(context.remaining - reserve, 1U, std::max(1U, even));
+}
+
+void ContextTable::remember(const std::string& route, std::uint32_t parallel)
+{
+    if (parallel == 0) {
+        return;
+    }
+    if (m_parallel.size() >= config::maxRememberedRoutes && !m_parallel.contains(route)) {
+        m_parallel.clear();
+    }
+    auto& known = m_parallel[route];
+    // Rises at once, falls slowly: too little kept back fails a sibling, too much only shortens a chain.
+    known = std::max<double>(parallel, known + (parallel - known) * config::siblingMemoryWeight);
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/core/limit_gradient.cpp
@@ -0,0 +1,69 @@
+#include "config.h"
+#include "core/limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pw::detail {
+namespace {
+
+    /// Follows the ratio of the long-term to the recent service time, with room for a short queue.
+    class GradientLimit : public Limit {
+    public:
+        explicit GradientLimit(const LimitSettings& settings)
+            : Limit(settings)
+            , m_limit(capacity())
+        {
+        }
+
+    protected:
+        double wanted() const override { return m_limit; }
+
+        void learn(const LimitSample& sample, TimePoint /*now*/) override
+        {
+            if (sample.outcome != RunOutcome::Ok) {
+                m_limit = std::max(1.0, m_limit * config::limitDecrease);
+                return;
+            }
+            average(sample.serviceTime);
+            if (limitInUse(sample)) {
+                step();
+            }
+        }
+
+    private:
+        void average(Duration serviceTime)
+        {
+            auto value = static_cast<double>(serviceTime.count());
+            if (m_longTerm == 0) {
+                m_longTerm = m_recent = value;
+            }
+            m_recent += (value - m_recent) * config::gradientRecentWeight;
+            m_longTerm += (value - m_longTerm) * config::gradientLongTermWeight;
+            // Lets the long-term average fall quickly after a slow phase ended.
+            if (m_longTerm > 2 * m_recent) {
+                m_longTerm *= config::gradientFall;
+            }
+        }
+
+        void step()
+        {
+            auto gradient = std::clamp(config::limitLatencyTolerance * m_longTerm / std::max(1.0, m_recent), 0.5, 1.0);
+            auto target = m_limit * gradient + std::sqrt(m_limit);
+            m_limit += (target - m_limit) * config::gradientSmoothing / m_limit;
+            m_limit = std::clamp(m_limit, 1.0, capacity());
+        }
+
+        double m_limit;
+        double m_recent = 0;
+        double m_longTerm = 0;
+    };
+
+} // namespace
+
+std::unique_ptr<Limit> makeGradientLimit(const LimitSettings& settings)
+{
+    return std::make_unique<GradientLimit>(settings);
+}
+
+} // namespace pw::detail
--- /dev/null
+++ b/src/core/retry.cpp
@@ -0,0 +1,53 @@
+#include "core/retry.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <array>
+
+namespace pw {
+namespace {
+
+    constexpr std::array helpfulReasons {
+        Reason::Overloaded,
+        Reason::Leaving,
+        Reason::Unreachable,
+        Reason::BackendFailed,
+        Reason::BackendRefused,
+    };
+
+    Duration backoff(const RetryQuestion& question, Random& random)
+    {
+        auto doublings = std::min(question.tries - 1, 10U);
+        auto longest = std::min<Duration>(config::minRetryBackoff * (1U << doublings), config::maxRetryBackoff);
+        return std::chrono::duration_cast<Duration>(longest * (0.5 + 0.5 * uniform(random)));
+    }
+
+} // namespace
+
+bool retryCanHelp(Reason reason)
+{
+    return std::ranges::find(helpfulReasons, reason) != helpfulReasons.end();
+}
+
+void RetryPolicy::onWhole()
+{
+    m_tokens = std::min(config::maxRetryTokens, m_tokens + config::retryRatio);
+}
+
+std::optional<Duration> RetryPolicy::next(const RetryQuestion& question, Random& random)
+{
+    auto safe = question.last.verdict == Verdict::NotRun || question.idempotent;
+    auto allowed = question.attemptsLeft > 0 && question.tries < config::maxTriesPerHop;
+    if (!safe || !allowed || m_tokens < 1 || !retryCanHelp(question.last.reason)) {
+        return std::nullopt;
+    }
+    auto wait = backoff(question, random);
+    if (wait > question.timeLeft * config::maxBackoffShare) {
+        return std::nullopt;
+    }
+    m_tokens -= 1;
+    return wait;
+}
+
+} // namespace pw
