Add a seeded fake network and clock for unit tests

Cause: the replicated log, sessions and the ledger need schedules with delay, loss, duplication and partitions that repeat by seed.

Conclusion: any number of daemons run in one process on one fake clock.

--- /dev/null
+++ b/tests/unit/support/fake_network.h
@@ -0,0 +1,227 @@
+#pragma once
+
+#include "ports/peer_network.h"
+#include "ports/random.h"
+#include "ports/timers.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+/// Seeded stand-ins of the clock and the network: any number of daemons in one process.
+namespace pw::test {
+
+/// A clock that moves only when told to, with its timers.
+class FakeTimers : public Timers {
+public:
+    TimePoint now() const override { return m_now; }
+
+    TimerId after(Duration delay, std::function<void()> action) override
+    {
+        const auto id = ++m_lastId;
+        m_due.emplace(std::pair { m_now + std::max(delay, Duration::zero()), id }, std::move(action));
+        return id;
+    }
+
+    void cancel(TimerId id) override
+    {
+        std::erase_if(m_due, [id](const auto& entry) { return entry.first.second == id; });
+    }
+
+    /// Moves the clock by \p time and runs what falls due on the way, in order.
+    void run(Duration time)
+    {
+        const auto end = m_now + time;
+        while (!m_due.empty() && m_due.begin()->first.first <= end) {
+            auto entry = m_due.extract(m_due.begin());
+            m_now = entry.key().first;
+            entry.mapped()();
+        }
+        m_now = end;
+    }
+
+    /// Runs in steps of \p step until \p done holds or \p limit has passed. \returns whether it held.
+    bool runUntil(const std::function<bool()>& done, Duration limit, Duration step = std::chrono::milliseconds(1))
+    {
+        const auto end = m_now + limit;
+        while (!done() && m_now < end) {
+            run(step);
+        }
+        return done();
+    }
+
+private:
+    TimePoint m_now { std::chrono::hours(1) };
+    TimerId m_lastId = 0;
+    std::map<std::pair<TimePoint, TimerId>, std::function<void()>> m_due;
+};
+
+/// Behaviour of every link.
+struct LinkFaults {
+    Duration minDelay = std::chrono::microseconds(500);
+    Duration maxDelay = std::chrono::microseconds(1500);
+    double loss = 0; ///< Share of messages lost.
+    double duplication = 0; ///< Share of messages that arrive twice.
+    bool ordered = true; ///< Messages of one direction of a link arrive in the order sent.
+};
+
+/// The hub that carries the messages of all peers.
+class FakeNetwork {
+public:
+    FakeNetwork(FakeTimers& timers, std::uint64_t seed)
+        : m_timers(timers)
+        , m_random(seed)
+    {
+    }
+
+    LinkFaults faults;
+
+    /// Drops messages from \p a to \p b silently, in this direction only.
+    void cutOneWay(const PeerAddress& a, const PeerAddress& b) { m_cut.insert({ a, b }); }
+
+    /// Drops messages between \p a and \p b silently, both ways.
+    void cut(const PeerAddress& a, const PeerAddress& b)
+    {
+        cutOneWay(a, b);
+        cutOneWay(b, a);
+    }
+
+    void heal(const PeerAddress& a, const PeerAddress& b)
+    {
+        m_cut.erase({ a, b });
+        m_cut.erase({ b, a });
+    }
+
+    /// Cuts \p address off from everybody, silently.
+    void isolate(const PeerAddress& address) { m_isolated.insert(address); }
+
+    void rejoin(const PeerAddress& address) { m_isolated.erase(address); }
+
+    void healAll()
+    {
+        m_cut.clear();
+        m_isolated.clear();
+    }
+
+    /// \returns the messages and bytes handed to the network, by kind.
+    std::uint64_t bytesSent(MessageKind kind) const { return m_bytes.at(static_cast<std::size_t>(kind)); }
+    std::uint64_t messagesSent(MessageKind kind) const { return m_messages.at(static_cast<std::size_t>(kind)); }
+
+private:
+    friend class FakePeer;
+
+    using Handlers = std::array<PeerNetwork::Handler, static_cast<std::size_t>(MessageKind::Count)>;
+    struct Endpoint {
+        std::uint64_t incarnation = 0; ///< Messages of an earlier one are lost.
+        Handlers* handlers = nullptr;
+    };
+
+    bool blocked(const PeerAddress& from, const PeerAddress& to) const
+    {
+        return m_cut.contains({ from, to }) || (from != to && (m_isolated.contains(from) || m_isolated.contains(to)));
+    }
+
+    void send(const PeerAddress& from, const PeerAddress& to, MessageKind kind, const Bytes& message)
+    {
+        m_bytes.at(static_cast<std::size_t>(kind)) += message.size();
+        ++m_messages.at(static_cast<std::size_t>(kind));
+        if (uniform(m_random) < faults.loss) {
+            return;
+        }
+        deliverLater(from, to, kind, message);
+        if (uniform(m_random) < faults.duplication) {
+            deliverLater(from, to, kind, message);
+        }
+    }
+
+    void deliverLater(const PeerAddress& from, const PeerAddress& to, MessageKind kind, const Bytes& message)
+    {
+        const auto spread = static_cast<double>((faults.maxDelay - faults.minDelay).count()) * uniform(m_random);
+        auto due = m_timers.now() + faults.minDelay + Duration(static_cast<Duration::rep>(spread));
+        if (faults.ordered) {
+            auto& last = m_lastDue[{ from, to }];
+            due = std::max(due, last);
+            last = due;
+        }
+        const auto incarnation = m_endpoints[to].incarnation;
+        m_timers.after(due - m_timers.now(), [this, from, to, kind, message, incarnation] {
+            deliver(from, to, kind, message, incarnation);
+        });
+    }
+
+    void deliver(const PeerAddress& from, const PeerAddress& to, MessageKind kind, const Bytes& message, std::uint64_t incarnation)
+    {
+        const auto& endpoint = m_endpoints[to];
+        if (blocked(from, to) || !endpoint.handlers || endpoint.incarnation != incarnation) {
+            return;
+        }
+        if (auto handler = endpoint.handlers->at(static_cast<std::size_t>(kind))) {
+            handler(from, message);
+        }
+    }
+
+    FakeTimers& m_timers;
+    Random m_random;
+    std::map<PeerAddress, Endpoint> m_endpoints;
+    std::map<std::pair<PeerAddress, PeerAddress>, TimePoint> m_lastDue;
+    std::set<std::pair<PeerAddress, PeerAddress>> m_cut;
+    std::set<PeerAddress> m_isolated;
+    std::array<std::uint64_t, static_cast<std::size_t>(MessageKind::Count)> m_bytes {};
+    std::array<std::uint64_t, static_cast<std::size_t>(MessageKind::Count)> m_messages {};
+};
+
+/// One daemon's end of the fake network. Destroying it is a crash of the daemon's links.
+class FakePeer : public PeerNetwork {
+public:
+    FakePeer(FakeNetwork& network, PeerAddress self)
+        : m_network(network)
+        , m_self(std::move(self))
+    {
+        auto& endpoint = m_network.m_endpoints[m_self];
+        ++endpoint.incarnation;
+        endpoint.handlers = &m_handlers;
+    }
+
+    ~FakePeer() override
+    {
+        auto& endpoint = m_network.m_endpoints[m_self];
+        if (endpoint.handlers == &m_handlers) {
+            endpoint.handlers = nullptr;
+        }
+    }
+
+    FakePeer(const FakePeer&) = delete;
+    FakePeer& operator=(const FakePeer&) = delete;
+
+    bool send(const PeerAddress& to, MessageKind kind, const Bytes& message) override
+    {
+        m_network.send(m_self, to, kind, message);
+        return true;
+    }
+
+    void onMessage(MessageKind kind, Handler handler) override
+    {
+        m_handlers.at(static_cast<std::size_t>(kind)) = std::move(handler);
+    }
+
+    void onLost(LostHandler handler) override { m_lost.push_back(std::move(handler)); }
+
+    const PeerAddress& self() const override { return m_self; }
+
+    /// Tells this daemon that its link to \p peer is lost.
+    void loseLink(const PeerAddress& peer) const
+    {
+        std::ranges::for_each(m_lost, [&peer](const auto& handler) { handler(peer); });
+    }
+
+private:
+    FakeNetwork& m_network;
+    PeerAddress m_self;
+    FakeNetwork::Handlers m_handlers {};
+    std::vector<LostHandler> m_lost;
+};
+
+} // namespace pw::test
