--- /dev/null
+++ b/src/app/control_session.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "app/control_log.h"
+
+namespace pw {
+
+/// Every daemon's session with one control member: receives the replicated state and renews the validity lease.
+/// Sends to its own address when this daemon has the control role: the network delivers to itself.
+class ControlSession final : public FleetView {
+public:
+    /// \p network, \p timers and \p events must outlive this object.
+    ControlSession(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events,
+        DeploymentParser parser);
+    ~ControlSession() override;
+
+    ControlSession(const ControlSession&) = delete;
+    ControlSession& operator=(const ControlSession&) = delete;
+
+    /// Begins to ask control members.
+    void start();
+
+    const Deployment& deployment() const override;
+    std::uint64_t version() const override;
+    std::optional<std::string> workspaceOfKey(const KeyDigest& digest) const override;
+    bool keysValid(TimePoint now) const override;
+    void onChanged(std::function<void()> handler) override;
+
+    /// \returns the log index up to which this daemon applied the state.
+    std::uint64_t appliedIndex() const;
+
+    /// \returns the control member that this daemon is attached to.
+    const PeerAddress& controlMember() const;
+
+    /// \returns the addresses of all control members, as the replicated state or else the settings name them.
+    std::vector<PeerAddress> controlMembers() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace pw
