--- /dev/null
+++ b/src/app/control_ledger.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "app/settings.h"
+#include "ports/events.h"
+#include "ports/fleet.h"
+#include "ports/peer_network.h"
+#include "ports/timers.h"
+
+#include <memory>
+
+namespace pw {
+
+/// Control role: hands out the tokens of every workspace's rate while this member leads. Registers GrantAsk.
+class ControlLedger {
+public:
+    ControlLedger(const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& events, FleetView& fleet, Leadership& leadership);
+    ~ControlLedger();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace pw
