--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,317 @@
+#include "app/settings.h"
+
+#include "app/yaml_reader.h"
+
+#include <event2/util.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace pw {
+namespace {
+
+    constexpr std::size_t maxSettingsBytes = 64 * 1024;
+    constexpr std::size_t maxNameBytes = 64;
+    constexpr std::size_t maxControlMembers = 7;
+    constexpr std::uint32_t maxDecisionSampling = 1'000'000;
+
+    constexpr std::string_view nameAccepted = "1 to 64 letters, digits, '.', '_' or '-', first a letter or a digit";
+    constexpr std::string_view bindAccepted = "IP:PORT with a numeric IP and a port from 1 to 65535";
+    constexpr std::string_view identityAccepted = "IP:PORT with the numeric IP at which others reach it, and a port from 1 to 65535";
+    constexpr std::string_view memberAccepted = "a list of 1 to 7 mappings with name, peer, operator";
+    constexpr std::string_view pathAccepted = "an absolute path";
+
+    const std::vector<std::string_view> logLevels { "debug", "info", "warning", "error" };
+
+    /// A role and the member of Settings that turns it on.
+    struct RoleRow {
+        std::string_view name;
+        bool Settings::*member;
+    };
+    constexpr std::array<RoleRow, 3> roleTable { {
+        { "entry", &Settings::entry },
+        { "server", &Settings::server },
+        { "control", &Settings::control },
+    } };
+
+    bool isName(const std::string& text)
+    {
+        auto alnum = [](unsigned char c) { return std::isalnum(c) != 0; };
+        auto allowed = [&](unsigned char c) { return alnum(c) || c == '.' || c == '_' || c == '-'; };
+        return !text.empty() && text.size() <= maxNameBytes && alnum(text.front()) && std::ranges::all_of(text, allowed);
+    }
+
+    bool isWildcard(const sockaddr_storage& address)
+    {
+        if (address.ss_family == AF_INET) {
+            return reinterpret_cast<const sockaddr_in&>(address).sin_addr.s_addr == INADDR_ANY;
+        }
+        return IN6_IS_ADDR_UNSPECIFIED(&reinterpret_cast<const sockaddr_in6&>(address).sin6_addr);
+    }
+
+    bool isAddress(const std::string& text, bool wildcardAccepted)
+    {
+        sockaddr_storage address {};
+        int n = sizeof(address);
+        if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&address), &n) != 0) {
+            return false;
+        }
+        const auto port = address.ss_family == AF_INET ? reinterpret_cast<const sockaddr_in&>(address).sin_port
+                                                       : reinterpret_cast<const sockaddr_in6&>(address).sin6_port;
+        return port != 0 && (wildcardAccepted || !isWildcard(address));
+    }
+
+    void readName(YamlMap& map, const std::string& key, std::string& result)
+    {
+        if (!map.require(key, nameAccepted)) {
+            return;
+        }
+        auto value = map.text(key);
+        if (value && !isName(*value)) {
+            map.wrong(key, "not a name", nameAccepted);
+        }
+        result = value.value_or("");
+    }
+
+    /// Address to listen at; a wildcard IP is accepted.
+    void readBindAddress(YamlMap& map, const std::string& key, std::string& result)
+    {
+        auto value = map.text(key);
+        if (value && !isAddress(*value, true)) {
+            map.wrong(key, "not an address", bindAccepted);
+        }
+        result = value.value_or("");
+    }
+
+    /// Address by which others know a daemon.
+    void readIdentityAddress(YamlMap& map, const std::string& key, std::string& result)
+    {
+        if (!map.require(key, identityAccepted)) {
+            return;
+        }
+        auto value = map.text(key);
+        if (value && !isAddress(*value, false)) {
+            map.wrong(key, "not an address of one daemon", identityAccepted);
+        }
+        result = value.value_or("");
+    }
+
+    void readPath(YamlMap& map, const std::string& key, std::string& result)
+    {
+        auto value = map.text(key);
+        if (value && !value->starts_with('/')) {
+            map.wrong(key, "not an absolute path", pathAccepted);
+        }
+        result = value.value_or("");
+    }
+
+    void readRoles(YamlMap& root, YamlProblems& problems, Settings& settings)
+    {
+        constexpr std::string_view accepted = "a list of entry, server, control, at least one of them";
+        if (!root.require("roles", accepted)) {
+            return;
+        }
+        settings.entry = false;
+        const auto items = root.list("roles", accepted);
+        for (const auto& it : items) {
+            auto row = std::ranges::find(roleTable, it.IsScalar() ? it.Scalar() : std::string(), &RoleRow::name);
+            if (row == roleTable.end()) {
+                problems.add(it.Mark(), "roles", "unknown role", accepted);
+                continue;
+            }
+            settings.*(row->member) = true;
+        }
+        if (items.empty()) {
+            root.wrong("roles", "no role", accepted);
+        }
+    }
+
+    void readMember(const YAML::Node& node, std::size_t index, YamlProblems& problems, Settings& settings)
+    {
+        const auto key = "control.members[" + std::to_string(index) + "]";
+        if (!node.IsMap()) {
+            problems.add(node.Mark(), key, "not a mapping", memberAccepted);
+            return;
+        }
+        YamlMap map(node, key, problems);
+        ControlMember member;
+        readName(map, "name", member.name);
+        readIdentityAddress(map, "peer", member.peerAddress);
+        readIdentityAddress(map, "operator", member.operatorAddress);
+        map.finish();
+
+        auto sameName = [&](const ControlMember& it) { return !it.name.empty() && it.name == member.name; };
+        auto sameAddress = [&](const ControlMember& it) { return !it.peerAddress.empty() && it.peerAddress == member.peerAddress; };
+        if (std::ranges::any_of(settings.controlMembers, sameName)) {
+            map.wrong("name", "given twice", "a name of its own for each member");
+        }
+        if (std::ranges::any_of(settings.controlMembers, sameAddress)) {
+            map.wrong("peer", "given twice", "an address of its own for each member");
+        }
+        settings.controlMembers.push_back(member);
+    }
+
+    void readControl(YamlMap& root, YamlProblems& problems, Settings& settings)
+    {
+        root.require("control", "a mapping with members and, for the control role, dataFolder");
+        auto map = root.map("control");
+        readPath(map, "dataFolder", settings.dataFolder);
+        const auto items = map.list("members", memberAccepted);
+        for (std::size_t n = 0; n < items.size(); ++n) {
+            readMember(items[n], n, problems, settings);
+        }
+        if (items.empty() || items.size() > maxControlMembers) {
+            map.wrong("members", std::to_string(items.size()) + " members", memberAccepted);
+        }
+        if (settings.control) {
+            map.require("dataFolder", pathAccepted);
+        }
+        map.finish();
+    }
+
+    void readDaemon(YamlMap& root, Settings& settings)
+    {
+        root.require("daemon", "a mapping with name, region, failureDomain");
+        auto map = root.map("daemon");
+        readName(map, "name", settings.name);
+        readName(map, "region", settings.region);
+        readName(map, "failureDomain", settings.failureDomain);
+        map.finish();
+    }
+
+    /// An address that a role listens at.
+    struct ListenRow {
+        const char* section;
+        std::string Settings::*member;
+        bool Settings::*role; ///< Role that cannot do without.
+    };
+    constexpr std::array<ListenRow, 3> listenTable { {
+        { "caller", &Settings::callerAddress, &Settings::entry },
+        { "backend", &Settings::backendSideAddress, &Settings::server },
+        { "operator", &Settings::operatorAddress, &Settings::control },
+    } };
+
+    void readListen(YamlMap& root, const ListenRow& row, Settings& settings)
+    {
+        if (settings.*(row.role)) {
+            root.require(row.section, "a mapping with address, which a role of this daemon needs");
+        }
+        auto map = root.map(row.section);
+        if (root.has(row.section)) {
+            map.require("address", bindAccepted);
+        }
+        readBindAddress(map, "address", settings.*(row.member));
+        map.finish();
+    }
+
+    void readPeer(YamlMap& root, Settings& settings)
+    {
+        root.require("peer", "a mapping with address");
+        auto map = root.map("peer");
+        readIdentityAddress(map, "address", settings.peerAddress);
+        map.finish();
+    }
+
+    void readSecrets(YamlMap& root, Settings& settings)
+    {
+        root.require("secrets", "a mapping with fleet and, where operators are served, operator");
+        auto map = root.map("secrets");
+        map.require("fleet", pathAccepted);
+        readPath(map, "fleet", settings.fleetSecretFile);
+        if (!settings.operatorAddress.empty()) {
+            map.require("operator", pathAccepted);
+        }
+        readPath(map, "operator", settings.operatorSecretFile);
+        map.finish();
+    }
+
+    void readLimit(YamlMap& root, Settings& settings)
+    {
+        auto map = root.map("limit");
+        auto value = map.text("strategy");
+        if (value && !isName(*value)) {
+            map.wrong("strategy", "not a name", nameAccepted);
+        }
+        settings.limitStrategy = value.value_or("");
+        map.finish();
+    }
+
+    void readLog(YamlMap& root, Settings& settings)
+    {
+        auto map = root.map("log");
+        if (auto n = map.choice("level", logLevels)) {
+            settings.logLevel = logLevels[*n];
+        }
+        readPath(map, "file", settings.logFile);
+        if (auto n = map.integer("decisionSampling", { 0, maxDecisionSampling })) {
+            settings.decisionSampling = *n;
+        }
+        map.finish();
+    }
+
+    /// A control daemon's own name and address must agree with the list of members.
+    void checkIdentity(YamlMap& root, Settings& settings)
+    {
+        auto clashes = [&](const ControlMember& it) {
+            return (it.name == settings.name) != (it.peerAddress == settings.peerAddress);
+        };
+        if (std::ranges::any_of(settings.controlMembers, clashes)) {
+            root.wrong("daemon", "name and peer.address disagree with control.members",
+                "a name and an address that both are a member's, or neither");
+        }
+    }
+
+    std::optional<std::string> readFile(const std::string& file, std::string& reason)
+    {
+        std::ifstream in(file, std::ios::binary);
+        std::ostringstream text;
+        if (!in || !(text << in.rdbuf())) {
+            reason = file + ":1: (file): cannot be read: " + std::strerror(errno) + "; accepted: a readable, non-empty file";
+            return std::nullopt;
+        }
+        return text.str();
+    }
+
+    void readAll(YamlMap& root, YamlProblems& problems, Settings& settings)
+    {
+        readDaemon(root, settings);
+        readRoles(root, problems, settings);
+        readPeer(root, settings);
+        std::ranges::for_each(listenTable, [&](const ListenRow& row) { readListen(root, row, settings); });
+        readControl(root, problems, settings);
+        readSecrets(root, settings);
+        readLimit(root, settings);
+        readLog(root, settings);
+        root.finish();
+        checkIdentity(root, settings);
+    }
+
+} // namespace
+
+std::optional<Settings> parseSettings(const std::string& text, const std::string& source, std::string& reason)
+{
+    YamlProblems problems(source);
+    Settings settings;
+    if (auto node = parseYamlMap(text, maxSettingsBytes, problems)) {
+        YamlMap root(*node, "", problems);
+        readAll(root, problems, settings);
+    }
+    if (!problems.empty()) {
+        reason = problems.text();
+        return std::nullopt;
+    }
+    return settings;
+}
+
+std::optional<Settings> loadSettings(const std::string& file, std::string& reason)
+{
+    auto text = readFile(file, reason);
+    return text ? parseSettings(*text, file, reason) : std::nullopt;
+}
+
+} // namespace pw
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -40,11 +40,18 @@
     std::string limitStrategy; ///< Concurrency limit of the server role; empty takes the default.
     std::string logLevel = "info";
     std::string logFile; ///< Empty: standard error.
-    std::uint32_t decisionSampling = 1; ///< One decision line in this many is written.
+    std::uint32_t decisionSampling = 1; ///< One decision line in this many is written; zero writes none.
 };
 
+/// Reads and checks settings from YAML \p text.
+/// \param source name of the text in messages.
+/// \param reason receives "source:line: key: what is wrong; accepted: ..." when nothing is returned, a line for each
+///     problem.
+std::optional<Settings> parseSettings(const std::string& text, const std::string& source, std::string& reason);
+
 /// Loads and checks a settings file.
-/// \param reason receives "file:line: key: what is wrong; what is accepted" when nothing is returned.
+/// \param reason receives "file:line: key: what is wrong; accepted: ..." when nothing is returned, a line for each
+///     problem.
 std::optional<Settings> loadSettings(const std::string& file, std::string& reason);
 
 } // namespace pw
