Read, check and print deployments as YAML

Operators submit YAML that the library prints; both sides share one check of plain structs, so that a program learns of a mistake before it prints and a hand-written file gets the line. POST and PATCH must state whether they are idempotent: the default would let an order run twice.

--- a/include/pistachiowheel/pistachiowheel.h
+++ b/include/pistachiowheel/pistachiowheel.h
@@ -2,7 +2,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Operators' library: describe a deployment in plain structs and print the configuration to submit.
@@ -52,6 +54,12 @@
     std::vector<Workspace> workspaces;
 };
 
+/// \returns the name of \p importance in the configuration.
+std::string_view importanceName(Importance importance);
+
+/// \returns nothing when \p deployment can be submitted, otherwise what is wrong with it, a line for each problem.
+std::optional<std::string> check(const Deployment& deployment);
+
 /// \returns \p deployment as the YAML text that `pistachiowheel config submit` takes.
 std::string toYaml(const Deployment& deployment);
 
--- /dev/null
+++ b/src/app/deployment_yaml.cpp
@@ -0,0 +1,172 @@
+#include "app/deployment_yaml.h"
+
+#include "app/yaml_reader.h"
+#include "core/deployment_check.h"
+
+#include <array>
+#include <charconv>
+#include <map>
+
+namespace pw {
+namespace {
+
+    constexpr std::size_t maxDeploymentBytes = 1024 * 1024;
+    constexpr std::string_view deadlineAccepted = "a whole number with its unit, like 250ms or 2s";
+
+    std::vector<std::string_view> allImportanceNames()
+    {
+        std::vector<std::string_view> result;
+        for (auto n = 0; n < static_cast<int>(Importance::Count); ++n) {
+            result.push_back(importanceName(static_cast<Importance>(n)));
+        }
+        return result;
+    }
+
+    std::optional<std::chrono::milliseconds> parseDuration(const std::string& text)
+    {
+        std::uint32_t n = 0;
+        const auto* end = text.data() + text.size();
+        auto [stop, ec] = std::from_chars(text.data(), end, n);
+        const std::string_view unit(stop, static_cast<std::size_t>(end - stop));
+        if (ec != std::errc() || (unit != "ms" && unit != "s")) {
+            return std::nullopt;
+        }
+        return unit == "s" ? std::chrono::seconds(n) : std::chrono::milliseconds(n);
+    }
+
+    /// Reads the value of \p key into \p result when there is one.
+    template <typename Value>
+    void take(std::optional<Value> value, Value& result)
+    {
+        if (value) {
+            result = *value;
+        }
+    }
+
+    void readDuration(YamlMap& map, const std::string& key, std::chrono::milliseconds& result)
+    {
+        auto value = map.text(key);
+        if (!value) {
+            return;
+        }
+        auto duration = parseDuration(*value);
+        if (!duration) {
+            map.wrong(key, "not a time", deadlineAccepted);
+        }
+        take(duration, result);
+    }
+
+    /// Methods that are seldom idempotent: the default would be a trap.
+    bool mustStateIdempotency(const std::string& method)
+    {
+        return method == "POST" || method == "PATCH";
+    }
+
+    void readService(YamlMap& map, Service& service)
+    {
+        map.require("name", nameAccepted);
+        take(map.text("name"), service.name);
+        take(map.integer("slotsPerServer", { 1, config::maxSlotsPerServer }), service.slotsPerServer);
+        take(map.integer("connectionsPerServer", { 1, config::maxConnectionsPerServer }), service.connectionsPerServer);
+    }
+
+    void readRoute(YamlMap& map, Route& route)
+    {
+        map.require("name", nameAccepted);
+        map.require("pathPrefix", "a path prefix");
+        map.require("service", "the name of an entry of services");
+        take(map.text("name"), route.name);
+        take(map.text("method"), route.method);
+        take(map.text("pathPrefix"), route.pathPrefix);
+        take(map.text("service"), route.service);
+        if (auto n = map.choice("importance", allImportanceNames())) {
+            route.importance = static_cast<Importance>(*n);
+        }
+        if (mustStateIdempotency(route.method)) {
+            map.require("idempotent", "true or false, stated for each route with POST or PATCH");
+        }
+        take(map.boolean("idempotent"), route.idempotent);
+        take(map.boolean("open"), route.open);
+        take(map.boolean("nestedOnly"), route.nestedOnly);
+        readDuration(map, "deadline", route.deadline);
+        take(map.integer("attempts", { 1, config::maxAttempts }), route.attempts);
+    }
+
+    void readWorkspace(YamlMap& map, Workspace& workspace)
+    {
+        map.require("name", nameAccepted);
+        take(map.text("name"), workspace.name);
+        take(map.number("rate", { config::minRate, config::maxRate }), workspace.rate);
+        take(map.number("burst", { config::minBurst, config::maxBurst }), workspace.burst);
+    }
+
+    /// Lines of the text that a deployment was read from.
+    class Places {
+    public:
+        void add(const std::string& section, std::size_t index, const YamlMap& map)
+        {
+            m_maps.emplace(std::pair(section, index), map);
+        }
+
+        /// Reports \p problem at its line.
+        void report(const DeploymentProblem& problem, YamlMap& root)
+        {
+            auto it = m_maps.find(std::pair(problem.section, problem.index));
+            if (it == m_maps.end()) {
+                root.wrong(problem.section, problem.wrong, problem.accepted);
+                return;
+            }
+            it->second.wrong(problem.field, problem.wrong, problem.accepted);
+        }
+
+    private:
+        std::map<std::pair<std::string, std::size_t>, YamlMap> m_maps;
+    };
+
+    template <typename Entry>
+    void readSection(YamlMap& root, const std::string& section, void (*read)(YamlMap&, Entry&), std::vector<Entry>& entries, Places& places,
+        YamlProblems& problems)
+    {
+        const auto items = root.list(section, "a list of mappings");
+        for (std::size_t n = 0; n < items.size(); ++n) {
+            const auto key = section + "[" + std::to_string(n) + "]";
+            entries.emplace_back();
+            if (!items[n].IsMap()) {
+                problems.add(items[n].Mark(), key, "not a mapping", "a mapping of keys to values");
+                continue;
+            }
+            YamlMap map(items[n], key, problems);
+            read(map, entries.back());
+            map.finish();
+            places.add(section, n, map);
+        }
+    }
+
+} // namespace
+
+std::optional<Deployment> parseDeployment(const std::string& yaml, std::string& reason, const std::string& source)
+{
+    YamlProblems problems(source);
+    Deployment deployment;
+    if (auto node = parseYamlMap(yaml, maxDeploymentBytes, problems)) {
+        YamlMap root(*node, "", problems);
+        Places places;
+        readSection(root, "services", readService, deployment.services, places, problems);
+        readSection(root, "routes", readRoute, deployment.routes, places, problems);
+        readSection(root, "workspaces", readWorkspace, deployment.workspaces, places, problems);
+        root.finish();
+        // Values that could not be read stand at their defaults and would only repeat the problem.
+        if (problems.empty()) {
+            for (const auto& it : deploymentProblems(deployment)) {
+                places.report(it, root);
+            }
+        }
+    }
+    if (!problems.empty()) {
+        reason = problems.text();
+        return std::nullopt;
+    }
+    return deployment;
+}
+
+} // namespace pw
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -1,6 +1,7 @@
 #include "app/settings.h"
 
 #include "app/yaml_reader.h"
+#include "core/deployment_check.h"
 
 #include <event2/util.h>
 #include <netinet/in.h>
@@ -16,11 +17,9 @@
 namespace {
 
     constexpr std::size_t maxSettingsBytes = 64 * 1024;
-    constexpr std::size_t maxNameBytes = 64;
     constexpr std::size_t maxControlMembers = 7;
     constexpr std::uint32_t maxDecisionSampling = 1'000'000;
 
-    constexpr std::string_view nameAccepted = "1 to 64 letters, digits, '.', '_' or '-', first a letter or a digit";
     constexpr std::string_view bindAccepted = "IP:PORT with a numeric IP and a port from 1 to 65535";
     constexpr std::string_view identityAccepted = "IP:PORT with the numeric IP at which others reach it, and a port from 1 to 65535";
     constexpr std::string_view memberAccepted = "a list of 1 to 7 mappings with name, peer, operator";
@@ -39,13 +38,6 @@
         { "control", &Settings::control },
     } };
 
-    bool isName(const std::string& text)
-    {
-        auto alnum = [](unsigned char c) { return std::isalnum(c) != 0; };
-        auto allowed = [&](unsigned char c) { return alnum(c) || c == '.' || c == '_' || c == '-'; };
-        return !text.empty() && text.size() <= maxNameBytes && alnum(text.front()) && std::ranges::all_of(text, allowed);
-    }
-
     bool isWildcard(const sockaddr_storage& address)
     {
         if (address.ss_family == AF_INET) {
--- a/src/app/yaml_reader.cpp
+++ b/src/app/yaml_reader.cpp
@@ -188,7 +188,10 @@
 
 std::string YamlMap::fullKey(std::string_view key) const
 {
-    return m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
+    if (m_path.empty() || key.empty()) {
+        return m_path + std::string(key);
+    }
+    return m_path + "." + std::string(key);
 }
 
 void YamlMap::wrong(const std::string& key, std::string_view wrong, std::string_view accepted)
--- /dev/null
+++ b/src/core/deployment_check.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "pistachiowheel/pistachiowheel.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace pw {
+
+/// Bounds of what operators configure.
+namespace config {
+    inline constexpr std::size_t maxNameBytes = 64;
+    inline constexpr std::size_t maxPathPrefixBytes = 512;
+    inline constexpr std::size_t maxServices = 1024;
+    inline constexpr std::size_t maxRoutes = 4096;
+    inline constexpr std::size_t maxWorkspaces = 4096;
+    inline constexpr std::uint32_t maxSlotsPerServer = 100'000;
+    inline constexpr std::uint32_t maxConnectionsPerServer = 1'000'000;
+    inline constexpr std::uint32_t maxAttempts = 1000;
+    /// Requests a second.
+    inline constexpr double minRate = 0.001;
+    inline constexpr double maxRate = 1e6;
+    /// Requests. A burst below one would never let a request pass.
+    inline constexpr double minBurst = 1;
+    inline constexpr double maxBurst = 1e7;
+} // namespace config
+
+/// One thing that is wrong with a deployment.
+struct DeploymentProblem {
+    std::string section; ///< "services", "routes" or "workspaces".
+    std::size_t index = 0; ///< Which entry of the section.
+    std::string field; ///< Empty when the whole section or entry is meant.
+    std::string wrong;
+    std::string accepted;
+};
+
+/// \returns whether \p text may name a service, a route, a workspace or a daemon.
+bool isName(std::string_view text);
+
+/// What isName() accepts, for messages.
+inline constexpr std::string_view nameAccepted = "1 to 64 letters, digits, '.', '_' or '-', first a letter or a digit";
+
+/// \returns all that is wrong with \p deployment.
+std::vector<DeploymentProblem> deploymentProblems(const Deployment& deployment);
+
+} // namespace pw
