--- a/tools/support/http_server.cpp
+++ b/tools/support/http_server.cpp
@@ -21,16 +21,13 @@
     return it == query.end() ? fallback : std::strtod(it->second.c_str(), nullptr);
 }
 
-ControlRequest parseTarget(evhttp_request* request)
+ControlRequest parseTarget(const std::string& target)
 {
     ControlRequest result;
-    const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
-    if (const char* path = uri ? evhttp_uri_get_path(uri) : nullptr) {
-        result.path = path;
-    }
-    const char* query = uri ? evhttp_uri_get_query(uri) : nullptr;
+    const auto mark = target.find('?');
+    result.path = target.substr(0, mark);
     evkeyvalq parameters;
-    if (!query || evhttp_parse_query_str(query, &parameters) != 0) {
+    if (mark == std::string::npos || evhttp_parse_query_str(target.c_str() + mark + 1, &parameters) != 0) {
         return result;
     }
     for (auto* it = parameters.tqh_first; it; it = it->next.tqe_next) {
@@ -40,6 +37,11 @@
     return result;
 }
 
+ControlRequest parseTarget(evhttp_request* request)
+{
+    return parseTarget(std::string(evhttp_request_get_uri(request)));
+}
+
 void ControlServer::Deleter::operator()(evhttp* http) const
 {
     evhttp_free(http);
--- a/tools/support/http_server.h
+++ b/tools/support/http_server.h
@@ -31,7 +31,8 @@
     std::string text;
 };
 
-/// Splits the target of \p request.
+/// Splits a request target into path and parameters.
+ControlRequest parseTarget(const std::string& target);
 ControlRequest parseTarget(evhttp_request* request);
 
 /// Small HTTP server by which a test program is switched and read at run time.
