Add the entry and server roles: the request path through two daemons

Callers' requests pass route, key, downstream, rate and claim checks, then one dispatcher picks a backend server, sends the call to the daemon beside it and is the only place that tries again. The server role is the only one to connect to its backend server; nested calls come back with a context token, which dies with its request. Calls are numbered from a random start, so an answer meant for an earlier process at the same address matches nothing.

--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -7,6 +7,8 @@
 
 #include <endian.h>
 
+#include <algorithm>
+
 namespace pw {
 namespace {
 
@@ -202,16 +204,15 @@
     if (!valid.value_or(false) || m_peerNonce.size() != nonceBytes) {
         return false;
     }
-    writeFrame(LinkFrame::Proof, encodeProof(crypto::mac(m_context.fleetSecret, proofText(m_dialled))));
+    writeFrame(LinkFrame::Proof, encodeProof(crypto::mac(m_context.fleetSecrets.front(), proofText(m_dialled))));
     return true;
 }
 
 bool PeerLink::takeProof(std::span<const std::byte> message)
 {
-    auto expected = crypto::mac(m_context.fleetSecret, proofText(!m_dialled));
-    auto good = !m_peerNonce.empty() && detail::fromBytes<proto::Proof>(message, [&](proto::Proof::Reader proof) {
+    auto good = !m_peerNonce.empty() && detail::fromBytes<proto::Proof>(message, [this](proto::Proof::Reader proof) {
         auto bytes = proof.getMac();
-        return crypto::sameMac({ reinterpret_cast<const std::byte*>(bytes.begin()), bytes.size() }, expected);
+        return provesSecret({ reinterpret_cast<const std::byte*>(bytes.begin()), bytes.size() });
     }).value_or(false);
     // A dialled daemon must be the one at the address that was dialled.
     if (!good || (m_dialled && m_claimedPeer != m_peer)) {
@@ -224,6 +225,14 @@
     return true;
 }
 
+bool PeerLink::provesSecret(std::span<const std::byte> mac) const
+{
+    auto text = proofText(!m_dialled);
+    return std::ranges::any_of(m_context.fleetSecrets, [&](const std::string& secret) {
+        return crypto::sameMac(mac, crypto::mac(secret, text));
+    });
+}
+
 void PeerLink::writeFrame(std::uint16_t kind, std::span<const std::byte> message)
 {
     FrameHeader frame { htole32(static_cast<std::uint32_t>(message.size())), htole16(kind), 0 };
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pw {
 
@@ -18,7 +19,7 @@
     event_base* base = nullptr;
     EventLog* log = nullptr;
     PeerAddress self;
-    std::string fleetSecret;
+    std::vector<std::string> fleetSecrets; ///< The first proves this daemon, every one is accepted as proof.
 };
 
 /// One TCP connection between two daemons: framing, mutual proof of the fleet's secret, liveness.
@@ -68,6 +69,7 @@
     void takeFrame(std::uint16_t kind, std::span<const std::byte> message);
     bool takeHello(std::span<const std::byte> message);
     bool takeProof(std::span<const std::byte> message);
+    bool provesSecret(std::span<const std::byte> mac) const;
     void writeFrame(std::uint16_t kind, std::span<const std::byte> message);
     std::string proofText(bool ofDialler) const;
     void refuse(std::string_view why);
--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -48,6 +48,7 @@
     m_stopped = true;
     m_timers.cancel(m_checkTimer);
     m_timers.cancel(m_sweepTimer);
+    m_timers.cancel(m_selfTimer);
     m_listener.reset();
     m_peers.clear();
     m_links.clear();
@@ -59,6 +60,10 @@
     if (m_stopped) {
         return false;
     }
+    if (to == m_context.self) {
+        sendToSelf(kind, message);
+        return true;
+    }
     auto& peer = m_peers[to];
     if (!peer.open.empty()) {
         return peer.open.back()->send(kind, message);
@@ -70,6 +75,25 @@
     return true;
 }
 
+void PeerNetworkLibevent::sendToSelf(MessageKind kind, const Bytes& message)
+{
+    m_toSelf.push_back({ kind, message });
+    if (!m_selfTimer) {
+        m_selfTimer = m_timers.after(Duration::zero(), [this] { deliverToSelf(); });
+    }
+}
+
+void PeerNetworkLibevent::deliverToSelf()
+{
+    m_selfTimer = 0;
+    auto messages = std::exchange(m_toSelf, {});
+    std::ranges::for_each(messages, [this](const Waiting& it) {
+        if (auto& handler = m_handlers.at(static_cast<std::size_t>(it.kind))) {
+            handler(m_context.self, it.message);
+        }
+    });
+}
+
 bool PeerNetworkLibevent::dial(const PeerAddress& to, Peer& peer)
 {
     auto link = PeerLink::dial(m_context, to);
--- a/src/adapters/peer_network_libevent.h
+++ b/src/adapters/peer_network_libevent.h
@@ -9,7 +9,8 @@
 
 namespace pw {
 
-/// PeerNetwork over TCP: one multiplexed link to each peer that is spoken to, opened when needed.
+/// PeerNetwork over TCP: one multiplexed link to each peer that is spoken to, opened when needed. Messages to this
+/// daemon's own address come back through the loop.
 class PeerNetworkLibevent : public PeerNetwork {
 public:
     PeerNetworkLibevent(LinkContext context, Timers& timers);
@@ -51,6 +52,8 @@
     void closed(PeerLink* link);
     void received(PeerLink* link, MessageKind kind, std::span<const std::byte> message);
     void dialFailed(const PeerAddress& peer);
+    void sendToSelf(MessageKind kind, const Bytes& message);
+    void deliverToSelf();
     bool dial(const PeerAddress& to, Peer& peer);
     void checkLinks();
     void sweep();
@@ -61,6 +64,8 @@
     bool m_stopped = false;
     TimerId m_checkTimer = 0;
     TimerId m_sweepTimer = 0;
+    TimerId m_selfTimer = 0;
+    std::vector<Waiting> m_toSelf;
     detail::ListenerPtr m_listener;
     std::map<PeerLink*, std::unique_ptr<PeerLink>> m_links;
     std::vector<std::unique_ptr<PeerLink>> m_dead; ///< Freed outside their own signals.
--- /dev/null
+++ b/src/app/backend_edge.cpp
@@ -0,0 +1,205 @@
+#include "app/backend_edge.h"
+
+#include "app/http_answer.h"
+#include "config.h"
+#include "core/header_rules.h"
+
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <charconv>
+#include <memory>
+#include <vector>
+
+namespace pw {
+namespace {
+
+    constexpr std::string_view announcePath = "/v1/announce";
+    constexpr std::string_view leavePath = "/v1/leave";
+
+    /// Parameters of a query string.
+    class Query {
+    public:
+        explicit Query(const std::string& target)
+        {
+            auto mark = target.find('?');
+            evhttp_parse_query_str(mark == std::string::npos ? "" : target.c_str() + mark + 1, &m_values);
+        }
+        ~Query() { evhttp_clear_headers(&m_values); }
+        Query(const Query&) = delete;
+        Query& operator=(const Query&) = delete;
+
+        std::string text(const char* name) const
+        {
+            const auto* value = evhttp_find_header(&m_values, name);
+            return value ? value : "";
+        }
+
+        /// \returns zero when the value is no number.
+        std::uint32_t number(const char* name) const
+        {
+            auto value = text(name);
+            std::uint32_t result = 0;
+            auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), result);
+            return ec == std::errc() && end == value.data() + value.size() ? result : 0;
+        }
+
+    private:
+        evkeyvalq m_values {};
+    };
+
+    bool isPath(const std::string& target, std::string_view path)
+    {
+        return std::string_view(target).substr(0, target.find('?')) == path;
+    }
+
+} // namespace
+
+BackendEdge::BackendEdge(event_base* base, Timers& timers, EventLog& log, FleetView& fleet, ServerRole& server, Dispatcher& dispatcher)
+    : m_timers(timers)
+    , m_log(log)
+    , m_fleet(fleet)
+    , m_server(server)
+    , m_dispatcher(dispatcher)
+    , m_routes(fleet.deployment().routes)
+    , m_http(base, [this](const std::shared_ptr<HttpExchange>& exchange) { onRequest(exchange); })
+{
+    fleet.onChanged([this] { m_routes = RouteTable(m_fleet.deployment().routes); });
+    server.contextClosed().connect([this](const std::string& token) { orphaned(token); });
+}
+
+bool BackendEdge::init(const std::string& address, std::string& reason)
+{
+    return m_http.init(address, reason);
+}
+
+void BackendEdge::onRequest(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto& request = exchange->request();
+    if (request.method == "POST" && isPath(request.target, announcePath)) {
+        announce(*exchange);
+    } else if (request.method == "POST" && isPath(request.target, leavePath)) {
+        leave(*exchange);
+    } else {
+        nested(exchange);
+    }
+}
+
+void BackendEdge::announce(HttpExchange& exchange)
+{
+    Query query(exchange.request().target);
+    Announcement announcement { query.text("service"), query.text("address"), query.number("slots"), query.number("connections") };
+    std::string reason;
+    if (m_server.announce(announcement, reason)) {
+        exchange.reply({ 204, {}, {} });
+    } else {
+        exchange.reply({ 400, {}, reason + "\n" });
+    }
+}
+
+void BackendEdge::leave(HttpExchange& exchange)
+{
+    m_server.leave();
+    exchange.reply({ 204, {}, {} });
+}
+
+void BackendEdge::nested(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto& request = exchange->request();
+    auto refuse = [&](const Refusal& refusal) {
+        PW_EVENT(m_log, Event::RequestRefused, { "nested", true }, { "reason", reasonInfo(refusal.reason).name });
+        exchange->reply(refusalToHttp(refusal));
+    };
+    auto token = singleHeader(request.headers, header::context);
+    if (!token) {
+        refuse({ Verdict::NotRun, Reason::BadToken, {} });
+        return;
+    }
+    const auto* route = m_routes.match(request.method, request.target);
+    if (!route) {
+        refuse({ Verdict::NotRun, Reason::NoRoute, {} });
+        return;
+    }
+    auto begun = m_server.contexts().beginNested(*token, m_timers.now());
+    if (!begun.grant) {
+        refuse(begun.refusal);
+        return;
+    }
+    auto state = std::make_shared<Nested>(Nested { exchange, std::string(*token), route->service, route->idempotent, 0 });
+    start(state, requestFor(request, *route, *begun.grant));
+}
+
+DispatchRequest BackendEdge::requestFor(const HttpRequest& request, const Route& route, const NestedGrant& grant) const
+{
+    DispatchRequest job;
+    job.deadline = std::min<TimePoint>(grant.deadline, m_timers.now() + route.deadline);
+    job.attempts = grant.attempts;
+    job.call.route = route.name;
+    job.call.service = route.service;
+    job.call.method = request.method;
+    job.call.target = request.target;
+    job.call.headers = forwardedHeaders(request.headers);
+    job.call.body = request.body;
+    job.call.workspace = grant.workspace;
+    job.call.importance = grant.importance;
+    job.call.idempotent = route.idempotent;
+    job.call.nested = true;
+    job.call.depth = grant.depth;
+    return job;
+}
+
+void BackendEdge::start(const NestedPtr& nested, DispatchRequest request)
+{
+    m_nested.emplace(nested->token, nested);
+    auto answeredAtOnce = std::make_shared<bool>(false);
+    auto job = m_dispatcher.start(std::move(request), [this, nested, answeredAtOnce](const Answer& answer) {
+        *answeredAtOnce = true;
+        answered(nested, answer);
+    });
+    if (*answeredAtOnce) {
+        return;
+    }
+    nested->job = job;
+    nested->exchange->onGone([this, weak = std::weak_ptr(nested)] {
+        if (auto it = weak.lock()) {
+            cancel(it);
+        }
+    });
+}
+
+void BackendEdge::answered(const NestedPtr& nested, const Answer& answer)
+{
+    forget(nested);
+    m_server.contexts().endNested(nested->token, answer.attemptsUnused, nested->service, &answer, m_timers.now());
+    nested->exchange->reply(toHttp(answer));
+}
+
+void BackendEdge::cancel(const NestedPtr& nested)
+{
+    if (!nested->idempotent) {
+        return; // It may run already; let it end in good order.
+    }
+    forget(nested);
+    m_dispatcher.cancel(nested->job);
+    m_server.contexts().endNested(nested->token, 0, nested->service, nullptr, m_timers.now());
+    nested->exchange->reply(refusalToHttp({ Verdict::MayHaveRun, Reason::Cancelled, {} }));
+}
+
+void BackendEdge::orphaned(const std::string& token)
+{
+    auto [first, last] = m_nested.equal_range(token);
+    std::vector<NestedPtr> orphans;
+    std::transform(first, last, std::back_inserter(orphans), [](const auto& it) { return it.second; });
+    std::ranges::for_each(orphans, [this](const NestedPtr& it) { cancel(it); });
+}
+
+void BackendEdge::forget(const NestedPtr& nested)
+{
+    auto [first, last] = m_nested.equal_range(nested->token);
+    auto it = std::find_if(first, last, [&](const auto& entry) { return entry.second == nested; });
+    if (it != last) {
+        m_nested.erase(it);
+    }
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/call_transport.cpp
@@ -0,0 +1,124 @@
+#include "app/call_transport.h"
+
+#include "adapters/codec_call.h"
+#include "app/server_role.h"
+#include "config.h"
+
+#include <algorithm>
+#include <ranges>
+#include <vector>
+
+namespace pw {
+namespace {
+
+    constexpr Refusal notSent { Verdict::NotRun, Reason::Unreachable, {} };
+    constexpr Refusal linkLost { Verdict::MayHaveRun, Reason::Unreachable, {} };
+    constexpr Refusal noAnswer { Verdict::MayHaveRun, Reason::DeadlineExceeded, {} };
+
+} // namespace
+
+CallTransport::CallTransport(PeerNetwork& network, Timers& timers, ServerRole* local, std::uint64_t firstId)
+    : m_network(network)
+    , m_timers(timers)
+    , m_local(local)
+    , m_lastId(firstId)
+{
+    network.onMessage(MessageKind::Answer, [this](const PeerAddress& from, std::span<const std::byte> message) { onAnswer(from, message); });
+    network.onUnsent(MessageKind::Call, [this](const PeerAddress&, std::span<const std::byte> message) { onUnsent(message); });
+    network.onLost([this](const PeerAddress& peer) { onLost(peer); });
+}
+
+CallTransport::~CallTransport()
+{
+    std::ranges::for_each(m_pending, [this](auto& it) { m_timers.cancel(it.second.timer); });
+}
+
+std::uint64_t CallTransport::start(const PeerAddress& daemon, Call call, Done done)
+{
+    auto id = ++m_lastId;
+    call.id = id;
+    auto patience = call.timeLeft + config::deadlineGrace;
+    m_pending.emplace(id, Pending { daemon, std::move(done), 0 });
+    if (m_local && daemon == m_network.self()) {
+        m_local->run(daemon, std::move(call), [this, id](Answer answer) { end(id, std::move(answer)); });
+        return id;
+    }
+    if (!m_network.send(daemon, MessageKind::Call, encodeCall(call))) {
+        endWith(id, notSent);
+        return id;
+    }
+    m_pending.at(id).timer = m_timers.after(patience, [this, id, daemon] {
+        sendCancel(id, daemon);
+        endWith(id, noAnswer);
+    });
+    return id;
+}
+
+void CallTransport::cancel(std::uint64_t id)
+{
+    auto node = m_pending.extract(id);
+    if (node.empty()) {
+        return;
+    }
+    m_timers.cancel(node.mapped().timer);
+    sendCancel(id, node.mapped().daemon);
+}
+
+void CallTransport::sendCancel(std::uint64_t id, const PeerAddress& daemon)
+{
+    if (m_local && daemon == m_network.self()) {
+        m_local->cancel(daemon, id);
+        return;
+    }
+    m_network.send(daemon, MessageKind::Cancel, encodeCancel(id));
+}
+
+void CallTransport::end(std::uint64_t id, Answer answer)
+{
+    auto node = m_pending.extract(id);
+    if (!node.empty()) {
+        m_timers.cancel(node.mapped().timer);
+        node.mapped().done(std::move(answer));
+    }
+}
+
+void CallTransport::endWith(std::uint64_t id, Refusal refusal)
+{
+    Answer answer;
+    answer.id = id;
+    answer.refusal = refusal;
+    end(id, std::move(answer));
+}
+
+void CallTransport::onAnswer(const PeerAddress& from, std::span<const std::byte> message)
+{
+    auto answer = decodeAnswer(message);
+    if (!answer) {
+        return;
+    }
+    auto it = m_pending.find(answer->id);
+    // An answer counts only from the daemon that was asked.
+    if (it != m_pending.end() && it->second.daemon == from) {
+        end(it->first, std::move(*answer));
+    }
+}
+
+void CallTransport::onUnsent(std::span<const std::byte> message)
+{
+    if (auto call = decodeCall(message)) {
+        endWith(call->id, notSent);
+    }
+}
+
+void CallTransport::onLost(const PeerAddress& peer)
+{
+    std::vector<std::uint64_t> lost;
+    for (const auto& [id, pending] : m_pending) {
+        if (pending.daemon == peer) {
+            lost.push_back(id);
+        }
+    }
+    std::ranges::for_each(lost, [this](std::uint64_t id) { endWith(id, linkLost); });
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/call_transport.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/call.h"
+#include "ports/peer_network.h"
+#include "ports/timers.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace pw {
+
+class ServerRole;
+
+/// Carries calls to the daemon beside a backend server, and their answers back. Every call ends once: with an answer,
+/// or with a refusal that says truthfully whether it may have run.
+class CallTransport {
+public:
+    using Done = std::function<void(Answer)>;
+
+    /// \param local the server role of this daemon, or nullptr.
+    /// \param firstId random, so that an answer to an earlier process at this address matches nothing.
+    CallTransport(PeerNetwork& network, Timers& timers, ServerRole* local, std::uint64_t firstId);
+    ~CallTransport();
+    CallTransport(const CallTransport&) = delete;
+    CallTransport& operator=(const CallTransport&) = delete;
+
+    /// Starts \p call at \p daemon. \p done is called once, perhaps at once, unless cancel() comes first.
+    /// \returns a handle for cancel().
+    std::uint64_t start(const PeerAddress& daemon, Call call, Done done);
+
+    /// Cancels a call that has not ended.
+    void cancel(std::uint64_t id);
+
+private:
+    struct Pending {
+        PeerAddress daemon;
+        Done done;
+        TimerId timer = 0;
+    };
+
+    void end(std::uint64_t id, Answer answer);
+    void endWith(std::uint64_t id, Refusal refusal);
+    void onAnswer(const PeerAddress& from, std::span<const std::byte> message);
+    void onUnsent(std::span<const std::byte> message);
+    void onLost(const PeerAddress& peer);
+    void sendCancel(std::uint64_t id, const PeerAddress& daemon);
+
+    PeerNetwork& m_network;
+    Timers& m_timers;
+    ServerRole* m_local;
+    std::uint64_t m_lastId;
+    std::unordered_map<std::uint64_t, Pending> m_pending;
+};
+
+} // namespace pw
--- /dev/null
+++ b/src/app/dispatcher.cpp
@@ -0,0 +1,189 @@
+#include "app/dispatcher.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pw {
+namespace {
+
+    constexpr int firstServerErrorStatus = 500;
+
+    /// \returns how an answer counts for its server; a server that answers errors is no better than one that fails.
+    RunOutcome outcomeOf(const Answer& answer)
+    {
+        if (answer.whole()) {
+            return answer.status >= firstServerErrorStatus ? RunOutcome::Failed : RunOutcome::Ok;
+        }
+        switch (answer.refusal.reason) {
+        case Reason::DeadlineExceeded:
+            return answer.refusal.verdict == Verdict::NotRun ? RunOutcome::Refused : RunOutcome::Timeout;
+        case Reason::Unreachable:
+        case Reason::BackendFailed:
+            return RunOutcome::Failed;
+        default:
+            return RunOutcome::Refused;
+        }
+    }
+
+    /// \returns the part of \p budget kept for further attempts at this hop while one is under way.
+    std::uint32_t reserved(std::uint32_t budget)
+    {
+        return budget / config::budgetReserveDivisor;
+    }
+
+} // namespace
+
+Dispatcher::Dispatcher(const Settings& settings, CallTransport& transport, Timers& timers, EventLog& log, ServerDirectory& directory,
+    std::uint64_t seed)
+    : m_settings(settings)
+    , m_transport(transport)
+    , m_timers(timers)
+    , m_log(log)
+    , m_directory(directory)
+    , m_random(seed)
+    , m_picker(seed + 1)
+{
+}
+
+Dispatcher::~Dispatcher()
+{
+    std::ranges::for_each(m_jobs, [this](auto& it) { m_timers.cancel(it.second.backoff); });
+}
+
+std::uint64_t Dispatcher::start(DispatchRequest request, Done done)
+{
+    auto id = ++m_lastId;
+    Job job;
+    job.request = std::move(request);
+    job.done = std::move(done);
+    m_jobs.emplace(id, std::move(job));
+    attempt(id);
+    return id;
+}
+
+const ServerEntry* Dispatcher::pick(const Job& job)
+{
+    const auto& servers = m_directory.servers(job.request.call.service);
+    PickContext context { m_settings.failureDomain, m_settings.region, job.tried };
+    auto index = m_picker.pick(servers, context, m_timers.now());
+    if (!index && !job.tried.empty()) {
+        // Every server was asked once; a refusal may have been of the moment.
+        context.excluded.clear();
+        index = m_picker.pick(servers, context, m_timers.now());
+    }
+    return index ? &servers[*index] : nullptr;
+}
+
+Call Dispatcher::callFor(const Job& job) const
+{
+    auto call = job.request.call;
+    auto below = job.request.attempts - 1;
+    call.attempts = below - reserved(below);
+    call.timeLeft = std::chrono::duration_cast<std::chrono::microseconds>(job.request.deadline - m_timers.now());
+    return call;
+}
+
+void Dispatcher::attempt(std::uint64_t id)
+{
+    auto& job = m_jobs.at(id);
+    job.backoff = 0;
+    auto now = m_timers.now();
+    if (job.request.deadline <= now) {
+        endWith(id, { Verdict::NotRun, Reason::DeadlineExceeded, {} });
+        return;
+    }
+    if (job.request.attempts == 0) {
+        endWith(id, { Verdict::NotRun, Reason::BudgetExhausted, {} });
+        return;
+    }
+    const auto* server = pick(job);
+    if (!server) {
+        endWith(id, { Verdict::NotRun, Reason::NoBackendServer, config::noServerRetryAfter });
+        return;
+    }
+    PW_EVENT(m_log, Event::RouteDecision, { "route", job.request.call.route }, { "server", server->name },
+        { "workspace", job.request.call.workspace }, { "depth", job.request.call.depth }, { "try", job.tries + 1 });
+    ++job.tries;
+    job.server = server->name;
+    job.sent = now;
+    job.tried.push_back(server->name);
+    m_picker.started(server->name, now);
+    auto call = callFor(job);
+    job.lent = call.attempts;
+    job.request.attempts -= 1 + job.lent;
+    auto handle = m_transport.start(server->daemon, std::move(call), [this, id](Answer answer) { answered(id, std::move(answer)); });
+    if (auto it = m_jobs.find(id); it != m_jobs.end()) {
+        it->second.call = handle;
+    }
+}
+
+void Dispatcher::answered(std::uint64_t id, Answer answer)
+{
+    auto& job = m_jobs.at(id);
+    auto now = m_timers.now();
+    auto heard = answer.whole() || answer.load.limit > 0;
+    m_picker.finished(job.server, outcomeOf(answer), now - job.sent, heard ? &answer.load : nullptr, now);
+    auto neverArrived = answer.refusal.verdict == Verdict::NotRun && answer.refusal.reason == Reason::Unreachable;
+    job.request.attempts += neverArrived ? job.lent : std::min(answer.attemptsUnused, job.lent);
+    if (answer.whole()) {
+        m_retries.onWhole();
+        end(id, std::move(answer));
+        return;
+    }
+    tryAgainOrEnd(id, std::move(answer));
+}
+
+void Dispatcher::tryAgainOrEnd(std::uint64_t id, Answer answer)
+{
+    auto& job = m_jobs.at(id);
+    job.last = answer.refusal;
+    job.mayHaveRun = job.mayHaveRun || answer.refusal.verdict != Verdict::NotRun;
+    auto timeLeft = job.request.deadline - m_timers.now();
+    auto backoff = m_retries.next({ answer.refusal, job.request.call.idempotent, job.request.attempts, timeLeft, job.tries }, m_random);
+    PW_EVENT(m_log, Event::RetryDecision, { "route", job.request.call.route }, { "reason", reasonInfo(answer.refusal.reason).name },
+        { "verdict", verdictName(answer.refusal.verdict) }, { "retry", backoff.has_value() });
+    if (!backoff) {
+        end(id, std::move(answer));
+        return;
+    }
+    job.backoff = m_timers.after(*backoff, [this, id] { attempt(id); });
+}
+
+void Dispatcher::end(std::uint64_t id, Answer answer)
+{
+    auto node = m_jobs.extract(id);
+    auto& job = node.mapped();
+    if (!answer.whole() && job.mayHaveRun) {
+        answer.refusal.verdict = Verdict::MayHaveRun;
+    }
+    answer.attemptsUnused = job.request.attempts;
+    job.done(std::move(answer));
+}
+
+void Dispatcher::endWith(std::uint64_t id, Refusal refusal)
+{
+    const auto& job = m_jobs.at(id);
+    Answer answer;
+    // Past the first attempt, what that attempt met says more than that no other could be made.
+    answer.refusal = job.tries > 0 ? job.last : refusal;
+    end(id, std::move(answer));
+}
+
+void Dispatcher::cancel(std::uint64_t id)
+{
+    auto node = m_jobs.extract(id);
+    if (node.empty()) {
+        return;
+    }
+    auto& job = node.mapped();
+    m_timers.cancel(job.backoff);
+    if (job.backoff == 0) {
+        auto now = m_timers.now();
+        m_picker.finished(job.server, RunOutcome::Cancelled, now - job.sent, nullptr, now);
+        m_transport.cancel(job.call);
+    }
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/http_answer.cpp
@@ -0,0 +1,69 @@
+#include "app/http_answer.h"
+
+#include "core/header_rules.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace pw {
+namespace {
+
+    constexpr std::string_view repeatedHeader = "Pistachio-Repeated";
+
+    HeaderLine line(std::string_view name, std::string_view value)
+    {
+        return { std::string(name), std::string(value) };
+    }
+
+    std::string refusalBody(const Refusal& refusal)
+    {
+        return R"({"verdict":")" + std::string(verdictName(refusal.verdict)) + R"(","reason":")"
+            + std::string(reasonInfo(refusal.reason).name) + R"(","retryAfterMs":)" + std::to_string(refusal.retryAfter.count()) + "}\n";
+    }
+
+} // namespace
+
+HttpResponse refusalToHttp(const Refusal& refusal)
+{
+    const auto& info = reasonInfo(refusal.reason);
+    HttpResponse response { info.httpStatus, {}, refusalBody(refusal) };
+    response.headers.push_back(line(header::verdict, verdictName(refusal.verdict)));
+    response.headers.push_back(line(header::reason, info.name));
+    response.headers.push_back(line("Content-Type", "application/json"));
+    if (refusal.retryAfter.count() > 0) {
+        auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retryAfter).count();
+        response.headers.push_back(line("Retry-After", std::to_string(seconds)));
+        response.headers.push_back(line(header::retryAfterMs, std::to_string(refusal.retryAfter.count())));
+    }
+    return response;
+}
+
+HttpResponse toHttp(const Answer& answer)
+{
+    if (!answer.whole()) {
+        return refusalToHttp(answer.refusal);
+    }
+    HttpResponse response { answer.status, answer.headers, answer.body };
+    response.headers.push_back(line(header::verdict, verdictName(answer.refusal.verdict)));
+    return response;
+}
+
+KeptAnswer toKept(const Answer& answer, const HttpResponse& response)
+{
+    KeptAnswer kept;
+    kept.status = response.status;
+    kept.body = response.body;
+    kept.refusal = answer.refusal;
+    std::ranges::transform(response.headers, std::back_inserter(kept.headers), [](const HeaderLine& it) { return std::pair(it.name, it.value); });
+    return kept;
+}
+
+HttpResponse keptToHttp(const KeptAnswer& kept)
+{
+    HttpResponse response { kept.status, {}, kept.body };
+    std::ranges::transform(kept.headers, std::back_inserter(response.headers), [](const auto& it) { return HeaderLine { it.first, it.second }; });
+    response.headers.push_back(line(repeatedHeader, "1"));
+    return response;
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/request_record.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/types.h"
+
+#include <string>
+
+namespace pw {
+
+/// One finished request of a caller, for logs and metrics.
+struct RequestRecord {
+    std::string route; ///< Empty when none matched.
+    std::string workspace;
+    Importance importance = Importance::Normal;
+    Refusal refusal; ///< Reason::None for a whole answer.
+    int status = 0;
+    Duration latency { 0 };
+};
+
+} // namespace pw
--- /dev/null
+++ b/src/app/server_role.cpp
@@ -0,0 +1,336 @@
+#include "app/server_role.h"
+
+#include "adapters/codec_call.h"
+#include "adapters/crypto.h"
+#include "config.h"
+#include "core/header_rules.h"
+
+#include <algorithm>
+#include <cstring>
+#include <vector>
+
+namespace pw {
+namespace {
+
+    ContextTable::Token randomToken()
+    {
+        auto bytes = crypto::randomBytes(ContextTable::tokenBytes);
+        ContextTable::Token token;
+        std::memcpy(token.data(), bytes.data(), token.size());
+        return token;
+    }
+
+    std::unique_ptr<Limit> limitFrom(const Settings& settings)
+    {
+        auto limit = makeLimit(settings.limitStrategy.empty() ? defaultLimitName() : settings.limitStrategy, {});
+        return limit ? std::move(limit) : makeLimit(defaultLimitName(), {});
+    }
+
+    RunOutcome outcomeOf(const Refusal& refusal)
+    {
+        switch (refusal.reason) {
+        case Reason::None:
+            return RunOutcome::Ok;
+        case Reason::DeadlineExceeded:
+            return RunOutcome::Timeout;
+        case Reason::BackendRefused:
+            return RunOutcome::Refused;
+        default:
+            return RunOutcome::Failed;
+        }
+    }
+
+} // namespace
+
+ServerRole::ServerRole(event_base* base, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
+    ServerDirectory& directory)
+    : m_settings(settings)
+    , m_network(network)
+    , m_timers(timers)
+    , m_log(log)
+    , m_directory(directory)
+    , m_client(base, timers)
+    , m_admission(limitFrom(settings))
+    , m_contexts(randomToken)
+{
+    m_entry.name = settings.name;
+    m_entry.daemon = settings.peerAddress;
+    m_entry.failureDomain = settings.failureDomain;
+    m_entry.region = settings.region;
+    // Incarnations must grow over restarts of this process, which keeps nothing on a disk.
+    m_entry.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
+    network.onMessage(MessageKind::Call, [this](const PeerAddress& from, std::span<const std::byte> message) { onCall(from, message); });
+    network.onMessage(MessageKind::Cancel, [this](const PeerAddress& from, std::span<const std::byte> message) { onCancel(from, message); });
+    network.onLost([this](const PeerAddress& peer) { onPeerLost(peer); });
+}
+
+ServerRole::~ServerRole()
+{
+    m_timers.cancel(m_leaseTimer);
+    m_timers.cancel(m_leaveTimer);
+    m_timers.cancel(m_wakeTimer);
+}
+
+bool ServerRole::announce(const Announcement& announcement, std::string& reason)
+{
+    if (announcement.service.empty() || announcement.slots == 0 || announcement.connections == 0) {
+        reason = "service, slots and connections are needed";
+        return false;
+    }
+    if (!m_client.setAddress(announcement.address)) {
+        reason = "not an ip:port address: " + announcement.address;
+        return false;
+    }
+    auto changed = !m_announced || m_entry.service != announcement.service || m_entry.slots != announcement.slots
+        || m_entry.connections != announcement.connections;
+    m_entry.service = announcement.service;
+    m_entry.slots = announcement.slots;
+    m_entry.connections = announcement.connections;
+    m_announced = true;
+    renewLease();
+    if (changed) {
+        m_admission.setCapacity(announcement.slots, announcement.connections);
+        PW_EVENT(m_log, Event::BackendAnnounced, { "service", m_entry.service }, { "address", announcement.address }, { "slots", m_entry.slots });
+        publish();
+        pump();
+    }
+    return true;
+}
+
+void ServerRole::renewLease()
+{
+    m_timers.cancel(m_leaseTimer);
+    m_leaseTimer = m_timers.after(config::announcementLease, [this] { lapsed(); });
+}
+
+void ServerRole::lapsed()
+{
+    if (!m_announced || m_entry.leaving) {
+        return;
+    }
+    m_announced = false;
+    PW_EVENT(m_log, Event::BackendLapsed, { "service", m_entry.service });
+    m_entry.leaving = true;
+    publish();
+    m_entry.leaving = false;
+}
+
+void ServerRole::leave()
+{
+    if (m_entry.leaving) {
+        return;
+    }
+    m_entry.leaving = true;
+    PW_EVENT(m_log, Event::BackendLeft, { "service", m_entry.service }, { "pending", m_work.size() });
+    publish();
+    m_leaveTimer = m_timers.after(config::leaveGrace, [this] { stopAdmitting(); });
+}
+
+void ServerRole::stopAdmitting()
+{
+    m_refusing = true;
+    m_admission.setLeaving(true);
+    pump();
+}
+
+void ServerRole::publish()
+{
+    if (m_entry.service.empty()) {
+        return;
+    }
+    ++m_entry.sequence;
+    m_directory.publish(m_entry);
+}
+
+void ServerRole::setWorkspaceWeights(std::map<std::string, double> rates)
+{
+    m_admission.setWorkspaceWeights(std::move(rates));
+}
+
+LoadHint ServerRole::load() const
+{
+    auto hint = m_admission.hint();
+    hint.leaving = m_entry.leaving;
+    return hint;
+}
+
+void ServerRole::onCall(const PeerAddress& from, std::span<const std::byte> message)
+{
+    auto call = decodeCall(message);
+    if (!call) {
+        PW_EVENT(m_log, Event::FrameRefused, { "peer", from }, { "why", "not a call" });
+        return;
+    }
+    run(from, std::move(*call), [this, from](const Answer& answer) { m_network.send(from, MessageKind::Answer, encodeAnswer(answer)); });
+}
+
+void ServerRole::onCancel(const PeerAddress& from, std::span<const std::byte> message)
+{
+    if (auto callId = decodeCancel(message)) {
+        cancel(from, *callId);
+    }
+}
+
+std::optional<Refusal> ServerRole::refusedNow() const
+{
+    if (m_refusing) {
+        return Refusal { Verdict::NotRun, Reason::Leaving, {} };
+    }
+    if (!m_announced) {
+        return Refusal { Verdict::NotRun, Reason::NoBackendServer, {} };
+    }
+    return std::nullopt;
+}
+
+void ServerRole::run(const PeerAddress& from, Call call, Done done)
+{
+    auto id = ++m_lastId;
+    Work work;
+    work.name = { from, call.id };
+    work.deadline = m_timers.now() + call.timeLeft;
+    work.call = std::move(call);
+    work.done = std::move(done);
+    m_names.emplace(work.name, id);
+    m_work.emplace(id, std::move(work));
+    if (auto refusal = refusedNow()) {
+        refuse(id, *refusal);
+        return;
+    }
+    offer(id);
+    pump();
+}
+
+void ServerRole::offer(std::uint64_t id)
+{
+    const auto& work = m_work.at(id);
+    AdmissionItem item { id, work.call.importance, work.call.nested, work.call.workspace, work.deadline };
+    auto result = m_admission.offer(item, m_timers.now());
+    if (result.outcome == AdmissionOutcome::Started) {
+        begin(id);
+    } else if (result.outcome == AdmissionOutcome::Refused) {
+        refuse(id, result.refusal);
+    }
+}
+
+BackendRequest ServerRole::requestFor(std::uint64_t id, const Work& work) const
+{
+    auto left = std::max<Duration>(work.deadline - m_timers.now(), std::chrono::milliseconds(1));
+    auto leftMs = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+    BackendRequest request { work.call.method, work.call.target, work.call.headers, work.call.body, exchangeId(id), left };
+    request.headers.push_back({ std::string(header::context), work.token });
+    request.headers.push_back({ std::string(header::deadline), std::to_string(leftMs) });
+    if (!work.call.workspace.empty()) {
+        request.headers.push_back({ std::string(header::workspace), work.call.workspace });
+    }
+    if (!work.call.requestId.empty()) {
+        request.headers.push_back({ std::string(header::requestId), work.call.requestId });
+    }
+    return request;
+}
+
+std::string ServerRole::exchangeId(std::uint64_t id) const
+{
+    return std::to_string(m_entry.incarnation) + "-" + std::to_string(id);
+}
+
+void ServerRole::begin(std::uint64_t id)
+{
+    auto& work = m_work.at(id);
+    work.token = m_contexts.open(work.call, m_timers.now());
+    work.exchange = m_client.start(requestFor(id, work), [this, id](BackendResult result) { finished(id, std::move(result)); });
+}
+
+ClosedContext ServerRole::closeContext(const Work& work)
+{
+    auto closed = m_contexts.close(work.token, m_timers.now());
+    m_contextClosed.emit(work.token);
+    return closed;
+}
+
+void ServerRole::finished(std::uint64_t id, BackendResult result)
+{
+    auto& work = m_work.at(id);
+    auto now = m_timers.now();
+    auto context = closeContext(work);
+    m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
+    Answer reply;
+    reply.refusal = result.refusal;
+    reply.status = result.status;
+    reply.headers = forwardedHeaders(result.headers);
+    reply.body = std::move(result.body);
+    reply.attemptsUnused = context.attemptsUnused;
+    reply.downstream = std::move(context.downstream);
+    reply.saturated = std::move(context.saturated);
+    if (!reply.whole()) {
+        PW_EVENT(m_log, Event::BackendFailed, { "route", work.call.route }, { "reason", reasonInfo(result.refusal.reason).name },
+            { "verdict", verdictName(result.refusal.verdict) });
+    }
+    answer(id, std::move(reply));
+    pump();
+}
+
+void ServerRole::refuse(std::uint64_t id, Refusal refusal)
+{
+    const auto& call = m_work.at(id).call;
+    PW_EVENT(m_log, Event::AdmissionRefused, { "route", call.route }, { "workspace", call.workspace },
+        { "importance", static_cast<int>(call.importance) }, { "reason", reasonInfo(refusal.reason).name });
+    Answer reply;
+    reply.refusal = refusal;
+    reply.attemptsUnused = call.attempts;
+    answer(id, std::move(reply));
+}
+
+void ServerRole::answer(std::uint64_t id, Answer answer)
+{
+    auto node = m_work.extract(id);
+    m_names.erase(node.mapped().name);
+    answer.id = node.mapped().call.id;
+    answer.load = load();
+    node.mapped().done(std::move(answer));
+}
+
+void ServerRole::cancel(const PeerAddress& from, std::uint64_t callId)
+{
+    auto name = m_names.find({ from, callId });
+    if (name == m_names.end()) {
+        return;
+    }
+    auto id = name->second;
+    auto node = m_work.extract(id);
+    m_names.erase(name);
+    const auto& work = node.mapped();
+    if (!work.token.empty()) {
+        m_client.cancel(work.exchange);
+        closeContext(work);
+    }
+    m_admission.cancel(id, m_timers.now());
+    pump();
+}
+
+void ServerRole::onPeerLost(const PeerAddress& peer)
+{
+    std::vector<std::uint64_t> orphans;
+    for (const auto& [id, work] : m_work) {
+        // A non-idempotent request that runs already is left to end in good order.
+        if (work.name.first == peer && (work.token.empty() || work.call.idempotent)) {
+            orphans.push_back(work.name.second);
+        }
+    }
+    std::ranges::for_each(orphans, [&](std::uint64_t callId) { cancel(peer, callId); });
+}
+
+void ServerRole::pump()
+{
+    auto work = m_admission.poll(m_timers.now());
+    std::ranges::for_each(work.start, [this](std::uint64_t id) { begin(id); });
+    std::ranges::for_each(work.shed, [this](const Shed& it) { refuse(it.id, it.refusal); });
+    m_timers.cancel(std::exchange(m_wakeTimer, 0));
+    if (auto wake = m_admission.nextWake()) {
+        m_wakeTimer = m_timers.after(*wake - m_timers.now(), [this] {
+            m_wakeTimer = 0;
+            pump();
+        });
+    }
+}
+
+} // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -39,6 +39,14 @@
 inline constexpr milliseconds maxDeadline { 60000 };
 /// Attempts of a root request, nested calls included, that a route allows when it names none.
 inline constexpr std::uint32_t defaultAttemptBudget = 16;
+/// One part in this many of a request's attempt budget is kept at its hop while a call is under way.
+inline constexpr std::uint32_t budgetReserveDivisor = 4;
+/// When a caller may ask again after no backend server was known.
+inline constexpr milliseconds noServerRetryAfter { 1000 };
+/// When a caller may ask again while a request with the same id runs.
+inline constexpr milliseconds duplicateRetryAfter { 500 };
+/// When a caller may ask again after no quorum could be asked for a request id.
+inline constexpr milliseconds claimRetryAfter { 500 };
 /// Deepest chain of nested calls.
 inline constexpr std::uint8_t maxCallDepth = 16;
 /// Longest caller request id, in bytes.
@@ -145,6 +153,8 @@
 inline constexpr milliseconds sessionInterval { 400 };
 /// Silence of a backend server after which its announcement lapses.
 inline constexpr milliseconds announcementLease { 3000 };
+/// Time for which a leaving server still takes new work, while the fleet learns that it leaves.
+inline constexpr milliseconds leaveGrace { 1000 };
 /// Interval of the raft clock.
 inline constexpr milliseconds raftTickInterval { 20 };
 /// Interval between heartbeats of the control leader.
