Add the raft member and the replicated state machine

Cause: configuration, keys and control members must survive the loss of any minority of control VMs, with one leader at a time.

Conclusion: pure code, driven by tick, receive and propose; tests follow with the storage.

--- a/src/app/control_log.h
+++ b/src/app/control_log.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "app/settings.h"
-#include "core/change.h"
-#include "core/fleet_image.h"
+#include "core/fleet_state.h"
 #include "ports/events.h"
 #include "ports/log_storage.h"
 #include "ports/timers.h"
@@ -30,15 +29,6 @@
 /// \returns the stable name of \p role, as operators see it.
 std::string_view controlRoleName(ControlRole role);
 
-/// One accepted configuration, for the history.
-struct ConfigurationStep {
-    std::uint64_t version = 0;
-    std::uint64_t index = 0;
-    std::string changeId;
-
-    bool operator==(const ConfigurationStep&) const = default;
-};
-
 /// A daemon attached to this control member.
 struct SessionStatus {
     PeerAddress daemon;
--- a/src/config.h
+++ b/src/config.h
@@ -50,5 +50,40 @@
 inline constexpr milliseconds raftHeartbeat { 100 };
 /// Shortest election timeout; the longest is twice this. Leader leases are shorter still.
 inline constexpr milliseconds raftElectionTimeout { 400 };
+/// Time for which a leader acts after it sent what a quorum acknowledged.
+inline constexpr milliseconds raftLeaderLease { 300 };
+/// Time after which a snapshot that was not acknowledged is sent again.
+inline constexpr milliseconds raftSnapshotResend { 1000 };
+/// Entries applied after which a member stores a snapshot.
+inline constexpr std::uint64_t raftSnapshotEvery = 1024;
+/// Answers to a read that wait for their index to be applied.
+inline constexpr std::size_t raftPendingReads = 32;
+/// Entries and bytes of one append message.
+inline constexpr std::size_t raftBatchEntries = 64;
+inline constexpr std::size_t raftBatchBytes = 1024 * 1024;
+/// Control members with learners.
+inline constexpr std::size_t maxControlMembers = 9;
+/// Interval at which a member without a cluster asks to be taken in.
+inline constexpr milliseconds joinInterval { 500 };
+/// Largest configuration text, in bytes.
+inline constexpr std::size_t maxConfigurationBytes = 1024 * 1024;
+/// Longest id, name or label in a change, in bytes.
+inline constexpr std::size_t maxChangeFieldBytes = 256;
+/// Keys kept, withdrawn ones included.
+inline constexpr std::size_t maxKeys = 10000;
+/// Answers to changes kept for re-sends.
+inline constexpr std::size_t keptAnswers = 4096;
+/// Configuration versions kept in the history.
+inline constexpr std::size_t keptConfigurationSteps = 100;
+/// State changes kept by a control member for daemons that lag.
+inline constexpr std::size_t keptDeltas = 512;
+/// Time for which a change is repeated before it is answered as unknown.
+inline constexpr milliseconds changeTimeout { 5000 };
+/// Interval at which a change without an answer is sent to the leader again.
+inline constexpr milliseconds changeRetry { 300 };
+/// Longest wait for a change to be in force everywhere.
+inline constexpr milliseconds inForceTimeout { 10000 };
+/// Margin for clocks that run at different speeds, on top of a validity lease.
+inline constexpr milliseconds leaseMargin { 100 };
 
 } // namespace pw::config
--- a/src/core/change.h
+++ b/src/core/change.h
@@ -52,6 +52,8 @@
     std::uint64_t version = 0; ///< Of the configuration after the change; the current one on a conflict.
     std::uint64_t index = 0; ///< Of the log entry that applied it; zero when nothing was applied.
     std::string reason; ///< For Invalid, Unknown and Unavailable.
+
+    bool operator==(const ChangeResult&) const = default;
 };
 
 } // namespace pw
--- /dev/null
+++ b/src/core/fleet_image.cpp
@@ -0,0 +1,52 @@
+#include "core/fleet_image.h"
+
+#include <algorithm>
+
+namespace pw {
+namespace {
+
+    /// Applies one kind of change to the parts of an image.
+    struct Applier {
+        ConfigurationRecord& configuration;
+        std::map<std::string, KeyRecord>& keys;
+        std::map<KeyDigest, std::string>& keyIds;
+        std::vector<ControlMemberRecord>& members;
+
+        void operator()(const ConfigurationRecord& record) const { configuration = record; }
+
+        void operator()(const KeyRecord& record) const
+        {
+            keys[record.keyId] = record;
+            if (record.withdrawn) {
+                keyIds.erase(record.digest);
+            } else {
+                keyIds[record.digest] = record.keyId;
+            }
+        }
+
+        void operator()(const std::vector<ControlMemberRecord>& records) const { members = records; }
+    };
+
+} // namespace
+
+void FleetImage::apply(const FleetDelta& delta)
+{
+    if (delta.index <= m_index) {
+        return;
+    }
+    std::visit(Applier { m_configuration, m_keys, m_keyIds, m_members }, delta.what);
+    m_index = delta.index;
+}
+
+void FleetImage::advance(std::uint64_t index)
+{
+    m_index = std::max(m_index, index);
+}
+
+const KeyRecord* FleetImage::keyOf(const KeyDigest& digest) const
+{
+    const auto it = m_keyIds.find(digest);
+    return it == m_keyIds.end() ? nullptr : &m_keys.at(it->second);
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/core/fleet_state.cpp
@@ -0,0 +1,178 @@
+#include "core/fleet_state.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/crc.hpp>
+
+namespace pw {
+namespace {
+
+    /// Checksum over what a change says, to tell a re-send from another change under the same id.
+    struct Checksum {
+        boost::crc_32_type crc;
+
+        void add(std::string_view text)
+        {
+            const auto size = static_cast<std::uint64_t>(text.size());
+            crc.process_bytes(&size, sizeof size);
+            crc.process_bytes(text.data(), text.size());
+        }
+
+        void operator()(const SubmitConfiguration& change)
+        {
+            add("configuration");
+            add(std::to_string(change.baseVersion));
+            add(change.text);
+        }
+
+        void operator()(const IssueKey& change)
+        {
+            add("issue");
+            add(change.keyId);
+            add(change.workspace);
+            add(change.label);
+            crc.process_bytes(change.digest.data(), change.digest.size());
+        }
+
+        void operator()(const WithdrawKey& change)
+        {
+            add("withdraw");
+            add(change.keyId);
+        }
+    };
+
+    std::uint32_t checksumOf(const Change& change)
+    {
+        Checksum checksum;
+        std::visit([&checksum](const auto& what) { checksum(what); }, change.what);
+        return checksum.crc.checksum();
+    }
+
+    bool isField(const std::string& text)
+    {
+        return !text.empty() && text.size() <= config::maxChangeFieldBytes;
+    }
+
+    constexpr std::array<std::string_view, static_cast<std::size_t>(ChangeOutcome::Count)> outcomeNames {
+        "accepted", "conflict", "invalid", "unknown", "unavailable"
+    };
+
+} // namespace
+
+std::string_view changeOutcomeName(ChangeOutcome outcome)
+{
+    return outcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
+FleetState::FleetState(FleetImage image, std::vector<KeptChange> kept, std::vector<ConfigurationStep> history)
+    : m_image(std::move(image))
+    , m_history(history.begin(), history.end())
+{
+    for (const auto& it : kept) {
+        keep(it.id, it.checksum, it.result);
+    }
+}
+
+Applied FleetState::apply(std::uint64_t index, const Change& change)
+{
+    if (!isField(change.id)) {
+        m_image.advance(index);
+        return invalid("the change id is empty or too long");
+    }
+    const auto checksum = checksumOf(change);
+    if (const auto* first = answered(change.id)) {
+        m_image.advance(index);
+        return first->checksum == checksum ? Applied { first->result, {} }
+                                           : invalid("the change id was used for another change");
+    }
+    auto applied = std::visit([&](const auto& what) { return decide(index, change.id, what); }, change.what);
+    m_image.advance(index);
+    keep(change.id, checksum, applied.result);
+    return applied;
+}
+
+FleetDelta FleetState::applyMembers(std::uint64_t index, const std::vector<ControlMemberRecord>& members)
+{
+    FleetDelta delta { index, members };
+    m_image.apply(delta);
+    return delta;
+}
+
+const KeptChange* FleetState::answered(const std::string& id) const
+{
+    const auto it = m_keptAt.find(id);
+    return it == m_keptAt.end() ? nullptr : &m_kept[it->second - m_dropped];
+}
+
+void FleetState::keep(const std::string& id, std::uint32_t checksum, const ChangeResult& result)
+{
+    m_keptAt[id] = m_dropped + m_kept.size();
+    m_kept.push_back({ id, checksum, result });
+    if (m_kept.size() > config::keptAnswers) {
+        m_keptAt.erase(m_kept.front().id);
+        m_kept.pop_front();
+        ++m_dropped;
+    }
+}
+
+Applied FleetState::decide(std::uint64_t index, const std::string& changeId, const SubmitConfiguration& change)
+{
+    const auto current = m_image.configuration().version;
+    if (change.baseVersion != current) {
+        return { { ChangeOutcome::Conflict, current, 0, {} }, {} };
+    }
+    if (change.text.empty() || change.text.size() > config::maxConfigurationBytes) {
+        return invalid("the configuration is empty or too large");
+    }
+    m_history.push_back({ current + 1, index, changeId });
+    if (m_history.size() > config::keptConfigurationSteps) {
+        m_history.pop_front();
+    }
+    return accept({ index, ConfigurationRecord { current + 1, change.text } });
+}
+
+Applied FleetState::decide(std::uint64_t index, const std::string&, const IssueKey& change)
+{
+    if (!isField(change.keyId) || !isField(change.workspace) || change.label.size() > config::maxChangeFieldBytes) {
+        return invalid("the key's id, workspace or label is empty or too long");
+    }
+    if (m_image.keys().contains(change.keyId)) {
+        return invalid("the key id is in use");
+    }
+    if (m_image.keyOf(change.digest)) {
+        return invalid("the key is issued already");
+    }
+    if (m_image.keys().size() >= config::maxKeys) {
+        return invalid("there are too many keys");
+    }
+    return accept({ index, KeyRecord { change.keyId, change.workspace, change.label, change.digest, false } });
+}
+
+Applied FleetState::decide(std::uint64_t index, const std::string&, const WithdrawKey& change)
+{
+    const auto it = m_image.keys().find(change.keyId);
+    if (it == m_image.keys().end()) {
+        return invalid("there is no such key");
+    }
+    if (it->second.withdrawn) {
+        return invalid("the key is withdrawn already");
+    }
+    auto record = it->second;
+    record.withdrawn = true;
+    return accept({ index, std::move(record) });
+}
+
+Applied FleetState::invalid(std::string reason) const
+{
+    return { { ChangeOutcome::Invalid, m_image.configuration().version, 0, std::move(reason) }, {} };
+}
+
+Applied FleetState::accept(FleetDelta delta)
+{
+    m_image.apply(delta);
+    return { { ChangeOutcome::Accepted, m_image.configuration().version, delta.index, {} }, std::move(delta) };
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/core/raft.cpp
@@ -0,0 +1,181 @@
+#include "core/raft.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace pw {
+
+Raft::Raft(const RaftOptions& options, LogStorage& storage, const StoredLog& stored, std::string name, PeerAddress address,
+    std::uint64_t seed, TimePoint now)
+    : m_options(options)
+    , m_storage(storage)
+    , m_name(std::move(name))
+    , m_address(std::move(address))
+    , m_random(seed)
+    , m_vote(stored.vote)
+    , m_log(stored)
+    , m_commit(stored.snapshot.index)
+    , m_applied(stored.snapshot.index)
+    , m_snapshotPending(stored.snapshot.index > 0)
+    , m_leaderHeard(now)
+    , m_electedAt(now)
+    , m_heartbeatDue(now)
+    , m_readDue(now)
+{
+    assert(options.leaderLease < options.electionTimeout);
+    refreshMembers();
+    resetElectionTimer(now);
+}
+
+void Raft::tick(TimePoint now)
+{
+    if (m_halted) {
+        return;
+    }
+    if (m_role == RaftRole::Leader) {
+        const auto acknowledged = quorumAcknowledged(now).value_or(m_electedAt);
+        if (now >= std::max(acknowledged, m_electedAt) + m_options.electionTimeout) {
+            becomeFollower(term(), 0, now);
+            return;
+        }
+        if (now >= m_heartbeatDue) {
+            broadcast(now);
+        }
+        settleLearners(now);
+        tryHandOver(now);
+        return;
+    }
+    if (isVoter(identity()) && now >= m_electionDue) {
+        startElection(true, false, now);
+    }
+    if (now >= m_readDue) {
+        askRead(now);
+    }
+}
+
+void Raft::receive(const PeerAddress& from, const RaftMessage& message, TimePoint now)
+{
+    const auto mine = message.to == identity() && message.from != identity();
+    const auto foreign = !m_members.empty() && message.cluster != cluster();
+    if (m_halted || !mine || foreign || !admitTerm(message, now)) {
+        return;
+    }
+    std::visit([&](const auto& body) { handle(from, message, body, now); }, message.body);
+}
+
+std::vector<RaftEnvelope> Raft::takeMessages()
+{
+    return std::exchange(m_outbox, {});
+}
+
+std::optional<LogSnapshot> Raft::takeSnapshot()
+{
+    if (m_halted || !std::exchange(m_snapshotPending, false)) {
+        return std::nullopt;
+    }
+    return m_log.snapshot();
+}
+
+std::vector<LogEntry> Raft::takeCommitted()
+{
+    assert(!m_snapshotPending || m_halted);
+    if (m_halted) {
+        return {};
+    }
+    std::vector<LogEntry> result;
+    for (; m_applied < m_commit; ++m_applied) {
+        result.push_back(m_log.at(m_applied + 1));
+    }
+    settleReads();
+    return result;
+}
+
+PeerAddress Raft::leaderAddress() const
+{
+    const auto* it = member(m_leader);
+    return it ? it->address : PeerAddress {};
+}
+
+void Raft::halt()
+{
+    m_halted = true;
+    m_role = RaftRole::Follower;
+    m_leader = 0;
+    m_outbox.clear(); // They may say what is not on the disk.
+}
+
+bool Raft::saveVote()
+{
+    if (!m_storage.saveVote(m_vote)) {
+        halt();
+    }
+    return !m_halted;
+}
+
+void Raft::send(const PeerAddress& address, MemberId to, decltype(RaftMessage::body) body)
+{
+    m_outbox.push_back({ address, { cluster(), identity(), to, term(), std::move(body) } });
+}
+
+const ControlMemberRecord* Raft::member(MemberId id) const
+{
+    const auto it = std::ranges::find(m_members, id, &ControlMemberRecord::id);
+    return it == m_members.end() ? nullptr : &*it;
+}
+
+bool Raft::isVoter(MemberId id) const
+{
+    const auto* it = member(id);
+    return it && it->voter;
+}
+
+std::size_t Raft::quorum() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_members, &ControlMemberRecord::voter)) / 2 + 1;
+}
+
+void Raft::refreshMembers()
+{
+    m_members = m_log.membersAt(m_log.lastIndex());
+    std::erase_if(m_progress, [this](const auto& entry) { return !member(entry.first); });
+}
+
+bool Raft::admitTerm(const RaftMessage& message, TimePoint now)
+{
+    if (message.term <= term()) {
+        return true;
+    }
+    if (const auto* ask = std::get_if<VoteAsk>(&message.body)) {
+        if (ask->preVote) {
+            return true; // Nothing changes by asking.
+        }
+        if (m_members.empty() || (protectsLeader(now) && !ask->handOver)) {
+            return false;
+        }
+    }
+    const auto termless = std::holds_alternative<ReadAsk>(message.body) || std::holds_alternative<ReadReply>(message.body);
+    if (!termless) {
+        becomeFollower(message.term, 0, now);
+    }
+    return !m_halted;
+}
+
+void Raft::becomeFollower(std::uint64_t newTerm, MemberId leader, TimePoint now)
+{
+    assert(newTerm >= term());
+    const auto stepsDown = m_role != RaftRole::Follower;
+    m_role = RaftRole::Follower;
+    m_leader = leader;
+    m_handingOver = false;
+    if (stepsDown) {
+        resetElectionTimer(now);
+    }
+    if (newTerm > term()) {
+        m_vote.term = newTerm;
+        m_vote.votedFor = 0;
+        saveVote();
+    }
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/core/raft_election.cpp
@@ -0,0 +1,176 @@
+#include "core/raft.h"
+
+#include <algorithm>
+
+namespace pw {
+
+void Raft::resetElectionTimer(TimePoint now)
+{
+    const auto spread = uniform(m_random) * static_cast<double>(m_options.electionTimeout.count());
+    m_electionDue = now + m_options.electionTimeout + Duration(static_cast<Duration::rep>(spread));
+}
+
+bool Raft::protectsLeader(TimePoint now) const
+{
+    return m_role == RaftRole::Leader || now < m_leaderHeard + m_options.electionTimeout;
+}
+
+void Raft::startElection(bool preVote, bool handOver, TimePoint now)
+{
+    resetElectionTimer(now);
+    m_leader = 0;
+    m_role = preVote ? RaftRole::PreCandidate : RaftRole::Candidate;
+    m_granted = { identity() };
+    m_disowned.clear();
+    ++m_round;
+    if (!preVote) {
+        ++m_vote.term;
+        m_vote.votedFor = identity();
+        if (!saveVote()) {
+            return;
+        }
+    }
+    const auto proposed = preVote ? term() + 1 : term();
+    const VoteAsk ask { m_round, proposed, m_log.lastIndex(), m_log.lastTerm(), preVote, handOver };
+    for (const auto& it : m_members) {
+        if (it.voter && it.id != identity()) {
+            send(it.address, it.id, ask);
+        }
+    }
+    if (m_granted.size() < quorum()) {
+        return;
+    }
+    if (preVote) {
+        startElection(false, false, now);
+    } else {
+        becomeLeader(now);
+    }
+}
+
+void Raft::becomeLeader(TimePoint now)
+{
+    m_role = RaftRole::Leader;
+    m_leader = identity();
+    m_electedAt = now;
+    m_handingOver = false;
+    m_progress.clear();
+    m_sessionsIndexes.clear();
+    for (const auto& it : m_members) {
+        m_progress[it.id].next = m_log.lastIndex() + 1;
+    }
+    m_termStart = m_log.lastIndex() + 1;
+    appendOwn({ m_termStart, term(), EntryKind::Barrier, {}, {} }, now);
+}
+
+bool Raft::logIsCurrent(const VoteAsk& ask) const
+{
+    return std::pair { ask.lastTerm, ask.lastIndex } >= std::pair { m_log.lastTerm(), m_log.lastIndex() };
+}
+
+void Raft::handle(const PeerAddress& from, const RaftMessage& message, const VoteAsk& ask, TimePoint now)
+{
+    if (m_members.empty()) {
+        return;
+    }
+    VoteReply reply { ask.round, ask.preVote, false, false };
+    const auto guarded = protectsLeader(now) && !ask.handOver;
+    if (ask.preVote) {
+        reply.notMember = guarded && !member(message.from);
+        reply.granted = !guarded && ask.proposedTerm > term() && logIsCurrent(ask);
+        send(from, message.from, reply);
+        return;
+    }
+    const auto free = m_vote.votedFor == 0 || m_vote.votedFor == message.from;
+    if (!guarded && ask.proposedTerm == term() && m_role == RaftRole::Follower && free && logIsCurrent(ask)) {
+        m_vote.votedFor = message.from;
+        if (!saveVote()) {
+            return;
+        }
+        resetElectionTimer(now);
+        reply.granted = true;
+    }
+    send(from, message.from, reply);
+}
+
+void Raft::handle(const PeerAddress&, const RaftMessage& message, const VoteReply& reply, TimePoint now)
+{
+    const auto expected = reply.preVote ? RaftRole::PreCandidate : RaftRole::Candidate;
+    if (m_role != expected || reply.round != m_round || !isVoter(message.from)) {
+        return;
+    }
+    if (reply.notMember) {
+        m_disowned.insert(message.from);
+        m_removed = m_removed || m_disowned.size() >= quorum();
+    }
+    const auto current = reply.preVote || message.term == term();
+    if (!reply.granted || !current) {
+        return;
+    }
+    m_granted.insert(message.from);
+    if (m_granted.size() < quorum()) {
+        return;
+    }
+    if (reply.preVote) {
+        startElection(false, false, now);
+    } else {
+        becomeLeader(now);
+    }
+}
+
+void Raft::handOver(TimePoint now)
+{
+    m_handingOver = m_role == RaftRole::Leader;
+    tryHandOver(now);
+}
+
+void Raft::tryHandOver(TimePoint now)
+{
+    if (!m_handingOver) {
+        return;
+    }
+    const auto ready = [&](const ControlMemberRecord& it) {
+        return it.voter && it.id != identity() && recentlyHeard(it.id, now) && m_progress.at(it.id).match == m_log.lastIndex();
+    };
+    const auto it = std::ranges::find_if(m_members, ready);
+    if (it == m_members.end()) {
+        return;
+    }
+    send(it->address, it->id, HandOver {});
+    // The lease ends here for good: the other may be elected although voters still hear this leader.
+    becomeFollower(term(), 0, now);
+}
+
+void Raft::handle(const PeerAddress&, const RaftMessage& message, const HandOver&, TimePoint now)
+{
+    if (message.term == term() && message.from == m_leader && isVoter(identity())) {
+        startElection(false, true, now);
+    }
+}
+
+std::optional<TimePoint> Raft::quorumAcknowledged(TimePoint now) const
+{
+    std::vector<std::optional<TimePoint>> times;
+    for (const auto& it : m_members) {
+        if (it.voter) {
+            const auto progress = m_progress.find(it.id);
+            const auto heardAt = progress == m_progress.end() ? std::nullopt : progress->second.acknowledged;
+            times.push_back(it.id == identity() ? std::optional(now) : heardAt);
+        }
+    }
+    if (times.empty()) {
+        return std::nullopt;
+    }
+    std::ranges::sort(times, std::greater());
+    return times[quorum() - 1];
+}
+
+bool Raft::leading(TimePoint now) const
+{
+    if (m_role != RaftRole::Leader || m_commit < m_termStart) {
+        return false;
+    }
+    const auto acknowledged = quorumAcknowledged(now);
+    return acknowledged && now < *acknowledged + m_options.leaderLease;
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/core/raft_read.cpp
@@ -0,0 +1,72 @@
+#include "core/raft.h"
+
+#include <algorithm>
+
+namespace pw {
+
+void Raft::setSessionsIndex(std::uint64_t index, TimePoint now)
+{
+    const auto rose = index > m_sessionsIndex;
+    m_sessionsIndex = index;
+    m_sessionsIndexes[identity()] = { index, now };
+    if (rose && m_role != RaftRole::Leader && !m_halted) {
+        askRead(now);
+    }
+}
+
+void Raft::askRead(TimePoint now)
+{
+    m_readDue = now + m_options.heartbeat;
+    if (const auto* leader = member(m_leader)) {
+        send(leader->address, leader->id, ReadAsk { now.time_since_epoch(), m_sessionsIndex });
+    }
+}
+
+void Raft::handle(const PeerAddress& from, const RaftMessage& message, const ReadAsk& ask, TimePoint now)
+{
+    if (!leading(now) || !member(message.from)) {
+        return;
+    }
+    m_sessionsIndexes[message.from] = { ask.sessionsIndex, now };
+    send(from, message.from, ReadReply { ask.sentAt, m_commit });
+}
+
+void Raft::handle(const PeerAddress&, const RaftMessage&, const ReadReply& reply, TimePoint now)
+{
+    const TimePoint sentAt(reply.sentAt);
+    if (sentAt > now) {
+        return;
+    }
+    m_reads.emplace_back(sentAt, reply.commit);
+    if (m_reads.size() > config::raftPendingReads) {
+        m_reads.pop_front();
+    }
+    settleReads();
+}
+
+void Raft::settleReads()
+{
+    std::erase_if(m_reads, [this](const auto& read) {
+        const auto settled = read.second <= m_applied;
+        if (settled) {
+            m_completeAsOf = std::max(m_completeAsOf.value_or(read.first), read.first);
+        }
+        return settled;
+    });
+}
+
+std::optional<TimePoint> Raft::completeAsOf(TimePoint now) const
+{
+    if (leading(now) && m_applied == m_commit) {
+        return now;
+    }
+    return m_completeAsOf;
+}
+
+std::optional<std::pair<std::uint64_t, TimePoint>> Raft::sessionsIndexOf(MemberId id) const
+{
+    const auto it = m_sessionsIndexes.find(id);
+    return it == m_sessionsIndexes.end() ? std::nullopt : std::optional(it->second);
+}
+
+} // namespace pw
