Keep fleet-wide rates by expiring grants

Cause: a workspace's rate and burst hold over all daemons together, whatever daemon, link or owner fails.

The control leader lends tokens of a bucket; a daemon's ask carries cumulative counters of its series, so that lost, late and repeated messages change nothing. A new owner accrues slowly while grants of earlier owners may live.

--- /dev/null
+++ b/src/adapters/codec_grants.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/grants.h"
+#include "ports/peer_network.h"
+
+#include <optional>
+
+/// Codec of the grants of fleet-wide rates; see grants.capnp.
+namespace pw {
+
+Bytes encodeGrantAsk(const GrantAskBatch& batch);
+Bytes encodeGrantReply(const GrantReplyBatch& batch);
+
+/// Each returns nothing when \p bytes hold no valid message.
+std::optional<GrantAskBatch> decodeGrantAsk(std::span<const std::byte> bytes);
+std::optional<GrantReplyBatch> decodeGrantReply(std::span<const std::byte> bytes);
+
+} // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -51,4 +51,27 @@
 /// Shortest election timeout; the longest is twice this. Leader leases are shorter still.
 inline constexpr milliseconds raftElectionTimeout { 400 };
 
+/// Time for which a grant may be spent, from when its daemon asked for it; at the owner from when the ask came.
+inline constexpr milliseconds grantLifetime { 1500 };
+/// Part of a grant's lifetime that its daemon leaves unused, against clocks that run at different speeds.
+inline constexpr milliseconds grantMargin { 20 };
+/// Time ahead for which a daemon holds tokens of the demand that it sees.
+inline constexpr milliseconds grantHorizon { 1500 };
+/// Time constant of a daemon's estimate of its demand.
+inline constexpr milliseconds grantDemandWindow { 1000 };
+/// Shortest time between two asks of a daemon for one workspace.
+inline constexpr milliseconds grantAskSpacing { 10 };
+/// Time after which an ask without a reply is repeated, to the next control member.
+inline constexpr milliseconds grantAskRetry { 150 };
+/// Longest time for which spent tokens stay unreported.
+inline constexpr milliseconds grantReportInterval { 400 };
+/// Longest time that a request waits for a token.
+inline constexpr milliseconds rateWait { 250 };
+/// Requests of one workspace that wait for a token in one daemon, at most.
+inline constexpr std::size_t maxRateWaiters = 256;
+/// Time to retry that is named when no owner of the rates can be reached.
+inline constexpr milliseconds rateRetryUnreachable { 1000 };
+/// Interval at which the owner of the rates serves the daemons that wait for tokens.
+inline constexpr milliseconds grantServeInterval { 5 };
+
 } // namespace pw::config
--- /dev/null
+++ b/src/core/ledger.cpp
@@ -0,0 +1,76 @@
+#include "core/ledger.h"
+
+#include <algorithm>
+
+namespace pw {
+namespace {
+
+    /// Generations hold the epoch in their upper bits, so that no two tenures use the same.
+    constexpr unsigned seriesBits = 32;
+
+    bool contains(const std::vector<Workspace>& workspaces, const std::string& name)
+    {
+        return std::ranges::find(workspaces, name, &Workspace::name) != workspaces.end();
+    }
+
+} // namespace
+
+Ledger::Ledger(std::uint64_t epoch, Duration lifetime)
+    : m_epoch(epoch)
+    , m_lifetime(lifetime)
+{
+}
+
+void Ledger::configure(const std::vector<Workspace>& workspaces, TimePoint now)
+{
+    std::erase_if(m_accounts, [&workspaces](const auto& entry) { return !contains(workspaces, entry.first); });
+    for (const auto& workspace : workspaces) {
+        const RateLimits limits { workspace.rate, workspace.burst };
+        const auto [it, added] = m_accounts.try_emplace(workspace.name, limits, m_lifetime, now);
+        if (!added) {
+            it->second.configure(limits, now);
+        }
+    }
+}
+
+std::uint64_t Ledger::nextGeneration()
+{
+    return (m_epoch << seriesBits) | ++m_series;
+}
+
+std::vector<GrantReply> Ledger::ask(const GrantHolderId& holder, const std::vector<GrantAsk>& asks, TimePoint now)
+{
+    std::vector<GrantReply> replies;
+    for (const auto& ask : asks) {
+        const auto it = m_accounts.find(ask.workspace);
+        GrantReply reply;
+        if (it != m_accounts.end() && it->second.ask(holder, ask, nextGeneration(), now, reply)) {
+            replies.push_back(std::move(reply));
+        }
+    }
+    return replies;
+}
+
+std::vector<LedgerAccount::Push> Ledger::serve(TimePoint now)
+{
+    std::vector<LedgerAccount::Push> pushes;
+    for (auto& [name, account] : m_accounts) {
+        if (account.hasWaiting()) {
+            account.serve(now, name, pushes);
+        }
+    }
+    return pushes;
+}
+
+bool Ledger::hasWaiting() const
+{
+    return std::ranges::any_of(m_accounts, [](const auto& entry) { return entry.second.hasWaiting(); });
+}
+
+const LedgerAccount* Ledger::account(const std::string& workspace) const
+{
+    const auto it = m_accounts.find(workspace);
+    return it == m_accounts.end() ? nullptr : &it->second;
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/core/member_choice.cpp
@@ -0,0 +1,71 @@
+#include "core/member_choice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pw {
+namespace {
+
+    /// FNV-1a.
+    std::uint64_t hashBytes(std::uint64_t hash, std::string_view text)
+    {
+        constexpr std::uint64_t prime = 0x100000001b3;
+        for (const auto c : text) {
+            hash = (hash ^ static_cast<unsigned char>(c)) * prime;
+        }
+        return hash;
+    }
+
+    /// Final mix of SplitMix64: every bit of the input reaches every bit of the result.
+    std::uint64_t mix(std::uint64_t x)
+    {
+        x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9;
+        x = (x ^ (x >> 27U)) * 0x94d049bb133111eb;
+        return x ^ (x >> 31U);
+    }
+
+    const std::string noMember;
+
+} // namespace
+
+std::uint64_t rendezvousWeight(std::string_view member, std::string_view key)
+{
+    constexpr std::uint64_t offset = 0xcbf29ce484222325;
+    return mix(hashBytes(mix(hashBytes(offset, member)), key));
+}
+
+std::vector<std::string> rendezvousOrder(std::vector<std::string> members, std::string_view key)
+{
+    const auto weight = [key](const std::string& member) { return std::pair(rendezvousWeight(member, key), member); };
+    std::ranges::sort(members, std::ranges::greater(), weight);
+    return members;
+}
+
+MemberChoice::MemberChoice(std::vector<std::string> members, std::string_view name)
+    : m_members(rendezvousOrder(std::move(members), name))
+{
+}
+
+const std::string& MemberChoice::current() const
+{
+    return m_members.empty() ? noMember : m_members[m_current];
+}
+
+void MemberChoice::next()
+{
+    if (!m_members.empty()) {
+        m_current = (m_current + 1) % m_members.size();
+    }
+}
+
+bool MemberChoice::turnTo(const std::string& member)
+{
+    const auto it = std::ranges::find(m_members, member);
+    if (it == m_members.end()) {
+        return false;
+    }
+    m_current = static_cast<std::size_t>(it - m_members.begin());
+    return true;
+}
+
+} // namespace pw
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -24,6 +24,18 @@
         { 500, "configuration-applied", Level::Info, false },
         { 501, "validity-lapsed", Level::Warning, false },
         { 502, "validity-renewed", Level::Info, false },
+        { 600, "ledger-opened", Level::Info, false },
+        { 601, "ledger-closed", Level::Info, false },
+        { 602, "rate-refused", Level::Info, true },
+        { 603, "rate-owner-silent", Level::Warning, false },
+        { 610, "claim-replica-ready", Level::Info, false },
+        { 611, "claim-replica-refilling", Level::Info, false },
+        { 612, "claim-decided", Level::Debug, true },
+        { 620, "view-attached", Level::Info, false },
+        { 621, "view-member-silent", Level::Warning, false },
+        { 622, "view-server-added", Level::Info, false },
+        { 623, "view-server-leaving", Level::Info, false },
+        { 624, "view-server-lapsed", Level::Warning, false },
     } };
 
 } // namespace
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -39,6 +39,18 @@
     ConfigurationApplied,
     ValidityLapsed,
     ValidityRenewed,
+    LedgerOpened,
+    LedgerClosed,
+    RateRefused,
+    RateOwnerSilent,
+    ClaimReplicaReady,
+    ClaimReplicaRefilling,
+    ClaimDecided,
+    ViewAttached,
+    ViewMemberSilent,
+    ViewServerAdded,
+    ViewServerLeaving,
+    ViewServerLapsed,
     Count
 };
 
--- /dev/null
+++ b/tests/unit/support/fleet_fakes.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "app/settings.h"
+#include "ports/events.h"
+#include "ports/fleet.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Stand-ins for the replicated state: what every daemon would have applied, set by the test.
+namespace pw::test {
+
+/// Drops every line.
+class NoEvents : public EventLog {
+public:
+    bool wants(Event /*event*/) override { return false; }
+    void write(Event /*event*/, std::initializer_list<EventField> /*fields*/) override { }
+};
+
+/// One configuration, in force everywhere at once.
+class FakeFleet : public FleetView {
+public:
+    const Deployment& deployment() const override { return m_deployment; }
+    std::uint64_t version() const override { return m_version; }
+    std::optional<std::string> workspaceOfKey(const KeyDigest& /*digest*/) const override { return std::nullopt; }
+    bool keysValid(TimePoint /*now*/) const override { return true; }
+    void onChanged(std::function<void()> handler) override { m_handlers.push_back(std::move(handler)); }
+
+    void apply(Deployment deployment)
+    {
+        m_deployment = std::move(deployment);
+        ++m_version;
+        const auto handlers = m_handlers;
+        std::ranges::for_each(handlers, [](const auto& handler) { handler(); });
+    }
+
+private:
+    Deployment m_deployment;
+    std::uint64_t m_version = 0;
+    std::vector<std::function<void()>> m_handlers;
+};
+
+/// An election decided by the test: at most one member leads, each tenure under a greater epoch.
+class FakeElection {
+public:
+    /// Ends the tenure of the leader; nobody leads until the next call.
+    void depose()
+    {
+        m_leading = false;
+        notify();
+    }
+
+    void elect(PeerAddress leader)
+    {
+        m_leader = std::move(leader);
+        m_leading = true;
+        ++m_epoch;
+        notify();
+    }
+
+    const PeerAddress& leader() const { return m_leader; }
+    bool leading() const { return m_leading; }
+    std::uint64_t epoch() const { return m_epoch; }
+    void onChanged(std::function<void()> handler) { m_handlers.push_back(std::move(handler)); }
+
+private:
+    void notify()
+    {
+        const auto handlers = m_handlers;
+        std::ranges::for_each(handlers, [](const auto& handler) { handler(); });
+    }
+
+    PeerAddress m_leader;
+    bool m_leading = false;
+    std::uint64_t m_epoch = 0;
+    std::vector<std::function<void()>> m_handlers;
+};
+
+/// One member's knowledge of the election.
+class FakeLeadership : public Leadership {
+public:
+    FakeLeadership(FakeElection& election, PeerAddress self)
+        : m_election(election)
+        , m_self(std::move(self))
+    {
+    }
+
+    bool leading(TimePoint /*now*/) const override { return m_election.leading() && m_election.leader() == m_self; }
+    std::uint64_t epoch() const override { return m_election.epoch(); }
+    PeerAddress leader() const override { return m_election.leading() ? m_election.leader() : PeerAddress(); }
+
+    void onChanged(std::function<void(bool leading)> handler) override
+    {
+        m_election.onChanged([this, handler = std::move(handler)] { handler(leading({})); });
+    }
+
+private:
+    FakeElection& m_election;
+    PeerAddress m_self;
+};
+
+/// \returns settings of daemon \p name in a fleet with control members at \p members.
+inline Settings daemonSettings(const std::string& name, const std::vector<PeerAddress>& members)
+{
+    Settings settings;
+    settings.name = name;
+    settings.peerAddress = name;
+    std::ranges::transform(members, std::back_inserter(settings.controlMembers),
+        [](const PeerAddress& address) { return ControlMember { address, address, {} }; });
+    return settings;
+}
+
+} // namespace pw::test
