--- /dev/null
+++ b/src/adapters/codec_control.cpp
@@ -0,0 +1,228 @@
+#include "adapters/codec_control.h"
+
+#include "adapters/codec_control_parts.h"
+
+namespace pw {
+
+using namespace detail; // NOLINT(google-build-using-namespace): this file is the codec itself
+
+namespace {
+
+    /// Writes one kind of an operator's request.
+    struct OperatorWriter {
+        proto::OperatorAsk::Builder builder;
+
+        void operator()(const Change& change) { writeChange(builder.initChange(), change); }
+        void operator()(const RemoveMember& order) { builder.setRemoveMember(toText(order.name)); }
+        void operator()(const AwaitInForce& wait) { builder.setAwaitInForce(wait.index); }
+    };
+
+    decltype(OperatorAsk::what) readOperatorAsk(proto::OperatorAsk::Reader message)
+    {
+        switch (message.which()) {
+        case proto::OperatorAsk::CHANGE:
+            return readChange(message.getChange());
+        case proto::OperatorAsk::REMOVE_MEMBER:
+            return RemoveMember { fromText(message.getRemoveMember()) };
+        case proto::OperatorAsk::AWAIT_IN_FORCE:
+            return AwaitInForce { message.getAwaitInForce() };
+        }
+        KJ_FAIL_REQUIRE("unknown kind of operator request");
+    }
+
+    void writeKept(proto::KeptChange::Builder builder, const KeptChange& kept)
+    {
+        builder.setId(toText(kept.id));
+        builder.setChecksum(kept.checksum);
+        writeResult(builder.initResult(), kept.result);
+    }
+
+    KeptChange readKept(proto::KeptChange::Reader reader)
+    {
+        return { fromText(reader.getId()), reader.getChecksum(), readResult(reader.getResult()) };
+    }
+
+    void writeStep(proto::ConfigurationStep::Builder builder, const ConfigurationStep& step)
+    {
+        builder.setVersion(step.version);
+        builder.setIndex(step.index);
+        builder.setChangeId(toText(step.changeId));
+    }
+
+    ConfigurationStep readStep(proto::ConfigurationStep::Reader reader)
+    {
+        return { reader.getVersion(), reader.getIndex(), fromText(reader.getChangeId()) };
+    }
+
+    SessionReply readSessionReply(proto::SessionReply::Reader message)
+    {
+        SessionReply reply;
+        reply.cluster = message.getCluster();
+        reply.serving = message.getServing();
+        reply.sentAt = Duration(message.getSentAtNanos());
+        if (message.getAgeNanos() >= 0) {
+            reply.age = Duration(message.getAgeNanos());
+        }
+        reply.baseIndex = message.getBaseIndex();
+        reply.index = message.getIndex();
+        if (message.hasImage()) {
+            reply.image = readImage(message.getImage());
+        }
+        reply.deltas = readList(message.getDeltas(), readDelta);
+        return reply;
+    }
+
+} // namespace
+
+Bytes encodeSessionAsk(const SessionAsk& ask)
+{
+    capnp::MallocMessageBuilder builder;
+    auto message = builder.initRoot<proto::SessionAsk>();
+    message.setCluster(ask.cluster);
+    message.setName(toText(ask.name));
+    message.setAppliedIndex(ask.appliedIndex);
+    message.setVersion(ask.version);
+    message.setSentAtNanos(ask.sentAt.count());
+    return toBytes(builder);
+}
+
+Bytes encodeSessionReply(const SessionReply& reply)
+{
+    capnp::MallocMessageBuilder builder;
+    auto message = builder.initRoot<proto::SessionReply>();
+    message.setCluster(reply.cluster);
+    message.setServing(reply.serving);
+    message.setSentAtNanos(reply.sentAt.count());
+    message.setAgeNanos(reply.age ? reply.age->count() : -1);
+    message.setBaseIndex(reply.baseIndex);
+    message.setIndex(reply.index);
+    if (reply.image) {
+        writeImage(message.initImage(), *reply.image);
+    }
+    if (!reply.deltas.empty()) {
+        writeList(message.initDeltas(static_cast<unsigned>(reply.deltas.size())), reply.deltas, writeDelta);
+    }
+    return toBytes(builder);
+}
+
+Bytes encodeOperatorAsk(const OperatorAsk& ask)
+{
+    capnp::MallocMessageBuilder builder;
+    auto message = builder.initRoot<proto::OperatorAsk>();
+    message.setToken(ask.token);
+    std::visit(OperatorWriter { message }, ask.what);
+    return toBytes(builder);
+}
+
+Bytes encodeOperatorReply(const OperatorReply& reply)
+{
+    capnp::MallocMessageBuilder builder;
+    auto message = builder.initRoot<proto::OperatorReply>();
+    message.setToken(reply.token);
+    writeResult(message.initResult(), reply.result);
+    return toBytes(builder);
+}
+
+Bytes encodeChange(const Change& change)
+{
+    capnp::MallocMessageBuilder builder;
+    writeChange(builder.initRoot<proto::Change>(), change);
+    return toBytes(builder);
+}
+
+Bytes encodeFleetState(const FleetState& state)
+{
+    capnp::MallocMessageBuilder builder;
+    auto message = builder.initRoot<proto::FleetState>();
+    writeImage(message.initImage(), state.image());
+    writeList(message.initKept(static_cast<unsigned>(state.kept().size())), state.kept(), writeKept);
+    writeList(message.initHistory(static_cast<unsigned>(state.history().size())), state.history(), writeStep);
+    return toBytes(builder);
+}
+
+Bytes encodeEntries(std::span<const LogEntry> entries)
+{
+    capnp::MallocMessageBuilder builder;
+    auto message = builder.initRoot<proto::LogBatch>();
+    writeList(message.initEntries(static_cast<unsigned>(entries.size())), entries, writeEntry);
+    return toBytes(builder);
+}
+
+Bytes encodeSnapshot(const LogSnapshot& snapshot)
+{
+    capnp::MallocMessageBuilder builder;
+    writeSnapshot(builder.initRoot<proto::LogSnapshot>(), snapshot);
+    return toBytes(builder);
+}
+
+Bytes encodeVoteRecord(const VoteRecord& vote)
+{
+    capnp::MallocMessageBuilder builder;
+    auto message = builder.initRoot<proto::VoteRecord>();
+    message.setIdentity(vote.identity);
+    message.setCluster(vote.cluster);
+    message.setTerm(vote.term);
+    message.setVotedFor(vote.votedFor);
+    return toBytes(builder);
+}
+
+std::optional<SessionAsk> decodeSessionAsk(std::span<const std::byte> bytes)
+{
+    return fromBytes<proto::SessionAsk>(bytes, [](proto::SessionAsk::Reader message) {
+        return SessionAsk { message.getCluster(), fromText(message.getName()), message.getAppliedIndex(),
+            message.getVersion(), Duration(message.getSentAtNanos()) };
+    });
+}
+
+std::optional<SessionReply> decodeSessionReply(std::span<const std::byte> bytes)
+{
+    return fromBytes<proto::SessionReply>(bytes, readSessionReply);
+}
+
+std::optional<OperatorAsk> decodeOperatorAsk(std::span<const std::byte> bytes)
+{
+    return fromBytes<proto::OperatorAsk>(bytes, [](proto::OperatorAsk::Reader message) {
+        return OperatorAsk { message.getToken(), readOperatorAsk(message) };
+    });
+}
+
+std::optional<OperatorReply> decodeOperatorReply(std::span<const std::byte> bytes)
+{
+    return fromBytes<proto::OperatorReply>(bytes, [](proto::OperatorReply::Reader message) {
+        return OperatorReply { message.getToken(), readResult(message.getResult()) };
+    });
+}
+
+std::optional<Change> decodeChange(std::span<const std::byte> bytes)
+{
+    return fromBytes<proto::Change>(bytes, readChange);
+}
+
+std::optional<FleetState> decodeFleetState(std::span<const std::byte> bytes)
+{
+    return fromBytes<proto::FleetState>(bytes, [](proto::FleetState::Reader message) {
+        return FleetState(readImage(message.getImage()), readList(message.getKept(), readKept),
+            readList(message.getHistory(), readStep));
+    });
+}
+
+std::optional<std::vector<LogEntry>> decodeEntries(std::span<const std::byte> bytes)
+{
+    return fromBytes<proto::LogBatch>(bytes, [](proto::LogBatch::Reader message) {
+        return readList(message.getEntries(), readEntry);
+    });
+}
+
+std::optional<LogSnapshot> decodeSnapshot(std::span<const std::byte> bytes)
+{
+    return fromBytes<proto::LogSnapshot>(bytes, readSnapshot);
+}
+
+std::optional<VoteRecord> decodeVoteRecord(std::span<const std::byte> bytes)
+{
+    return fromBytes<proto::VoteRecord>(bytes, [](proto::VoteRecord::Reader message) {
+        return VoteRecord { message.getIdentity(), message.getCluster(), message.getTerm(), message.getVotedFor() };
+    });
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/adapters/codec_control_parts.cpp
@@ -0,0 +1,182 @@
+#include "adapters/codec_control_parts.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace pw::detail {
+namespace {
+
+    /// Writes one kind of delta.
+    struct DeltaWriter {
+        proto::FleetDelta::Builder builder;
+
+        void operator()(const ConfigurationRecord& record) { writeConfiguration(builder.initConfiguration(), record); }
+        void operator()(const KeyRecord& record) { writeKey(builder.initKey(), record); }
+        void operator()(const std::vector<ControlMemberRecord>& members)
+        {
+            writeList(builder.initMembers(static_cast<unsigned>(members.size())), members, writeMember);
+        }
+    };
+
+    /// Writes one kind of change.
+    struct ChangeWriter {
+        proto::Change::Builder builder;
+
+        void operator()(const SubmitConfiguration& change)
+        {
+            writeConfiguration(builder.initSubmit(), { change.baseVersion, change.text });
+        }
+        void operator()(const IssueKey& change)
+        {
+            writeKey(builder.initIssue(), { change.keyId, change.workspace, change.label, change.digest, false });
+        }
+        void operator()(const WithdrawKey& change) { builder.setWithdraw(toText(change.keyId)); }
+    };
+
+} // namespace
+
+void writeMember(proto::ControlMember::Builder builder, const ControlMemberRecord& member)
+{
+    builder.setId(member.id);
+    builder.setName(toText(member.name));
+    builder.setAddress(toText(member.address));
+    builder.setVoter(member.voter);
+}
+
+ControlMemberRecord readMember(proto::ControlMember::Reader reader)
+{
+    return { reader.getId(), fromText(reader.getName()), fromText(reader.getAddress()), reader.getVoter() };
+}
+
+void writeEntry(proto::LogEntry::Builder builder, const LogEntry& entry)
+{
+    builder.setIndex(entry.index);
+    builder.setTerm(entry.term);
+    builder.setKind(static_cast<std::uint8_t>(entry.kind));
+    builder.setData(toData(entry.data));
+    writeList(builder.initMembers(static_cast<unsigned>(entry.members.size())), entry.members, writeMember);
+}
+
+LogEntry readEntry(proto::LogEntry::Reader reader)
+{
+    const auto kind = toEnum<EntryKind>(reader.getKind());
+    KJ_REQUIRE(kind.has_value(), "unknown kind of log entry");
+    return { reader.getIndex(), reader.getTerm(), *kind, fromData(reader.getData()), readList(reader.getMembers(), readMember) };
+}
+
+void writeSnapshot(proto::LogSnapshot::Builder builder, const LogSnapshot& snapshot)
+{
+    builder.setIndex(snapshot.index);
+    builder.setTerm(snapshot.term);
+    writeList(builder.initMembers(static_cast<unsigned>(snapshot.members.size())), snapshot.members, writeMember);
+    builder.setData(toData(snapshot.data));
+}
+
+LogSnapshot readSnapshot(proto::LogSnapshot::Reader reader)
+{
+    return { reader.getIndex(), reader.getTerm(), readList(reader.getMembers(), readMember), fromData(reader.getData()) };
+}
+
+void writeKey(proto::Key::Builder builder, const KeyRecord& key)
+{
+    builder.setKeyId(toText(key.keyId));
+    builder.setWorkspace(toText(key.workspace));
+    builder.setLabel(toText(key.label));
+    builder.setDigest({ reinterpret_cast<const kj::byte*>(key.digest.data()), key.digest.size() });
+    builder.setWithdrawn(key.withdrawn);
+}
+
+KeyRecord readKey(proto::Key::Reader reader)
+{
+    KeyRecord key { fromText(reader.getKeyId()), fromText(reader.getWorkspace()), fromText(reader.getLabel()), {},
+        reader.getWithdrawn() };
+    const auto digest = reader.getDigest();
+    KJ_REQUIRE(digest.size() == key.digest.size(), "digest of another size");
+    std::memcpy(key.digest.data(), digest.begin(), digest.size());
+    return key;
+}
+
+void writeConfiguration(proto::Configuration::Builder builder, const ConfigurationRecord& record)
+{
+    builder.setVersion(record.version);
+    builder.setText(toText(record.text));
+}
+
+ConfigurationRecord readConfiguration(proto::Configuration::Reader reader)
+{
+    return { reader.getVersion(), fromText(reader.getText()) };
+}
+
+void writeDelta(proto::FleetDelta::Builder builder, const FleetDelta& delta)
+{
+    builder.setIndex(delta.index);
+    std::visit(DeltaWriter { builder }, delta.what);
+}
+
+FleetDelta readDelta(proto::FleetDelta::Reader reader)
+{
+    switch (reader.which()) {
+    case proto::FleetDelta::CONFIGURATION:
+        return { reader.getIndex(), readConfiguration(reader.getConfiguration()) };
+    case proto::FleetDelta::KEY:
+        return { reader.getIndex(), readKey(reader.getKey()) };
+    case proto::FleetDelta::MEMBERS:
+        return { reader.getIndex(), readList(reader.getMembers(), readMember) };
+    }
+    KJ_FAIL_REQUIRE("unknown kind of delta");
+}
+
+void writeImage(proto::FleetImage::Builder builder, const FleetImage& image)
+{
+    builder.setIndex(image.index());
+    writeConfiguration(builder.initConfiguration(), image.configuration());
+    writeList(builder.initKeys(static_cast<unsigned>(image.keys().size())), image.keys() | std::views::values, writeKey);
+    writeList(builder.initMembers(static_cast<unsigned>(image.members().size())), image.members(), writeMember);
+}
+
+FleetImage readImage(proto::FleetImage::Reader reader)
+{
+    return { reader.getIndex(), readConfiguration(reader.getConfiguration()), readList(reader.getKeys(), readKey),
+        readList(reader.getMembers(), readMember) };
+}
+
+void writeResult(proto::ChangeResult::Builder builder, const ChangeResult& result)
+{
+    builder.setOutcome(static_cast<std::uint8_t>(result.outcome));
+    builder.setVersion(result.version);
+    builder.setIndex(result.index);
+    builder.setReason(toText(result.reason));
+}
+
+ChangeResult readResult(proto::ChangeResult::Reader reader)
+{
+    const auto outcome = toEnum<ChangeOutcome>(reader.getOutcome());
+    KJ_REQUIRE(outcome.has_value(), "unknown outcome of a change");
+    return { *outcome, reader.getVersion(), reader.getIndex(), fromText(reader.getReason()) };
+}
+
+void writeChange(proto::Change::Builder builder, const Change& change)
+{
+    builder.setId(toText(change.id));
+    std::visit(ChangeWriter { builder }, change.what);
+}
+
+Change readChange(proto::Change::Reader reader)
+{
+    const auto id = fromText(reader.getId());
+    switch (reader.which()) {
+    case proto::Change::SUBMIT: {
+        auto record = readConfiguration(reader.getSubmit());
+        return { id, SubmitConfiguration { record.version, std::move(record.text) } };
+    }
+    case proto::Change::ISSUE: {
+        const auto key = readKey(reader.getIssue());
+        return { id, IssueKey { key.keyId, key.workspace, key.label, key.digest } };
+    }
+    case proto::Change::WITHDRAW:
+        return { id, WithdrawKey { fromText(reader.getWithdraw()) } };
+    }
+    KJ_FAIL_REQUIRE("unknown kind of change");
+}
+
+} // namespace pw::detail
--- a/src/core/fleet_image.cpp
+++ b/src/core/fleet_image.cpp
@@ -29,6 +29,15 @@
 
 } // namespace
 
+FleetImage::FleetImage(std::uint64_t index, ConfigurationRecord configuration, const std::vector<KeyRecord>& keys,
+    std::vector<ControlMemberRecord> members)
+    : m_index(index)
+    , m_configuration(std::move(configuration))
+    , m_members(std::move(members))
+{
+    std::ranges::for_each(keys, Applier { m_configuration, m_keys, m_keyIds, m_members });
+}
+
 void FleetImage::apply(const FleetDelta& delta)
 {
     if (delta.index <= m_index) {
--- a/src/core/fleet_image.h
+++ b/src/core/fleet_image.h
@@ -52,6 +52,10 @@
 /// The replicated state as every daemon holds it, up to one log index.
 class FleetImage {
 public:
+    FleetImage() = default;
+    FleetImage(std::uint64_t index, ConfigurationRecord configuration, const std::vector<KeyRecord>& keys,
+        std::vector<ControlMemberRecord> members);
+
     /// Applies \p delta; one at or below index() is ignored.
     void apply(const FleetDelta& delta);
 
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -141,8 +141,9 @@
     if (m_image.keys().contains(change.keyId)) {
         return invalid("the key id is in use");
     }
-    if (m_image.keyOf(change.digest)) {
-        return invalid("the key is issued already");
+    const auto sameKey = [&change](const auto& entry) { return entry.second.digest == change.digest; };
+    if (std::ranges::any_of(m_image.keys(), sameKey)) {
+        return invalid("the key was issued already");
     }
     if (m_image.keys().size() >= config::maxKeys) {
         return invalid("there are too many keys");
