Log numbered events through easylogging++

Every routing, admission and placement decision needs a line that no caller can forge and that costs little. Lines are formatted and escaped by core code and pass through the library's dispatch to a buffered output of our own: the library's own rolling truncates the file, and it checks the size by a seek on every line. The buffer is flushed from the loop, at once for warnings, and a reader that stalls loses lines, which are counted, instead of stopping the loop.

--- /dev/null
+++ b/src/adapters/log_output.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace pw {
+
+/// Buffered output of log lines to a file that is rotated by size, or to standard error.
+/// Never waits: what a pipe does not take stays in the buffer, and what the buffer does not take is lost and counted.
+class LogOutput {
+public:
+    static constexpr std::size_t maxFileBytes = 16 * 1024 * 1024;
+    static constexpr int keptFiles = 4; ///< Older files, named FILE.1 (the newest) to FILE.4.
+    static constexpr std::size_t flushBytes = 32 * 1024;
+    static constexpr std::size_t maxBufferBytes = 1024 * 1024;
+
+    /// \param file empty for standard error.
+    explicit LogOutput(std::string file, std::size_t fileBytes = maxFileBytes);
+    ~LogOutput();
+
+    LogOutput(const LogOutput&) = delete;
+    LogOutput& operator=(const LogOutput&) = delete;
+
+    /// Opens the file. \returns false with \p reason when it cannot be written.
+    bool open(std::string& reason);
+
+    /// Adds one line.
+    void append(std::string_view line);
+
+    /// Writes out what is buffered.
+    void flush();
+
+    bool empty() const { return m_buf.empty(); }
+
+    /// \returns how many lines were lost since the last call.
+    std::uint64_t takeLost();
+
+private:
+    void rotate();
+    std::size_t writeSome(std::string_view bytes) const;
+
+    std::string m_file;
+    std::size_t m_fileBytes;
+    int m_fd = -1;
+    std::size_t m_written = 0; ///< Bytes in the current file.
+    std::string m_buf;
+    std::uint64_t m_lost = 0;
+};
+
+} // namespace pw
--- a/src/app/deployment_yaml.cpp
+++ b/src/app/deployment_yaml.cpp
@@ -3,7 +3,7 @@
 #include "app/yaml_reader.h"
 #include "core/deployment_check.h"
 
-#include <array>
+#include <algorithm>
 #include <charconv>
 #include <map>
 
@@ -15,10 +15,8 @@
 
     std::vector<std::string_view> allImportanceNames()
     {
-        std::vector<std::string_view> result;
-        for (auto n = 0; n < static_cast<int>(Importance::Count); ++n) {
-            result.push_back(importanceName(static_cast<Importance>(n)));
-        }
+        std::vector<std::string_view> result(static_cast<std::size_t>(Importance::Count));
+        std::ranges::generate(result, [n = 0]() mutable { return importanceName(static_cast<Importance>(n++)); });
         return result;
     }
 
