--- a/src/adapters/codec_control.cpp
+++ b/src/adapters/codec_control.cpp
@@ -27,7 +27,8 @@
         case proto::OperatorAsk::AWAIT_IN_FORCE:
             return AwaitInForce { message.getAwaitInForce() };
         }
-        KJ_FAIL_REQUIRE("unknown kind of operator request");
+        require(false, "unknown kind of operator request");
+        return {};
     }
 
     void writeKept(proto::KeptChange::Builder builder, const KeptChange& kept)
--- a/src/adapters/codec_control_parts.cpp
+++ b/src/adapters/codec_control_parts.cpp
@@ -60,7 +60,7 @@
 LogEntry readEntry(proto::LogEntry::Reader reader)
 {
     const auto kind = toEnum<EntryKind>(reader.getKind());
-    KJ_REQUIRE(kind.has_value(), "unknown kind of log entry");
+    require(kind.has_value(), "unknown kind of log entry");
     return { reader.getIndex(), reader.getTerm(), *kind, fromData(reader.getData()), readList(reader.getMembers(), readMember) };
 }
 
@@ -91,7 +91,7 @@
     KeyRecord key { fromText(reader.getKeyId()), fromText(reader.getWorkspace()), fromText(reader.getLabel()), {},
         reader.getWithdrawn() };
     const auto digest = reader.getDigest();
-    KJ_REQUIRE(digest.size() == key.digest.size(), "digest of another size");
+    require(digest.size() == key.digest.size(), "digest of another size");
     std::memcpy(key.digest.data(), digest.begin(), digest.size());
     return key;
 }
@@ -123,7 +123,8 @@
     case proto::FleetDelta::MEMBERS:
         return { reader.getIndex(), readList(reader.getMembers(), readMember) };
     }
-    KJ_FAIL_REQUIRE("unknown kind of delta");
+    require(false, "unknown kind of delta");
+    return {};
 }
 
 void writeImage(proto::FleetImage::Builder builder, const FleetImage& image)
@@ -151,7 +152,7 @@
 ChangeResult readResult(proto::ChangeResult::Reader reader)
 {
     const auto outcome = toEnum<ChangeOutcome>(reader.getOutcome());
-    KJ_REQUIRE(outcome.has_value(), "unknown outcome of a change");
+    require(outcome.has_value(), "unknown outcome of a change");
     return { *outcome, reader.getVersion(), reader.getIndex(), fromText(reader.getReason()) };
 }
 
@@ -176,7 +177,8 @@
     case proto::Change::WITHDRAW:
         return { id, WithdrawKey { fromText(reader.getWithdraw()) } };
     }
-    KJ_FAIL_REQUIRE("unknown kind of change");
+    require(false, "unknown kind of change");
+    return {};
 }
 
 } // namespace pw::detail
--- a/src/adapters/codec_control_parts.h
+++ b/src/adapters/codec_control_parts.h
@@ -8,6 +8,14 @@
 /// Parts that the messages of the replicated log, of its storage and of the sessions share.
 namespace pw::detail {
 
+/// Refuses the message with \p reason unless \p holds; to be used below fromBytes().
+inline void require(bool holds, const char* reason)
+{
+    if (!holds) {
+        kj::throwFatalException(kj::Exception(kj::Exception::Type::FAILED, __FILE__, __LINE__, kj::str(reason)));
+    }
+}
+
 /// \returns \p value as an enumerator, or nothing when it is none.
 template <typename Enum>
 std::optional<Enum> toEnum(std::uint8_t value)
--- a/src/adapters/codec_raft.cpp
+++ b/src/adapters/codec_raft.cpp
@@ -87,7 +87,7 @@
             readList(reader.getEntries(), readEntry) };
         auto expected = ask.prevIndex;
         for (const auto& it : ask.entries) {
-            KJ_REQUIRE(it.index == ++expected, "log entries with a gap");
+            require(it.index == ++expected, "log entries with a gap");
         }
         return ask;
     }
@@ -131,7 +131,8 @@
             return JoinReply { body.getEmpty(), fromText(body.getLeader()) };
         }
         }
-        KJ_FAIL_REQUIRE("unknown kind of raft message");
+        require(false, "unknown kind of raft message");
+        return {};
     }
 
 } // namespace
--- /dev/null
+++ b/src/adapters/log_storage_file.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "ports/log_storage.h"
+
+#include <filesystem>
+
+namespace pw {
+
+/// Data folder of a control member on a disk.
+///
+/// Files: "lock" (held while open), "vote" and "snapshot" (each one checked record, replaced whole), "log" (a base
+/// record, then one record for each append). A record is a header and a Cap'n Proto message, both checksummed. An append
+/// is synced before the next begins, so only the last record can be torn: it is dropped. Anything else that does not
+/// check is damage, and the folder is refused.
+class LogStorageFile final : public LogStorage {
+public:
+    explicit LogStorageFile(std::filesystem::path folder);
+    ~LogStorageFile() override;
+
+    LogStorageFile(const LogStorageFile&) = delete;
+    LogStorageFile& operator=(const LogStorageFile&) = delete;
+
+    std::optional<StoredLog> open(Random& random) override;
+    bool saveVote(const VoteRecord& vote) override;
+    bool append(std::span<const LogEntry> entries) override;
+    bool saveSnapshot(const LogSnapshot& snapshot, std::span<const LogEntry> remaining) override;
+    const std::string& lastReason() const override { return m_reason; }
+
+private:
+    bool lockFolder();
+    bool readVote(StoredLog& stored, bool folderInUse, Random& random);
+    bool readSnapshot(StoredLog& stored);
+    bool readLog(StoredLog& stored);
+    bool replaceLog(const LogSnapshot& base, std::span<const LogEntry> entries);
+    bool openLog(std::uint64_t keptBytes);
+    bool refuse(std::string reason);
+    bool fail(const std::string& what);
+
+    std::filesystem::path m_folder;
+    std::string m_reason;
+    bool m_failed = false;
+    int m_lock = -1;
+    int m_log = -1;
+};
+
+} // namespace pw
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -66,7 +66,8 @@
     return outcomeNames.at(static_cast<std::size_t>(outcome));
 }
 
-FleetState::FleetState(FleetImage image, std::vector<KeptChange> kept, std::vector<ConfigurationStep> history)
+FleetState::FleetState(FleetImage image, const std::vector<KeptChange>& kept,
+    const std::vector<ConfigurationStep>& history)
     : m_image(std::move(image))
     , m_history(history.begin(), history.end())
 {
--- a/src/core/fleet_state.h
+++ b/src/core/fleet_state.h
@@ -35,7 +35,7 @@
 class FleetState {
 public:
     FleetState() = default;
-    FleetState(FleetImage image, std::vector<KeptChange> kept, std::vector<ConfigurationStep> history);
+    FleetState(FleetImage image, const std::vector<KeptChange>& kept, const std::vector<ConfigurationStep>& history);
 
     /// Applies a change at log index \p index, unless its id was answered before.
     Applied apply(std::uint64_t index, const Change& change);
