--- a/tests/unit/grants_test.cpp
+++ b/tests/unit/grants_test.cpp
@@ -115,6 +115,9 @@
 BOOST_AUTO_TEST_CASE(tokensOfTheOldOwnerStayUsableAndAreNotReportedToTheNewOne)
 {
     auto holder = makeHolder();
+    for (int n = 0; n < 4; ++n) {
+        holder.arrived(start);
+    }
     holder.ask(1, 2, start);
     holder.replied(makeReply(1, 11, 4), start);
     BOOST_TEST(holder.take(start));
