Keep counters, rates and latency quantiles and render them as text

Operators need counts, rates and quantiles in constant memory. Quantiles come from the p-square estimator of Boost.Accumulators over windows of 30 s, from the samples themselves while they are few. The number of series is bounded, so that a flood of label values cannot take the daemon's memory.

--- /dev/null
+++ b/src/app/metrics.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "core/types.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/rolling_mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pw {
+
+/// A label of a metric.
+struct MetricLabel {
+    std::string name;
+    std::string value;
+};
+using MetricLabels = std::vector<MetricLabel>;
+
+/// Counts events; also gives their rate over the last seconds.
+class Counter {
+public:
+    Counter();
+
+    void add(std::uint64_t n = 1) { m_count += n; }
+    std::uint64_t count() const { return m_count; }
+
+    /// \returns events a second, averaged over the last config::rateWindow ticks.
+    double perSecond() const;
+
+    /// Ends a second.
+    void tick();
+
+private:
+    using Mean = boost::accumulators::accumulator_set<double, boost::accumulators::stats<boost::accumulators::tag::rolling_mean>>;
+
+    std::uint64_t m_count = 0;
+    std::uint64_t m_countAtTick = 0;
+    Mean m_mean;
+};
+
+/// Quantiles of a latency, estimated in constant memory over windows of config::quantileWindow.
+class Summary {
+public:
+    static constexpr std::array<double, 4> quantiles { 0.5, 0.9, 0.99, 0.999 };
+
+    Summary();
+
+    void observe(std::chrono::microseconds value);
+
+    std::uint64_t count() const { return m_count; }
+    std::chrono::microseconds sum() const { return m_sum; }
+
+    /// \returns the n-th of quantiles over the last whole window, or over the current one while there is no other;
+    ///     zero when nothing was observed.
+    std::chrono::microseconds quantile(std::size_t n) const;
+
+    /// Ends a window.
+    void nextWindow();
+
+private:
+    using Quantiles = boost::accumulators::accumulator_set<double, boost::accumulators::stats<boost::accumulators::tag::extended_p_square>>;
+
+    /// Estimates of one window. The estimator needs a few samples before it can be asked.
+    struct Window {
+        Window();
+        Quantiles estimate;
+        std::vector<double> first; ///< The samples while they are few, in order of size.
+        std::uint64_t count = 0;
+    };
+
+    static double quantileOf(const Window& window, std::size_t n);
+
+    std::uint64_t m_count = 0;
+    std::chrono::microseconds m_sum { 0 };
+    Window m_current;
+    Window m_previous;
+};
+
+/// All metrics of a daemon, rendered in the text format of Prometheus.
+class Metrics {
+public:
+    /// \returns the counter \p name with \p labels, made when new; stays valid. Names end in "_total".
+    Counter& counter(std::string_view name, std::string_view help, const MetricLabels& labels = {});
+
+    /// \returns the summary \p name with \p labels, made when new; stays valid. Names end in "_seconds".
+    Summary& summary(std::string_view name, std::string_view help, const MetricLabels& labels = {});
+
+    /// Adds a value that is read when the metrics are rendered.
+    void gauge(std::string_view name, std::string_view help, const MetricLabels& labels, std::function<double()> read);
+
+    /// Moves rates and windows on; to be called about once a second.
+    void tick(TimePoint now);
+
+    /// \returns all metrics as text.
+    std::string render() const;
+
+private:
+    template <typename Item>
+    struct Family {
+        std::string help;
+        std::map<std::string, std::unique_ptr<Item>> items; ///< By rendered labels.
+    };
+    template <typename Item>
+    using Families = std::map<std::string, Family<Item>, std::less<>>;
+
+    template <typename Item>
+    Item& find(Families<Item>& families, std::string_view name, std::string_view help, const MetricLabels& labels);
+
+    Families<Counter> m_counters;
+    Families<Summary> m_summaries;
+    Families<std::function<double()>> m_gauges;
+    std::size_t m_series = 0;
+    TimePoint m_nextTick {};
+    TimePoint m_nextWindow {};
+};
+
+/// Bounds of the metrics.
+namespace config {
+    /// Series above which new label values are counted together.
+    inline constexpr std::size_t maxMetricSeries = 4096;
+    /// Ticks of one second that a rate is averaged over.
+    inline constexpr std::size_t rateWindow = 10;
+    inline constexpr std::chrono::seconds quantileWindow { 30 };
+} // namespace config
+
+} // namespace pw
