--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -61,12 +61,13 @@
     if (it == m_running.end()) {
         return;
     }
-    auto serviceTime = std::max(Duration(0), now - it->second.started - result.nestedTime);
-    LimitSample sample { serviceTime, it->second.queueDelay, running(), result.outcome };
+    auto run = it->second;
+    auto held = now - run.started;
+    LimitSample sample { std::max(Duration(0), held - result.nestedTime), run.queueDelay, running(), result.outcome };
     m_running.erase(it);
     m_limit->onSample(sample, now);
     if (result.outcome == RunOutcome::Ok || result.outcome == RunOutcome::Timeout) {
-        m_serviceTime.add(now - it->second.started, now);
+        m_serviceTime.add(held, now);
     }
 }
 
--- a/src/core/downstream_gate.cpp
+++ b/src/core/downstream_gate.cpp
@@ -19,7 +19,7 @@
     for (const auto& [service, seen] : it->second) {
         auto& entry = counts({ service, importance, workspace }, now);
         entry.wanted += 1;
-        entry.credit += share(entry);
+        entry.credit = std::min(2.0, entry.credit + share(entry));
         refused = refused || entry.credit < 1;
     }
     if (refused) {
