--- a/tools/fault-proxy/main.cpp
+++ b/tools/fault-proxy/main.cpp
@@ -83,7 +83,7 @@
 
 int run(const cxxopts::ParseResult& parsed)
 {
-    const support::BasePtr base(event_base_new());
+    const support::BasePtr base = support::makeBase();
     proxy::Proxy proxy(base.get(), parsed["seed"].as<std::uint64_t>());
     for (const auto& text : parsed["map"].as<std::vector<std::string>>()) {
         if (!addMapping(proxy, text)) {
--- a/tools/standin-backend/main.cpp
+++ b/tools/standin-backend/main.cpp
@@ -80,7 +80,7 @@
 {
     const standin::Options options = standin::parseOptions(argc, argv);
     support::ignoreBrokenPipes();
-    const support::BasePtr base(event_base_new());
+    const support::BasePtr base = support::makeBase();
     standin::Backend backend(base.get(), options);
     std::optional<standin::Announcer> announcer;
     Control control(backend, announcer);
--- a/tools/support/http_client.cpp
+++ b/tools/support/http_client.cpp
@@ -163,7 +163,7 @@
 
 HttpResult fetch(const Address& server, const HttpRequest& request, std::chrono::milliseconds timeout)
 {
-    const BasePtr base(event_base_new());
+    const BasePtr base = makeBase();
     HttpResult result;
     {
         HttpClient client(base.get(), server);
--- a/tools/support/loop.cpp
+++ b/tools/support/loop.cpp
@@ -10,6 +10,15 @@
     return { static_cast<time_t>(seconds.count()), static_cast<suseconds_t>((time - seconds).count()) };
 }
 
+BasePtr makeBase()
+{
+    event_config* settings = event_config_new();
+    event_config_set_flag(settings, EVENT_BASE_FLAG_PRECISE_TIMER);
+    BasePtr base(event_base_new_with_config(settings));
+    event_config_free(settings);
+    return base;
+}
+
 void ignoreBrokenPipes()
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
--- a/tools/support/loop.h
+++ b/tools/support/loop.h
@@ -25,6 +25,9 @@
 /// \returns \p time as libevent takes it.
 timeval toTimeval(std::chrono::microseconds time);
 
+/// \returns a loop whose timers are precise to less than a millisecond.
+BasePtr makeBase();
+
 /// Makes a write to a closed socket an error instead of a signal.
 void ignoreBrokenPipes();
 
