--- a/tools/fault-proxy/proxy.cpp
+++ b/tools/fault-proxy/proxy.cpp
@@ -173,7 +173,7 @@
     }
     side.bytesRead += chunk.size();
     const Rule rule = proxy.ruleOf(side);
-    (proxy.*steps.at(static_cast<std::size_t>(rule.fault)))(side, rule, std::move(chunk));
+    (proxy.*steps.at(static_cast<std::size_t>(rule.fault)))(side, rule, chunk);
 }
 
 void Proxy::ended(bufferevent*, short what, void* arg)
@@ -199,67 +199,66 @@
     return it == m_pairs.end() ? nullptr : it->second.get();
 }
 
-void Proxy::pass(Side& side, const Rule&, std::string chunk)
+void Proxy::pass(Side& side, const Rule&, const std::string& chunk)
 {
     m_bytes.at(static_cast<std::size_t>(side.direction)) += chunk.size();
     // Bytes that are still held back go first.
     const auto held = side.lastDue - std::chrono::steady_clock::now();
     if (held > std::chrono::steady_clock::duration::zero()) {
-        sendLater(side, std::chrono::duration_cast<std::chrono::microseconds>(held) + std::chrono::microseconds(1), std::move(chunk));
+        sendLater(side, std::chrono::duration_cast<std::chrono::microseconds>(held) + std::chrono::microseconds(1), chunk);
         return;
     }
     bufferevent_write(side.other->socket, chunk.data(), chunk.size());
 }
 
-void Proxy::delay(Side& side, const Rule& rule, std::string chunk)
+void Proxy::delay(Side& side, const Rule& rule, const std::string& chunk)
 {
     m_bytes.at(static_cast<std::size_t>(side.direction)) += chunk.size();
     const auto jitter = std::uniform_int_distribution<std::int64_t>(0, rule.jitter.count())(m_random);
     const auto now = std::chrono::steady_clock::now();
     side.lastDue = std::max(side.lastDue, now + rule.delay + std::chrono::milliseconds(jitter));
-    sendLater(side, std::chrono::duration_cast<std::chrono::microseconds>(side.lastDue - now), std::move(chunk));
+    sendLater(side, std::chrono::duration_cast<std::chrono::microseconds>(side.lastDue - now), chunk);
 }
 
-void Proxy::drop(Side& side, const Rule&, std::string chunk)
+void Proxy::drop(Side& side, const Rule&, const std::string& chunk)
 {
     side.lossy = true;
     m_droppedBytes += chunk.size();
 }
 
-void Proxy::reset(Side& side, const Rule&, std::string)
+void Proxy::reset(Side& side, const Rule&, const std::string&)
 {
     closeByReset(bufferevent_getfd(side.socket));
     closeByReset(bufferevent_getfd(side.other->socket));
     close(side.pair->id);
 }
 
-void Proxy::halfClose(Side& side, const Rule&, std::string)
+void Proxy::halfClose(Side& side, const Rule&, const std::string&)
 {
     (void)shutdown(bufferevent_getfd(side.other->socket), SHUT_WR);
 }
 
-void Proxy::truncate(Side& side, const Rule& rule, std::string chunk)
+void Proxy::truncate(Side& side, const Rule& rule, const std::string& chunk)
 {
     const std::uint64_t before = side.bytesRead - chunk.size();
     if (side.bytesRead <= rule.bytes) {
-        pass(side, rule, std::move(chunk));
+        pass(side, rule, chunk);
         return;
     }
-    chunk.resize(rule.bytes > before ? rule.bytes - before : 0);
-    bufferevent_write(side.other->socket, chunk.data(), chunk.size());
+    bufferevent_write(side.other->socket, chunk.data(), rule.bytes > before ? rule.bytes - before : 0);
     bufferevent_disable(side.socket, EV_READ);
     support::after(m_base, flushTime, [this, id = side.pair->id] { close(id); });
 }
 
-void Proxy::duplicate(Side& side, const Rule& rule, std::string chunk)
+void Proxy::duplicate(Side& side, const Rule& rule, const std::string& chunk)
 {
     sendLater(side, rule.delay, chunk);
-    pass(side, rule, std::move(chunk));
+    pass(side, rule, chunk);
 }
 
-void Proxy::sendLater(const Side& side, std::chrono::microseconds delay, std::string chunk)
+void Proxy::sendLater(const Side& side, std::chrono::microseconds delay, const std::string& chunk)
 {
-    support::after(m_base, delay, [this, id = side.pair->id, direction = side.direction, chunk = std::move(chunk)] {
+    support::after(m_base, delay, [this, id = side.pair->id, direction = side.direction, chunk] {
         if (Pair* pair = find(id)) {
             const Side& to = direction == Direction::Forward ? pair->server : pair->client;
             bufferevent_write(to.socket, chunk.data(), chunk.size());
--- a/tools/fault-proxy/proxy.h
+++ b/tools/fault-proxy/proxy.h
@@ -53,7 +53,7 @@
         Direction direction = Direction::Forward;
         Rule rule;
     };
-    using Step = void (Proxy::*)(Side&, const Rule&, std::string);
+    using Step = void (Proxy::*)(Side&, const Rule&, const std::string&);
 
     static void accepted(evconnlistener* listener, int fd, sockaddr* from, int size, void* mapping);
     static void arrived(bufferevent* from, void* side);
@@ -61,14 +61,14 @@
 
     Rule ruleOf(const Side& side) const;
     Pair* find(std::uint64_t id);
-    void pass(Side& side, const Rule& rule, std::string chunk);
-    void delay(Side& side, const Rule& rule, std::string chunk);
-    void drop(Side& side, const Rule& rule, std::string chunk);
-    void reset(Side& side, const Rule& rule, std::string chunk);
-    void halfClose(Side& side, const Rule& rule, std::string chunk);
-    void truncate(Side& side, const Rule& rule, std::string chunk);
-    void duplicate(Side& side, const Rule& rule, std::string chunk);
-    void sendLater(const Side& side, std::chrono::microseconds delay, std::string chunk);
+    void pass(Side& side, const Rule& rule, const std::string& chunk);
+    void delay(Side& side, const Rule& rule, const std::string& chunk);
+    void drop(Side& side, const Rule& rule, const std::string& chunk);
+    void reset(Side& side, const Rule& rule, const std::string& chunk);
+    void halfClose(Side& side, const Rule& rule, const std::string& chunk);
+    void truncate(Side& side, const Rule& rule, const std::string& chunk);
+    void duplicate(Side& side, const Rule& rule, const std::string& chunk);
+    void sendLater(const Side& side, std::chrono::microseconds delay, const std::string& chunk);
     void sideEnded(Side& side, bool failed);
     void endWriting(std::uint64_t id, Direction direction, bool both);
     void resetHealed();
