--- a/src/config.h
+++ b/src/config.h
@@ -23,8 +23,14 @@
 inline constexpr milliseconds callerIdleTimeout { 30000 };
 /// Time to connect to another daemon and to prove the fleet's secret.
 inline constexpr milliseconds linkHandshakeTimeout { 1000 };
-/// Idle time after which a link between daemons is closed.
-inline constexpr milliseconds linkIdleTimeout { 30000 };
+/// Idle time after which a link between daemons is closed; longer than any deadline.
+inline constexpr milliseconds linkIdleTimeout { 75000 };
+/// Time without a frame from the peer, counted from something sent, after which it is asked for one.
+inline constexpr milliseconds linkProbeAfter { 1000 };
+/// Time without a frame from the peer, counted from something sent, after which the link is closed.
+inline constexpr milliseconds linkDeadAfter { 3000 };
+/// Time past a request's deadline that an entry daemon leaves the server-side daemon to give the truer verdict.
+inline constexpr milliseconds deadlineGrace { 20 };
 /// Time to connect to the backend server beside a daemon.
 inline constexpr milliseconds backendConnectTimeout { 500 };
 /// Deadline of a route that names none.
@@ -33,22 +39,185 @@
 inline constexpr milliseconds maxDeadline { 60000 };
 /// Attempts of a root request, nested calls included, that a route allows when it names none.
 inline constexpr std::uint32_t defaultAttemptBudget = 16;
+/// One part in this many of a request's attempt budget is kept at its hop while a call is under way.
+inline constexpr std::uint32_t budgetReserveDivisor = 4;
+/// When a caller may ask again after no backend server was known.
+inline constexpr milliseconds noServerRetryAfter { 1000 };
+/// When a caller may ask again while a request with the same id runs.
+inline constexpr milliseconds duplicateRetryAfter { 500 };
+/// When a caller may ask again after no quorum could be asked for a request id.
+inline constexpr milliseconds claimRetryAfter { 500 };
 /// Deepest chain of nested calls.
 inline constexpr std::uint8_t maxCallDepth = 16;
 /// Longest caller request id, in bytes.
 inline constexpr std::size_t maxRequestIdBytes = 128;
 
+/// Share of the announced slots at which a new backend server's limit begins.
+inline constexpr double coldStartShare = 0.125;
+/// Share of a limit that must be in use before a sample may raise it.
+inline constexpr double limitInUseShare = 0.8;
+/// Factor by which a limit falls when its strategy backs off.
+inline constexpr double limitDecrease = 0.9;
+/// Service time over the best or the long-term one above which latency strategies back off.
+inline constexpr int limitLatencyTolerance = 2;
+/// Window in which the best service time is looked for.
+inline constexpr milliseconds limitBaselineWindow { 10000 };
+/// Weights of a new sample in the gradient strategy's averages.
+inline constexpr double gradientRecentWeight = 0.1;
+inline constexpr double gradientLongTermWeight = 0.002;
+/// Factor by which the gradient strategy's long-term average falls while it is far above the recent one.
+inline constexpr double gradientFall = 0.95;
+/// Share of the way to its target that the gradient strategy goes in one round of its limit.
+inline constexpr double gradientSmoothing = 0.5;
+/// Growth of the delay strategy's limit for each whole answer, in requests.
+inline constexpr double delayLimitGrowth = 0.05;
+/// Shortest time between two decreases of the delay strategy's limit.
+inline constexpr milliseconds delayLimitInterval { 100 };
+/// Weight of a new sample in the average service time.
+inline constexpr double serviceTimeWeight = 0.1;
+/// Silence after which an estimate of the service time begins to fade, and the time in which it halves.
+inline constexpr milliseconds serviceTimeHalfLife { 250 };
+/// Share of the expected service time that must be left before the deadline for a request to start.
+inline constexpr double startServiceShare = 0.5;
+/// Waiting requests for each one that may run.
+inline constexpr double queueLimitShare = 1.0;
+/// Waiting requests that are always allowed, however low the limit.
+inline constexpr std::size_t minQueueBound = 8;
+/// Interval over which the admission floor is judged.
+inline constexpr milliseconds admissionInterval { 100 };
+/// Bounds of the time after which a refused caller is told to ask again.
+inline constexpr milliseconds minRetryAfter { 50 };
+inline constexpr milliseconds maxRetryAfter { 5000 };
+/// Workspaces whose virtual time is remembered by one queue.
+inline constexpr std::size_t maxRememberedWorkspaces = 4096;
+
+/// Interval of the downstream gate's counters.
+inline constexpr milliseconds gateInterval { 100 };
+/// Part of the downstream gate's counts that is kept at the end of an interval.
+inline constexpr double gateDecay = 0.7;
+/// Requests let through for each one that the downstream service took, while it sheds and while it does not.
+inline constexpr double gateProbe = 1.05;
+inline constexpr double gateGrowth = 2.0;
+/// Share of shed requests below which a downstream service counts as not shedding.
+inline constexpr double gateQuietShare = 0.01;
+/// Time after which a route's downstream service that was not seen again is forgotten.
+inline constexpr milliseconds downstreamMemory { 60000 };
+/// Keys that one downstream gate counts at most.
+inline constexpr std::size_t maxGateKeys = 16384;
+
+/// Load over limit from which a backend server counts as loaded.
+inline constexpr double loadedShare = 0.8;
+/// Age past which a load hint of a backend server is not used.
+inline constexpr milliseconds loadHintMemory { 500 };
+/// Outstanding requests allowed at a backend server that has not answered yet.
+inline constexpr std::uint32_t coldOutstanding = 2;
+/// Consecutive failures after which a backend server is avoided.
+inline constexpr std::uint32_t failuresToAvoid = 3;
+/// First and longest time for which a failing backend server is avoided before it is probed.
+inline constexpr milliseconds minAvoidTime { 100 };
+inline constexpr milliseconds maxAvoidTime { 1000 };
+/// Weight of a new sample in the picker's average latency of a backend server.
+inline constexpr double latencyWeight = 0.2;
+/// Time in which the picker's memory of a slow backend server halves.
+inline constexpr milliseconds slowHalfLife { 1000 };
+/// A server is slow from this many times the latency of the fastest one of its service plus the margin.
+inline constexpr int slowTolerance = 2;
+inline constexpr milliseconds slowMargin { 5 };
+/// Largest factor by which a slow backend server's load is scaled.
+inline constexpr double maxSlowFactor = 8.0;
+
+/// Retries earned by each whole answer.
+inline constexpr double retryRatio = 0.05;
+/// Retries that can be saved up.
+inline constexpr double maxRetryTokens = 10.0;
+/// Retries that a daemon starts with.
+inline constexpr double initialRetryTokens = 3.0;
+/// First and longest backoff before a retry.
+inline constexpr milliseconds minRetryBackoff { 5 };
+inline constexpr milliseconds maxRetryBackoff { 250 };
+/// Tries of one call at its hop, the first included.
+inline constexpr std::uint32_t maxTriesPerHop = 3;
+/// Share of the time left that a backoff may use.
+inline constexpr double maxBackoffShare = 0.25;
+
+/// Part of a running request's attempts that is kept back from each nested call for its siblings.
+inline constexpr double siblingReserveShare = 0.25;
+/// Weight of a new sample in the number of nested calls that a route makes at once.
+inline constexpr double siblingMemoryWeight = 0.02;
+/// Routes whose nested calls are remembered by one context table.
+inline constexpr std::size_t maxRememberedRoutes = 1024;
+
 /// Age of a validity lease past which a daemon refuses keyed requests.
 inline constexpr milliseconds validityLease { 2000 };
 /// Interval at which a daemon renews its validity lease with its control member.
 inline constexpr milliseconds sessionInterval { 400 };
 /// Silence of a backend server after which its announcement lapses.
 inline constexpr milliseconds announcementLease { 3000 };
+/// Time for which a leaving server still takes new work, while the fleet learns that it leaves.
+inline constexpr milliseconds leaveGrace { 1000 };
 /// Interval of the raft clock.
 inline constexpr milliseconds raftTickInterval { 20 };
 /// Interval between heartbeats of the control leader.
 inline constexpr milliseconds raftHeartbeat { 100 };
 /// Shortest election timeout; the longest is twice this. Leader leases are shorter still.
 inline constexpr milliseconds raftElectionTimeout { 400 };
+/// Time for which a leader acts after it sent what a quorum acknowledged.
+inline constexpr milliseconds raftLeaderLease { 300 };
+/// Time after which a snapshot that was not acknowledged is sent again.
+inline constexpr milliseconds raftSnapshotResend { 1000 };
+/// Entries applied after which a member stores a snapshot.
+inline constexpr std::uint64_t raftSnapshotEvery = 1024;
+/// Answers to a read that wait for their index to be applied.
+inline constexpr std::size_t raftPendingReads = 32;
+/// Entries and bytes of one append message.
+inline constexpr std::size_t raftBatchEntries = 64;
+inline constexpr std::size_t raftBatchBytes = 1024 * 1024;
+/// Control members with learners.
+inline constexpr std::size_t maxControlMembers = 9;
+/// Interval at which a member without a cluster asks to be taken in.
+inline constexpr milliseconds joinInterval { 500 };
+/// Largest configuration text, in bytes.
+inline constexpr std::size_t maxConfigurationBytes = 1024 * 1024;
+/// Longest id, name or label in a change, in bytes.
+inline constexpr std::size_t maxChangeFieldBytes = 256;
+/// Keys kept, withdrawn ones included.
+inline constexpr std::size_t maxKeys = 10000;
+/// Answers to changes kept for re-sends.
+inline constexpr std::size_t keptAnswers = 4096;
+/// Configuration versions kept in the history.
+inline constexpr std::size_t keptConfigurationSteps = 100;
+/// State changes kept by a control member for daemons that lag.
+inline constexpr std::size_t keptDeltas = 512;
+/// Time for which a change is repeated before it is answered as unknown.
+inline constexpr milliseconds changeTimeout { 5000 };
+/// Interval at which a change without an answer is sent to the leader again.
+inline constexpr milliseconds changeRetry { 300 };
+/// Longest wait for a change to be in force everywhere.
+inline constexpr milliseconds inForceTimeout { 10000 };
+/// Margin for clocks that run at different speeds, on top of a validity lease.
+inline constexpr milliseconds leaseMargin { 100 };
+
+/// Time for which a grant may be spent, from when its daemon asked for it; at the owner from when the ask came.
+inline constexpr milliseconds grantLifetime { 1500 };
+/// Part of a grant's lifetime that its daemon leaves unused, against clocks that run at different speeds.
+inline constexpr milliseconds grantMargin { 20 };
+/// Time ahead for which a daemon holds tokens of the demand that it sees.
+inline constexpr milliseconds grantHorizon { 1500 };
+/// Time constant of a daemon's estimate of its demand.
+inline constexpr milliseconds grantDemandWindow { 1000 };
+/// Shortest time between two asks of a daemon for one workspace.
+inline constexpr milliseconds grantAskSpacing { 10 };
+/// Time after which an ask without a reply is repeated, to the next control member.
+inline constexpr milliseconds grantAskRetry { 150 };
+/// Longest time for which spent tokens stay unreported.
+inline constexpr milliseconds grantReportInterval { 400 };
+/// Longest time that a request waits for a token.
+inline constexpr milliseconds rateWait { 250 };
+/// Requests of one workspace that wait for a token in one daemon, at most.
+inline constexpr std::size_t maxRateWaiters = 256;
+/// Time to retry that is named when no owner of the rates can be reached.
+inline constexpr milliseconds rateRetryUnreachable { 1000 };
+/// Interval at which the owner of the rates serves the daemons that wait for tokens.
+inline constexpr milliseconds grantServeInterval { 5 };
 
 } // namespace pw::config
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -8,6 +8,9 @@
         { 101, "daemon-stopping", Level::Info, false },
         { 102, "daemon-stopped", Level::Info, false },
         { 103, "settings-refused", Level::Error, false },
+        { 104, "log-lines-lost", Level::Warning, false },
+        { 110, "operator-refused", Level::Warning, false },
+        { 111, "operator-change", Level::Info, false },
         { 200, "link-opened", Level::Debug, false },
         { 201, "link-closed", Level::Debug, false },
         { 202, "link-refused", Level::Warning, false },
@@ -24,6 +27,18 @@
         { 500, "configuration-applied", Level::Info, false },
         { 501, "validity-lapsed", Level::Warning, false },
         { 502, "validity-renewed", Level::Info, false },
+        { 600, "ledger-opened", Level::Info, false },
+        { 601, "ledger-closed", Level::Info, false },
+        { 602, "rate-refused", Level::Info, true },
+        { 603, "rate-owner-silent", Level::Warning, false },
+        { 610, "claim-replica-ready", Level::Info, false },
+        { 611, "claim-replica-refilling", Level::Info, false },
+        { 612, "claim-decided", Level::Debug, true },
+        { 620, "view-attached", Level::Info, false },
+        { 621, "view-member-silent", Level::Warning, false },
+        { 622, "view-server-added", Level::Info, false },
+        { 623, "view-server-leaving", Level::Info, false },
+        { 624, "view-server-lapsed", Level::Warning, false },
     } };
 
 } // namespace
