Let a daemon listen for peers elsewhere than at its own address

Behind a port mapping, and behind the fault-injecting proxy of the process tests, the address by which others reach a daemon is not the one that it can listen at. Links are dialled from the IP of peer.listen, so that what stands between can tell daemons apart.

--- a/src/adapters/libevent_util.cpp
+++ b/src/adapters/libevent_util.cpp
@@ -20,6 +20,15 @@
     return true;
 }
 
+void SocketAddress::setPort(std::uint16_t port)
+{
+    if (storage.ss_family == AF_INET) {
+        reinterpret_cast<sockaddr_in&>(storage).sin_port = htons(port);
+    } else {
+        reinterpret_cast<sockaddr_in6&>(storage).sin6_port = htons(port);
+    }
+}
+
 bool splitAddress(const std::string& text, std::string& host, std::uint16_t& port)
 {
     auto colon = text.rfind(':');
--- a/src/adapters/libevent_util.h
+++ b/src/adapters/libevent_util.h
@@ -46,6 +46,7 @@
     socklen_t length = 0;
 
     const sockaddr* get() const { return reinterpret_cast<const sockaddr*>(&storage); }
+    void setPort(std::uint16_t port);
 };
 
 /// Splits "ip:port" or "[ip]:port". \returns whether \p text is such an address.
--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -57,7 +57,7 @@
     link->m_peer = peer;
     link->attach(bufferevent_socket_new(context.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
     detail::SocketAddress address;
-    auto parsed = detail::parseAddress(peer, address);
+    auto parsed = detail::parseAddress(peer, address) && link->bindSource();
     if (!parsed || bufferevent_socket_connect(link->m_buffer.get(), address.get(), static_cast<int>(address.length)) != 0) {
         return nullptr;
     }
@@ -89,6 +89,21 @@
     bufferevent_enable(buffer, EV_READ | EV_WRITE);
 }
 
+bool PeerLink::bindSource()
+{
+    detail::SocketAddress source;
+    if (m_context.listen.empty()) {
+        return true;
+    }
+    if (!detail::parseAddress(m_context.listen, source)) {
+        return false;
+    }
+    source.setPort(0);
+    const auto fd = socket(source.get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    bufferevent_setfd(m_buffer.get(), fd);
+    return fd >= 0 && bind(fd, source.get(), source.length) == 0;
+}
+
 void PeerLink::greet()
 {
     writeFrame(LinkFrame::Hello, encodeHello(m_context.self, m_nonce));
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -20,6 +20,7 @@
     EventLog* log = nullptr;
     PeerAddress self;
     std::vector<std::string> fleetSecrets; ///< The first proves this daemon, every one is accepted as proof.
+    PeerAddress listen {}; ///< Where to listen and whose IP to dial from, when it is not the daemon's own address.
 };
 
 /// One TCP connection between two daemons: framing, mutual proof of the fleet's secret, liveness.
@@ -63,6 +64,7 @@
     static void onEvent(bufferevent*, short what, void* argument);
 
     void attach(bufferevent* buffer);
+    bool bindSource();
     void greet();
     void readFrames();
     bool readFrame();
--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -29,14 +29,15 @@
 bool PeerNetworkLibevent::init(std::string& reason)
 {
     detail::SocketAddress address;
-    if (!detail::parseAddress(m_context.self, address)) {
-        reason = "not an ip:port address: " + m_context.self;
+    const auto& listen = m_context.listen.empty() ? m_context.self : m_context.listen;
+    if (!detail::parseAddress(listen, address)) {
+        reason = "not an ip:port address: " + listen;
         return false;
     }
     m_listener.reset(evconnlistener_new_bind(m_context.base, onAccepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
         listenBacklog, address.get(), static_cast<int>(address.length)));
     if (!m_listener) {
-        reason = "cannot listen on " + m_context.self + ": " + std::strerror(errno);
+        reason = "cannot listen on " + listen + ": " + std::strerror(errno);
         return false;
     }
     checkLinks();
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -206,6 +206,7 @@
         root.require("peer", "a mapping with address");
         auto map = root.map("peer");
         readIdentityAddress(map, "address", settings.peerAddress);
+        readBindAddress(map, "listen", settings.peerListenAddress);
         map.finish();
     }
 
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -28,6 +28,7 @@
     bool control = false; ///< Keeps the replicated state.
 
     PeerAddress peerAddress; ///< Where other daemons reach this one.
+    std::string peerListenAddress; ///< Where it listens for them and dials from; empty: peerAddress.
     std::string callerAddress; ///< HTTP for callers; entry role.
     std::string backendSideAddress; ///< HTTP for the backend server beside; server role.
     std::string operatorAddress; ///< HTTP for operators.
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -74,6 +74,7 @@
     { "address: 10.0.1.2:7100", "address: host:7100", "f.yaml:7: peer.address: not an address" },
     { "address: 10.0.1.2:7100", "address: 0.0.0.0:7100", "f.yaml:7: peer.address: not an address of one daemon" },
     { "address: 10.0.1.2:7100", "address: 10.0.1.2", "f.yaml:7: peer.address: not an address" },
+    { "address: 10.0.1.2:7100", "address: 10.0.1.2:7100\n  listen: nowhere", "f.yaml:8: peer.listen: not an address" },
     { "address: 10.0.1.2:7100", "address: 10.0.1.2:70000", "f.yaml:7: peer.address: not an address" },
     { "address: 10.0.1.2:7100", "address: 10.0.1.9:7100", "name and peer.address disagree with control.members" },
     { "caller:\n  address: 0.0.0.0:8080\n", "", "caller: missing" },
