Add the process tests and the harness that runs real daemons

Fleets of real processes on loopback, each daemon with an IP of its own so that the fault proxy can tell them apart; readiness is polled.

--- /dev/null
+++ b/tests/process/support/raw_http.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "support/process.h"
+
+#include <string>
+
+namespace pw::test {
+
+/// Blocking TCP connection for requests that no HTTP library would send.
+class RawConnection {
+public:
+    explicit RawConnection(const std::string& address);
+    ~RawConnection();
+    RawConnection(const RawConnection&) = delete;
+    RawConnection& operator=(const RawConnection&) = delete;
+
+    /// \returns false when the other side has closed.
+    bool send(const std::string& text) const;
+
+    /// Reads until the other side closes, \p bound at the longest.
+    /// \param closed receives whether it closed.
+    std::string readAll(milliseconds bound, bool& closed) const;
+
+    /// Reads the head of one answer and the body that its Content-Length names.
+    std::string readAnswer(milliseconds bound) const;
+
+private:
+    bool waitReadable(std::chrono::steady_clock::time_point end) const;
+
+    int m_fd;
+};
+
+/// \returns the status of the HTTP answer that \p text begins with, or zero.
+int statusIn(const std::string& text);
+
+} // namespace pw::test
--- a/tools/fault-proxy/main.cpp
+++ b/tools/fault-proxy/main.cpp
@@ -20,7 +20,15 @@
 
 constexpr int usageError = 2;
 
-/// Answers the control address: /set, /clear, /stats.
+/// Adds a mapping. \returns whether both addresses are valid and the proxy listens.
+bool addMapping(proxy::Proxy& proxy, const std::string& name, const std::string& listen, const std::string& target)
+{
+    const auto from = support::parseAddress(listen);
+    const auto to = support::parseAddress(target);
+    return from && to && proxy.add(name, *from, *to);
+}
+
+/// Answers the control address: /set, /clear, /map, /stats.
 support::ControlAnswer control(proxy::Proxy& proxy, const support::ControlRequest& request)
 {
     if (request.path == "/stats") {
@@ -30,6 +38,10 @@
         proxy.clear();
         return {};
     }
+    if (request.path == "/map") {
+        const bool added = addMapping(proxy, request.text("name"), request.text("listen"), request.text("target"));
+        return { added ? 200 : 400, {} };
+    }
     const auto rule = proxy::Rule::parse(request);
     if (request.path != "/set" || !rule) {
         return { 400, "expected /set?map=&from=&direction=&fault=\n" };
@@ -64,9 +76,7 @@
     if (equals == std::string::npos || arrow == std::string::npos || arrow < equals) {
         return false;
     }
-    const auto listen = support::parseAddress(text.substr(equals + 1, arrow - equals - 1));
-    const auto target = support::parseAddress(text.substr(arrow + 1));
-    return listen && target && proxy.add(text.substr(0, equals), *listen, *target);
+    return addMapping(proxy, text.substr(0, equals), text.substr(equals + 1, arrow - equals - 1), text.substr(arrow + 1));
 }
 
 cxxopts::Options describe()
@@ -85,7 +95,8 @@
 {
     const support::BasePtr base = support::makeBase();
     proxy::Proxy proxy(base.get(), parsed["seed"].as<std::uint64_t>());
-    for (const auto& text : parsed["map"].as<std::vector<std::string>>()) {
+    const auto maps = parsed.count("map") ? parsed["map"].as<std::vector<std::string>>() : std::vector<std::string>();
+    for (const auto& text : maps) {
         if (!addMapping(proxy, text)) {
             (void)std::fprintf(stderr, "fault-proxy: cannot map %s\n", text.c_str());
             return 1;
--- a/tools/support/http_client.cpp
+++ b/tools/support/http_client.cpp
@@ -177,4 +177,11 @@
     return result;
 }
 
+HttpResult fetch(const Address& server, const std::string& target, std::chrono::milliseconds timeout)
+{
+    HttpRequest request;
+    request.target = target;
+    return fetch(server, request, timeout);
+}
+
 } // namespace pw::support
--- a/tools/support/http_client.h
+++ b/tools/support/http_client.h
@@ -69,5 +69,7 @@
 
 /// Sends one request and runs a loop of its own until it ended.
 HttpResult fetch(const Address& server, const HttpRequest& request, std::chrono::milliseconds timeout);
+/// Sends a GET request for \p target.
+HttpResult fetch(const Address& server, const std::string& target, std::chrono::milliseconds timeout);
 
 } // namespace pw::support
