Test the raft members on random schedules

The same checks report a violation when the leader's lease outlasts the voters' promise, and when a disk loses two writes that it called synced.

--- /dev/null
+++ b/tests/unit/raft_schedule_test.cpp
@@ -0,0 +1,189 @@
+#include "support/raft_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <ranges>
+
+namespace {
+
+using namespace std::chrono_literals;
+using pw::test::RaftCluster;
+using Node = RaftCluster::Node;
+
+/// Faults and changes at random, from a seed.
+class Schedule {
+public:
+    Schedule(std::size_t members, std::uint64_t seed)
+        : m_cluster(members, seed, true)
+        , m_random(seed * 7919)
+    {
+        m_cluster.network.faults.loss = 0.02;
+        m_cluster.network.faults.duplication = 0.05;
+        m_cluster.network.faults.maxDelay = 20ms;
+        m_cluster.network.faults.ordered = m_random() % 2 == 0;
+    }
+
+    RaftCluster& cluster() { return m_cluster; }
+
+    void run(int steps)
+    {
+        BOOST_REQUIRE(m_cluster.form());
+        for (auto n = 0; n < steps; ++n) {
+            act();
+            m_cluster.run(std::chrono::milliseconds(m_random() % 150));
+        }
+        settle();
+    }
+
+private:
+    void act()
+    {
+        using Action = void (Schedule::*)();
+        static constexpr std::array<Action, 16> actions { &Schedule::propose, &Schedule::propose, &Schedule::propose,
+            &Schedule::propose, &Schedule::crash, &Schedule::crashInWrite, &Schedule::restart, &Schedule::restart,
+            &Schedule::isolate, &Schedule::cutOneWay, &Schedule::heal, &Schedule::heal, &Schedule::stall,
+            &Schedule::compact, &Schedule::wipe, &Schedule::handOver };
+        (this->*actions[m_random() % actions.size()])();
+    }
+
+    Node& any() { return *m_cluster.nodes[m_random() % m_cluster.nodes.size()]; }
+
+    std::size_t down() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_cluster.nodes, [](const auto& it) { return !it->raft; }));
+    }
+
+    void propose() { m_cluster.propose("change " + std::to_string(++m_proposals)); }
+
+    void crash()
+    {
+        if (auto& node = any(); node.raft) {
+            m_cluster.crash(node);
+        }
+    }
+
+    void crashInWrite()
+    {
+        auto& node = any();
+        node.disk.crashIn = static_cast<int>(m_random() % 4);
+        node.disk.keepsLastWrite = m_random() % 2 == 0;
+    }
+
+    void restart()
+    {
+        const auto it = std::ranges::find_if(m_cluster.nodes, [](const auto& node) { return !node->raft; });
+        if (it != m_cluster.nodes.end()) {
+            m_cluster.start(**it);
+        }
+    }
+
+    void isolate() { m_cluster.network.isolate(any().name); }
+    void cutOneWay() { m_cluster.network.cutOneWay(any().name, any().name); }
+    void heal() { m_cluster.network.healAll(); }
+    void stall() { any().stalledUntil = m_cluster.timers.now() + std::chrono::milliseconds(m_random() % 900); }
+    void compact()
+    {
+        if (auto& node = any(); node.raft) {
+            m_cluster.compact(node);
+        }
+    }
+
+    /// Empties one folder; the next only after the members have replaced this one, as an operator would.
+    void wipe()
+    {
+        if (down() > 0 || !m_cluster.allVote()) {
+            return;
+        }
+        auto& node = any();
+        m_cluster.crash(node);
+        node.disk.wipe();
+        m_cluster.start(node);
+    }
+
+    void handOver()
+    {
+        if (auto* node = m_cluster.leader()) {
+            node->raft->handOver(m_cluster.localNow(*node));
+        }
+    }
+
+    void settle()
+    {
+        m_cluster.network.healAll();
+        m_cluster.network.faults = {};
+        for (auto& it : m_cluster.nodes) {
+            it->disk.crashIn = -1;
+        }
+        while (down() > 0) {
+            restart();
+        }
+        m_cluster.runUntil([this] { return m_cluster.allVote(); }, 20s);
+    }
+
+    RaftCluster m_cluster;
+    pw::Random m_random;
+    int m_proposals = 0;
+};
+
+/// \returns whether a schedule breaks an invariant when \p prepare has been applied to its cluster.
+bool invariantsBreak(const std::function<void(RaftCluster&)>& prepare)
+{
+    const auto breaks = [&prepare](std::uint64_t seed) {
+        Schedule schedule(3, seed);
+        prepare(schedule.cluster());
+        schedule.run(120);
+        return !schedule.cluster().violations.empty();
+    };
+    return std::ranges::any_of(std::views::iota(std::uint64_t { 1 }, std::uint64_t { 60 }), breaks);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RaftSchedules)
+
+BOOST_AUTO_TEST_CASE(randomFaultsBreakNoInvariant)
+{
+    for (const auto members : { 3U, 5U }) {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            Schedule schedule(members, seed);
+            schedule.run(120);
+            auto& cluster = schedule.cluster();
+            BOOST_TEST_CONTEXT("members " << members << " seed " << seed)
+            {
+                BOOST_TEST(cluster.violations.empty(), cluster.violations.front());
+                BOOST_TEST(cluster.allVote()); // Everybody comes back once the faults end.
+                std::set<std::string> kept;
+                for (const auto& [index, entry] : cluster.committed) {
+                    kept.insert(entry.data);
+                }
+                BOOST_TEST(std::ranges::includes(kept, cluster.accepted));
+            }
+        }
+    }
+}
+
+// The same schedules, with one mechanism taken away: the checks must notice.
+
+BOOST_AUTO_TEST_CASE(checksNoticeALeaderLeaseThatOutlastsTheVotersPromise)
+{
+    const auto noticed = invariantsBreak([](RaftCluster& cluster) {
+        for (auto& it : cluster.nodes) {
+            cluster.crash(*it);
+            it->options.leaderLease = 1500ms;
+            cluster.start(*it);
+        }
+    });
+    BOOST_TEST(noticed);
+}
+
+BOOST_AUTO_TEST_CASE(checksNoticeADiskThatLosesSyncedWrites)
+{
+    const auto noticed = invariantsBreak([](RaftCluster& cluster) {
+        for (auto& it : cluster.nodes) {
+            it->disk.lostWrites = 2;
+        }
+    });
+    BOOST_TEST(noticed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/raft_test.cpp
@@ -0,0 +1,169 @@
+#include "support/raft_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace std::chrono_literals;
+using pw::test::RaftCluster;
+
+void checkInvariants(const RaftCluster& cluster)
+{
+    BOOST_TEST(cluster.violations.empty(), cluster.violations.front() << " (" << cluster.violations.size() << " in all)");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RaftMembers)
+
+BOOST_AUTO_TEST_CASE(formsAClusterFromOneFounder)
+{
+    RaftCluster cluster(3, 1);
+    cluster.run(3s);
+    BOOST_TEST(cluster.leader() == nullptr); // Empty members never found a cluster by themselves.
+    BOOST_TEST(cluster.form());
+    cluster.propose("x");
+    cluster.run(100ms);
+    BOOST_TEST(cluster.accepted.contains("x"));
+    checkInvariants(cluster);
+}
+
+BOOST_AUTO_TEST_CASE(cutOffLeaderStopsBeforeAnotherActsAndReturnsQuietly)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        RaftCluster cluster(3, seed, true);
+        BOOST_REQUIRE(cluster.form());
+        auto* old = cluster.leader();
+        cluster.network.isolate(old->name);
+        cluster.run(320ms); // A lease of 300 ms on a clock that may be 2% slow.
+        BOOST_TEST(!old->raft->leading(cluster.localNow(*old)));
+        BOOST_REQUIRE(cluster.awaitLeader(3s));
+        const auto epoch = cluster.leader()->raft->term();
+        cluster.run(20s);
+        cluster.network.healAll();
+        cluster.run(3s);
+        BOOST_TEST(cluster.leader()->raft->term() == epoch); // The returning member unseats nobody.
+        BOOST_TEST(cluster.allVote());
+        checkInvariants(cluster);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(minorityNeverAccepts)
+{
+    RaftCluster cluster(3, 3);
+    BOOST_REQUIRE(cluster.form());
+    auto* lead = cluster.leader();
+    for (const auto& it : cluster.nodes) {
+        if (it.get() != lead) {
+            cluster.crash(*it);
+        }
+    }
+    cluster.propose("late");
+    cluster.run(5s);
+    BOOST_TEST(cluster.accepted.empty());
+    BOOST_TEST(!cluster.propose("later").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(handsTheLeadershipOverWithoutAnElectionTimeout)
+{
+    RaftCluster cluster(3, 4);
+    BOOST_REQUIRE(cluster.form());
+    auto* old = cluster.leader();
+    old->raft->handOver(cluster.localNow(*old));
+    BOOST_TEST(!old->raft->leading(cluster.localNow(*old)));
+    BOOST_TEST(cluster.runUntil([&] { return cluster.leader() && cluster.leader() != old; }, 200ms));
+    checkInvariants(cluster);
+}
+
+BOOST_AUTO_TEST_CASE(catchesUpFromTheLogAndFromASnapshot)
+{
+    for (const auto compacts : { false, true }) {
+        RaftCluster cluster(3, 5);
+        BOOST_REQUIRE(cluster.form());
+        auto& lagging = cluster.other(*cluster.leader());
+        cluster.crash(lagging);
+        for (auto n = 0; n < 700; ++n) {
+            BOOST_REQUIRE(cluster.propose("change " + std::to_string(n)).has_value());
+            cluster.run(2ms);
+        }
+        if (compacts) {
+            cluster.compact(*cluster.leader());
+            BOOST_TEST(cluster.leader()->raft->entriesSinceSnapshot() == 0);
+        }
+        cluster.start(lagging);
+        BOOST_TEST(cluster.runUntil([&] { return cluster.allVote(); }, 3s));
+        BOOST_TEST(cluster.accepted.size() == 700);
+        checkInvariants(cluster);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(emptyFolderIsANewMemberAndASecondLossAfterTheRepairIsSurvived)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        RaftCluster cluster(3, seed);
+        BOOST_REQUIRE(cluster.form());
+        cluster.propose("before");
+        cluster.run(100ms);
+        auto& first = cluster.other(*cluster.leader());
+        const auto oldIdentity = first.raft->identity();
+        cluster.crash(first);
+        first.disk.wipe();
+        cluster.start(first);
+        BOOST_TEST(first.raft->identity() != oldIdentity);
+        BOOST_REQUIRE(cluster.runUntil([&] { return cluster.allVote(); }, 5s));
+        cluster.crash(*cluster.leader());
+        BOOST_REQUIRE(cluster.awaitLeader(3s));
+        cluster.propose("after");
+        cluster.run(200ms);
+        BOOST_TEST(cluster.accepted.size() == 2);
+        checkInvariants(cluster);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(twoEmptyFoldersDoNotMakeAQuorum)
+{
+    RaftCluster cluster(3, 6);
+    BOOST_REQUIRE(cluster.form());
+    for (auto n = 0; n < 2; ++n) {
+        auto& node = *cluster.nodes[static_cast<std::size_t>(n)];
+        cluster.crash(node);
+        node.disk.wipe();
+        cluster.start(node);
+    }
+    cluster.run(20s);
+    BOOST_TEST(cluster.leader() == nullptr);
+    BOOST_TEST(cluster.nodes[0]->raft->members().empty());
+}
+
+BOOST_AUTO_TEST_CASE(removedMemberLearnsThatItIsOut)
+{
+    RaftCluster cluster(3, 7);
+    BOOST_REQUIRE(cluster.form());
+    auto* lead = cluster.leader();
+    auto& gone = cluster.other(*lead);
+    cluster.network.isolate(gone.name);
+    BOOST_TEST(lead->raft->removeMember(gone.name, cluster.localNow(*lead)));
+    cluster.run(2s);
+    cluster.network.healAll();
+    cluster.run(3s);
+    BOOST_TEST(gone.raft->removed());
+    BOOST_TEST(cluster.leader() == lead);
+}
+
+BOOST_AUTO_TEST_CASE(fullDiskHaltsTheMemberAndTheOthersGoOn)
+{
+    RaftCluster cluster(3, 8);
+    BOOST_REQUIRE(cluster.form());
+    auto* old = cluster.leader();
+    old->disk.full = true;
+    cluster.propose("lost");
+    BOOST_TEST(old->raft->halted());
+    BOOST_TEST(old->raft->haltReason() == "No space left on device");
+    BOOST_REQUIRE(cluster.awaitLeader(3s));
+    cluster.propose("kept");
+    cluster.run(200ms);
+    BOOST_TEST(cluster.accepted == std::set<std::string> { "kept" }, boost::test_tools::per_element());
+    checkInvariants(cluster);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
