--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "app/yaml_reader.h"
 #include "core/deployment_check.h"
+#include "core/limit.h"
 
 #include <event2/util.h>
 #include <netinet/in.h>
@@ -225,11 +226,10 @@
     void readLimit(YamlMap& root, Settings& settings)
     {
         auto map = root.map("limit");
-        auto value = map.text("strategy");
-        if (value && !isName(*value)) {
-            map.wrong("strategy", "not a name", nameAccepted);
+        const auto names = limitNames();
+        if (auto n = map.choice("strategy", names)) {
+            settings.limitStrategy = names[*n];
         }
-        settings.limitStrategy = value.value_or("");
         map.finish();
     }
 
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -90,6 +90,7 @@
     { "level: debug", "level: loud", "log.level: \"loud\"; accepted: debug, info, warning, error" },
     { "decisionSampling: 10", "decisionSampling: -1", "log.decisionSampling: \"-1\"; accepted: a whole number from 0 to 1000000" },
     { "decisionSampling: 10", "decisionSampling: 1e3", "log.decisionSampling: \"1e3\"" },
+    { "strategy: static", "strategy: magic", "limit.strategy: \"magic\"; accepted: " },
     { "limit:", "limits:", "limits: unknown key" },
     { "log:\n", "log: [", "(text):" },
 };
