Do not pick a server that said it is leaving; test the dispatcher

Cause: the picker knew of a leaving server only through the membership view, so for as long as the view was late every request could meet the refusal first and pay a retry. Test: 20 requests against one leaving and one good server. The load hint of a server without an announced backend server now says leaving as well.

--- a/src/adapters/crypto.cpp
+++ b/src/adapters/crypto.cpp
@@ -6,6 +6,7 @@
 #include <openssl/rand.h>
 
 #include <cstdlib>
+#include <cstring>
 
 namespace pw::crypto {
 namespace {
@@ -48,6 +49,14 @@
     return result;
 }
 
+std::uint64_t randomNumber()
+{
+    auto bytes = randomBytes(sizeof(std::uint64_t));
+    std::uint64_t result = 0;
+    std::memcpy(&result, bytes.data(), sizeof(result));
+    return result;
+}
+
 std::string toHex(std::string_view bytes)
 {
     constexpr std::string_view digits = "0123456789abcdef";
--- a/src/adapters/crypto.h
+++ b/src/adapters/crypto.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,6 +26,9 @@
 /// \returns \p count cryptographically random bytes.
 std::string randomBytes(std::size_t count);
 
+/// \returns a random number, for seeds and first ids.
+std::uint64_t randomNumber();
+
 /// \returns \p bytes as lower-case hexadecimal digits.
 std::string toHex(std::string_view bytes);
 
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -128,9 +128,8 @@
     return true;
 }
 
-void HttpServer::leave()
+void HttpServer::stopListening()
 {
-    m_leaving = true;
     if (m_socket) {
         evhttp_del_accept_socket(m_http.get(), std::exchange(m_socket, nullptr));
     }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -67,8 +67,10 @@
 
     /// \param reason receives what went wrong when false is returned.
     bool init(const std::string& address, std::string& reason);
-    /// Stops listening and asks callers to close: every later answer carries "Connection: close".
-    void leave();
+    /// Asks callers to go elsewhere: every later answer carries "Connection: close".
+    void leave() { m_leaving = true; }
+    /// Takes no new connections; open ones go on.
+    void stopListening();
     /// Closes every connection.
     void shutdown();
 
--- a/src/app/caller_edge.h
+++ b/src/app/caller_edge.h
@@ -22,8 +22,10 @@
 
     /// \param reason receives what went wrong when false is returned.
     bool init(const std::string& address, std::string& reason);
-    /// Stops listening; connections that are open are asked to close.
+    /// Asks callers to go elsewhere with every answer.
     void leave() { m_http.leave(); }
+    /// Takes no new connections.
+    void stopListening() { m_http.stopListening(); }
     void shutdown() { m_http.shutdown(); }
 
     /// \returns requests that are not answered yet.
--- /dev/null
+++ b/src/app/control_services.cpp
@@ -0,0 +1,28 @@
+#include "app/control_services.h"
+
+#include "adapters/crypto.h"
+#include "app/deployment_yaml.h"
+
+namespace pw {
+
+ControlServices::ControlServices(const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& events, FleetView& fleet,
+    std::unique_ptr<LogStorage> storage)
+    : m_storage(std::move(storage))
+    , m_log(settings, network, timers, crypto::randomNumber(), events, *m_storage, parseConfiguration)
+    , m_ledger(settings, network, timers, events, fleet, m_log)
+    , m_claims(settings, network, timers, events)
+    , m_view(settings, network, timers, crypto::randomNumber(), events)
+{
+}
+
+bool ControlServices::init(std::string& reason)
+{
+    return m_log.start(reason);
+}
+
+void ControlServices::leave(std::function<void()> done)
+{
+    m_log.handOver(std::move(done));
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/control_services.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "app/control_claims.h"
+#include "app/control_ledger.h"
+#include "app/control_log.h"
+#include "app/control_view.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace pw {
+
+/// The control role of one daemon: the replicated log on its data folder, the ledger of rates, the claims and the
+/// membership view.
+class ControlServices {
+public:
+    ControlServices(const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& events, FleetView& fleet,
+        std::unique_ptr<LogStorage> storage);
+
+    /// \param reason receives what is wrong with the data folder when false is returned.
+    bool init(std::string& reason);
+
+    /// Hands the leadership over, for a planned stop. \p done is called once nothing is led here.
+    void leave(std::function<void()> done);
+
+    ControlLog& log() { return m_log; }
+
+private:
+    std::unique_ptr<LogStorage> m_storage;
+    ControlLog m_log;
+    ControlLedger m_ledger;
+    ControlClaims m_claims;
+    ControlView m_view;
+};
+
+} // namespace pw
--- /dev/null
+++ b/src/app/daemon.cpp
@@ -0,0 +1,158 @@
+#include "app/daemon.h"
+
+#include "adapters/crypto.h"
+#include "adapters/log_storage_file.h"
+#include "app/backend_edge.h"
+#include "app/caller_edge.h"
+#include "app/control_services.h"
+#include "app/control_session.h"
+#include "app/daemon_claims.h"
+#include "app/daemon_grants.h"
+#include "app/daemon_view.h"
+#include "app/deployment_yaml.h"
+#include "config.h"
+
+#include <algorithm>
+#include <map>
+
+namespace pw {
+
+Daemon::Daemon(event_base* base, Timers& timers, EventLog& log, const Settings& settings, std::vector<std::string> fleetSecrets)
+    : m_base(base)
+    , m_timers(timers)
+    , m_log(log)
+    , m_settings(settings)
+    , m_network({ base, &log, settings.peerAddress, std::move(fleetSecrets) }, timers)
+{
+}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::init(std::string& reason)
+{
+    makeSession();
+    if (!makeControl(reason) || !makeServer(reason) || !makeEntry(reason) || !m_network.init(reason)) {
+        return false;
+    }
+    m_session->onChanged([this] { applyConfiguration(); });
+    m_session->start();
+    PW_EVENT(m_log, Event::DaemonStarted, { "name", m_settings.name }, { "peer", m_settings.peerAddress },
+        { "entry", m_settings.entry }, { "server", m_settings.server }, { "control", m_settings.control });
+    return true;
+}
+
+void Daemon::makeSession()
+{
+    m_session = std::make_unique<ControlSession>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log, parseConfiguration);
+    m_view = std::make_unique<DaemonView>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log);
+}
+
+bool Daemon::makeControl(std::string& reason)
+{
+    if (!m_settings.control) {
+        return true;
+    }
+    auto storage = std::make_unique<LogStorageFile>(m_settings.dataFolder);
+    m_control = std::make_unique<ControlServices>(m_settings, m_network, m_timers, m_log, *m_session, std::move(storage));
+    return m_control->init(reason);
+}
+
+bool Daemon::makeServer(std::string& reason)
+{
+    if (m_settings.server) {
+        m_server = std::make_unique<ServerRole>(m_base, m_settings, m_network, m_timers, m_log, *m_view);
+    }
+    if (!m_settings.server && !m_settings.entry) {
+        return true;
+    }
+    m_transport = std::make_unique<CallTransport>(m_network, m_timers, m_server.get(), crypto::randomNumber());
+    m_dispatcher = std::make_unique<Dispatcher>(m_settings, *m_transport, m_timers, m_log, *m_view, crypto::randomNumber());
+    if (!m_server) {
+        return true;
+    }
+    m_backendEdge = std::make_unique<BackendEdge>(m_base, m_timers, m_log, *m_session, *m_server, *m_dispatcher);
+    return m_backendEdge->init(m_settings.backendSideAddress, reason);
+}
+
+bool Daemon::makeEntry(std::string& reason)
+{
+    if (!m_settings.entry) {
+        return true;
+    }
+    m_grants = std::make_unique<DaemonGrants>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log, *m_session);
+    m_claims = std::make_unique<DaemonClaims>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log);
+    m_callerEdge = std::make_unique<CallerEdge>(m_base, m_timers, m_log, *m_session, *m_grants, *m_claims, *m_dispatcher);
+    return m_callerEdge->init(m_settings.callerAddress, reason);
+}
+
+void Daemon::applyConfiguration()
+{
+    if (!m_server) {
+        return;
+    }
+    std::map<std::string, double> rates;
+    std::ranges::transform(m_session->deployment().workspaces, std::inserter(rates, rates.end()),
+        [](const Workspace& it) { return std::pair(it.name, it.rate); });
+    m_server->setWorkspaceWeights(std::move(rates));
+}
+
+void Daemon::stop()
+{
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    m_stopBy = m_timers.now() + config::maxDeadline;
+    PW_EVENT(m_log, Event::DaemonStopping, { "name", m_settings.name });
+    if (m_server) {
+        m_server->leave();
+    }
+    if (m_callerEdge) {
+        m_callerEdge->leave();
+    }
+    if (m_control) {
+        m_control->leave([] {});
+    }
+    m_timers.after(config::leaveGrace, [this] { stopTaking(); });
+}
+
+void Daemon::stopTaking()
+{
+    if (m_callerEdge) {
+        m_callerEdge->stopListening();
+    }
+    waitUntilQuiet();
+}
+
+bool Daemon::busy() const
+{
+    auto calls = m_callerEdge ? m_callerEdge->pending() : 0;
+    auto work = m_server ? m_server->pending() : 0;
+    auto jobs = m_dispatcher ? m_dispatcher->pending() : 0;
+    return calls + work + jobs > 0;
+}
+
+void Daemon::waitUntilQuiet()
+{
+    if (busy() && m_timers.now() < m_stopBy) {
+        m_timers.after(config::stopPollInterval, [this] { waitUntilQuiet(); });
+        return;
+    }
+    if (m_grants) {
+        m_grants->returnAll();
+    }
+    // Answers and returned tokens leave with the last turns of the loop.
+    m_timers.after(config::stopFlushTime, [this] { finishStop(); });
+}
+
+void Daemon::finishStop()
+{
+    if (busy() && m_timers.now() < m_stopBy) {
+        waitUntilQuiet();
+        return;
+    }
+    PW_EVENT(m_log, Event::DaemonStopped, { "name", m_settings.name });
+    event_base_loopbreak(m_base);
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/daemon.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "adapters/libevent_util.h"
+#include "adapters/peer_network_libevent.h"
+#include "adapters/timers_libevent.h"
+#include "app/settings.h"
+#include "ports/events.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pw {
+
+class BackendEdge;
+class CallTransport;
+class CallerEdge;
+class ControlServices;
+class ControlSession;
+class DaemonClaims;
+class DaemonGrants;
+class DaemonView;
+class Dispatcher;
+class ServerRole;
+
+/// One process: the roles that its settings name, on one loop in one thread.
+class Daemon {
+public:
+    /// \param base the loop. It, \p timers, \p log and \p settings must outlive this object.
+    Daemon(event_base* base, Timers& timers, EventLog& log, const Settings& settings, std::vector<std::string> fleetSecrets);
+    ~Daemon();
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    /// Opens the ports and the data folder and starts the roles.
+    /// \param reason receives what went wrong when false is returned.
+    bool init(std::string& reason);
+
+    /// Begins a planned stop: announces it, finishes every request, hands back what is held, then ends the loop.
+    void stop();
+
+private:
+    void makeSession();
+    bool makeControl(std::string& reason);
+    bool makeServer(std::string& reason);
+    bool makeEntry(std::string& reason);
+    void applyConfiguration();
+    void stopTaking();
+    void waitUntilQuiet();
+    void finishStop();
+    bool busy() const;
+
+    event_base* m_base;
+    Timers& m_timers;
+    EventLog& m_log;
+    const Settings& m_settings;
+    bool m_stopping = false;
+    TimePoint m_stopBy {};
+    PeerNetworkLibevent m_network;
+    std::unique_ptr<ControlSession> m_session;
+    std::unique_ptr<DaemonView> m_view;
+    std::unique_ptr<ControlServices> m_control;
+    std::unique_ptr<DaemonGrants> m_grants;
+    std::unique_ptr<DaemonClaims> m_claims;
+    std::unique_ptr<ServerRole> m_server;
+    std::unique_ptr<CallTransport> m_transport;
+    std::unique_ptr<Dispatcher> m_dispatcher;
+    std::unique_ptr<BackendEdge> m_backendEdge;
+    std::unique_ptr<CallerEdge> m_callerEdge;
+};
+
+} // namespace pw
--- a/src/app/deployment_yaml.h
+++ b/src/app/deployment_yaml.h
@@ -13,4 +13,10 @@
 ///     problem.
 std::optional<Deployment> parseDeployment(const std::string& yaml, std::string& reason, const std::string& source = "configuration");
 
+/// The same with the default source, in the shape that control logs and sessions take.
+inline std::optional<Deployment> parseConfiguration(const std::string& yaml, std::string& reason)
+{
+    return parseDeployment(yaml, reason);
+}
+
 } // namespace pw
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -123,7 +123,7 @@
 {
     auto& job = m_jobs.at(id);
     auto now = m_timers.now();
-    auto heard = answer.whole() || answer.load.limit > 0;
+    auto heard = answer.whole() || answer.load.limit > 0 || answer.load.leaving;
     m_picker.finished(job.server, outcomeOf(answer), now - job.sent, heard ? &answer.load : nullptr, now);
     auto neverArrived = answer.refusal.verdict == Verdict::NotRun && answer.refusal.reason == Reason::Unreachable;
     job.request.attempts += neverArrived ? job.lent : std::min(answer.attemptsUnused, job.lent);
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -44,8 +44,7 @@
 
 ServerRole::ServerRole(event_base* base, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
     ServerDirectory& directory)
-    : m_settings(settings)
-    , m_network(network)
+    : m_network(network)
     , m_timers(timers)
     , m_log(log)
     , m_directory(directory)
@@ -150,7 +149,7 @@
 LoadHint ServerRole::load() const
 {
     auto hint = m_admission.hint();
-    hint.leaving = m_entry.leaving;
+    hint.leaving = m_entry.leaving || !m_announced;
     return hint;
 }
 
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -97,7 +97,6 @@
     void publish();
     void stopAdmitting();
 
-    const Settings& m_settings;
     PeerNetwork& m_network;
     Timers& m_timers;
     EventLog& m_log;
--- a/src/config.h
+++ b/src/config.h
@@ -155,6 +155,12 @@
 inline constexpr milliseconds announcementLease { 3000 };
 /// Time for which a leaving server still takes new work, while the fleet learns that it leaves.
 inline constexpr milliseconds leaveGrace { 1000 };
+/// Time for which a server that said it is leaving is not picked, while the membership view is late.
+inline constexpr milliseconds leavingHintMemory { 2000 };
+/// Interval at which a stopping daemon looks whether its requests have ended.
+inline constexpr milliseconds stopPollInterval { 20 };
+/// Time that a stopping daemon leaves its last messages to go out.
+inline constexpr milliseconds stopFlushTime { 200 };
 /// Interval of the raft clock.
 inline constexpr milliseconds raftTickInterval { 20 };
 /// Interval between heartbeats of the control leader.
@@ -220,4 +226,6 @@
 /// Interval at which the owner of the rates serves the daemons that wait for tokens.
 inline constexpr milliseconds grantServeInterval { 5 };
 
+static_assert(raftLeaderLease < raftElectionTimeout, "a leader must step down before another can be elected");
+
 } // namespace pw::config
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -90,7 +90,8 @@
     const auto& servers = scene.servers;
     Candidates allowed;
     for (std::size_t n = 0; n < servers.size(); ++n) {
-        if (!servers[n].leaving && std::ranges::find(context.excluded, servers[n].name) == context.excluded.end()) {
+        auto leaving = servers[n].leaving || saidLeaving(observation(servers[n].name), scene.now);
+        if (!leaving && std::ranges::find(context.excluded, servers[n].name) == context.excluded.end()) {
             allowed.push_back(n);
         }
     }
@@ -157,6 +158,12 @@
     return seen.avoidTime > Duration(0) && now < seen.avoidUntil;
 }
 
+bool Picker::saidLeaving(const Observation& seen, TimePoint now)
+{
+    // The membership view follows; a server that came back is tried again even when the view is late.
+    return seen.hint && seen.hint->leaving && now - seen.hintAt < config::leavingHintMemory;
+}
+
 const Picker::Observation& Picker::observation(const std::string& server) const
 {
     static const Observation none;
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -70,6 +70,7 @@
     double load(const Scene& scene, std::size_t server) const;
     double slowFrom(const std::vector<ServerEntry>& servers) const;
     static double slowFactor(const Observation& seen, const Scene& scene);
+    static bool saidLeaving(const Observation& seen, TimePoint now);
     static bool avoided(const Observation& seen, TimePoint now);
     const Observation& observation(const std::string& server) const;
     void noteFailure(Observation& seen, TimePoint now);
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -23,7 +23,6 @@
     , m_heartbeatDue(now)
     , m_readDue(now)
 {
-    assert(options.leaderLease < options.electionTimeout);
     refreshMembers();
     resetElectionTimer(now);
 }
--- /dev/null
+++ b/tests/unit/dispatcher_test.cpp
@@ -0,0 +1,237 @@
+#include "adapters/codec_call.h"
+#include "app/call_transport.h"
+#include "app/dispatcher.h"
+#include "support/fake_network.h"
+#include "support/fleet_fakes.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <ostream>
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+/// Directory with a fixed set of servers for every service.
+class FixedDirectory : public pw::ServerDirectory {
+public:
+    const std::vector<pw::ServerEntry>& servers(const std::string&) const override { return entries; }
+    void publish(const pw::ServerEntry&) override { }
+    void onChanged(std::function<void(const std::string&)>) override { }
+
+    std::vector<pw::ServerEntry> entries;
+};
+
+/// A daemon beside a backend server that answers every call alike.
+class ScriptedServer {
+public:
+    ScriptedServer(pw::test::FakeNetwork& network, const std::string& address)
+        : m_peer(network, address)
+    {
+        m_peer.onMessage(pw::MessageKind::Call, [this](const pw::PeerAddress& from, std::span<const std::byte> message) { take(from, message); });
+        m_peer.onMessage(pw::MessageKind::Cancel, [this](const pw::PeerAddress&, std::span<const std::byte>) { ++cancelled; });
+    }
+
+    std::optional<pw::Answer> answer; ///< Nothing: never answers.
+    std::uint64_t idOffset = 0; ///< Added to the call's id in the answer.
+    int calls = 0;
+    int cancelled = 0;
+    std::uint32_t lent = 0;
+
+private:
+    void take(const pw::PeerAddress& from, std::span<const std::byte> message)
+    {
+        ++calls;
+        auto call = pw::decodeCall(message);
+        lent = call->attempts;
+        if (answer) {
+            auto reply = *answer;
+            reply.id = call->id + idOffset;
+            m_peer.send(from, pw::MessageKind::Answer, pw::encodeAnswer(reply));
+        }
+    }
+
+    pw::test::FakePeer m_peer;
+};
+
+struct Fixture {
+    Fixture()
+    {
+        settings.peerAddress = "entry";
+        directory.entries = { { .name = "one", .service = "s", .daemon = "one" }, { .name = "two", .service = "s", .daemon = "two" } };
+    }
+
+    void start(bool idempotent, std::uint32_t attempts = 8)
+    {
+        pw::DispatchRequest request;
+        request.call.service = "s";
+        request.call.idempotent = idempotent;
+        request.attempts = attempts;
+        request.deadline = timers.now() + 1s;
+        job = dispatcher.start(request, [this](const pw::Answer& answer) {
+            ++ended;
+            last = answer;
+        });
+    }
+
+    int calls() const { return one.calls + two.calls; }
+
+    static pw::Answer whole()
+    {
+        pw::Answer answer;
+        answer.refusal = { pw::Verdict::Ran, pw::Reason::None, {} };
+        answer.status = 200;
+        answer.load.limit = 10;
+        return answer;
+    }
+
+    static pw::Answer refusal(pw::Verdict verdict, pw::Reason reason)
+    {
+        pw::Answer answer;
+        answer.refusal = { verdict, reason, {} };
+        return answer;
+    }
+
+    pw::Settings settings;
+    pw::test::FakeTimers timers;
+    pw::test::FakeNetwork network { timers, 1 };
+    pw::test::FakePeer entry { network, "entry" };
+    pw::test::NoEvents log;
+    FixedDirectory directory;
+    ScriptedServer one { network, "one" };
+    ScriptedServer two { network, "two" };
+    pw::CallTransport transport { entry, timers, nullptr, 1000 };
+    pw::Dispatcher dispatcher { settings, transport, timers, log, directory, 7 };
+    std::uint64_t job = 0;
+    int ended = 0;
+    pw::Answer last;
+};
+
+struct RetryRow {
+    bool idempotent;
+    pw::Verdict verdict;
+    pw::Reason reason;
+    bool triedAgain;
+};
+
+std::ostream& operator<<(std::ostream& out, const RetryRow& row)
+{
+    return out << (row.idempotent ? "idempotent " : "non-idempotent ") << pw::verdictName(row.verdict) << ' ' << pw::reasonInfo(row.reason).name;
+}
+
+const std::vector<RetryRow> retryRows {
+    { true, pw::Verdict::NotRun, pw::Reason::Leaving, true },
+    { false, pw::Verdict::NotRun, pw::Reason::Leaving, true },
+    { true, pw::Verdict::MayHaveRun, pw::Reason::BackendFailed, true },
+    { false, pw::Verdict::MayHaveRun, pw::Reason::BackendFailed, false },
+    { false, pw::Verdict::MayHaveRun, pw::Reason::Unreachable, false },
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DispatcherTest, Fixture)
+
+BOOST_DATA_TEST_CASE_F(Fixture, retriesOnlyWhereTheVerdictAllows, data::make(retryRows), row)
+{
+    one.answer = refusal(row.verdict, row.reason);
+    two.answer = one.answer;
+    start(row.idempotent);
+    timers.run(2s);
+    BOOST_TEST(ended == 1);
+    BOOST_TEST((calls() > 1) == row.triedAgain);
+    BOOST_TEST((last.refusal.verdict == row.verdict));
+}
+
+BOOST_AUTO_TEST_CASE(aRetryGoesToAnotherServer)
+{
+    one.answer = refusal(pw::Verdict::NotRun, pw::Reason::Leaving);
+    one.answer->load = { 0, 0, 10, pw::Importance::Low, true };
+    two.answer = whole();
+    for (auto n = 0; n < 20; ++n) {
+        start(true);
+        timers.run(100ms);
+        BOOST_TEST(last.whole());
+    }
+    BOOST_TEST(two.calls == 20);
+}
+
+BOOST_AUTO_TEST_CASE(theAttemptBudgetBoundsTheAttempts)
+{
+    one.answer = refusal(pw::Verdict::NotRun, pw::Reason::Leaving);
+    two.answer = one.answer;
+    one.answer->attemptsUnused = two.answer->attemptsUnused = 0; // Every attempt spends all it was lent.
+    start(true, 3);
+    timers.run(2s);
+    BOOST_TEST(calls() <= 3);
+    BOOST_TEST(ended == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aServerCannotReturnMoreAttemptsThanItWasLent)
+{
+    one.answer = whole();
+    one.answer->attemptsUnused = 1000;
+    two.answer = one.answer;
+    start(true, 8);
+    timers.run(1s);
+    BOOST_TEST(last.attemptsUnused == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerToAnotherCallIsNotTaken)
+{
+    one.answer = whole();
+    one.idOffset = 5;
+    two.answer = one.answer;
+    two.idOffset = 5;
+    start(false);
+    timers.run(500ms);
+    BOOST_TEST(ended == 0);
+    timers.run(2s);
+    BOOST_TEST(ended == 1);
+    BOOST_TEST((last.refusal.verdict == pw::Verdict::MayHaveRun));
+    BOOST_TEST((last.refusal.reason == pw::Reason::DeadlineExceeded));
+}
+
+BOOST_AUTO_TEST_CASE(aCallWithoutAnswerEndsAtTheDeadlineAndIsCancelled)
+{
+    start(false);
+    timers.run(2s);
+    BOOST_TEST(ended == 1);
+    BOOST_TEST(calls() == 1);
+    BOOST_TEST(one.cancelled + two.cancelled == 1);
+    BOOST_TEST((last.refusal.verdict == pw::Verdict::MayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(aLostLinkMayHaveCarriedTheCall)
+{
+    start(false);
+    timers.run(10ms);
+    entry.loseLink(one.calls ? "one" : "two");
+    BOOST_TEST(ended == 1);
+    BOOST_TEST((last.refusal.verdict == pw::Verdict::MayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(cancellingReachesTheServerAndEndsNothingTwice)
+{
+    start(true);
+    timers.run(10ms);
+    dispatcher.cancel(job);
+    timers.run(2s);
+    BOOST_TEST(one.cancelled + two.cancelled == 1);
+    BOOST_TEST(ended == 0);
+    BOOST_TEST(dispatcher.pending() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(noServerIsNotRun)
+{
+    directory.entries.clear();
+    start(false);
+    BOOST_TEST(ended == 1);
+    BOOST_TEST((last.refusal.verdict == pw::Verdict::NotRun));
+    BOOST_TEST((last.refusal.reason == pw::Reason::NoBackendServer));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/route_and_header_test.cpp
@@ -0,0 +1,114 @@
+#include "core/header_rules.h"
+#include "core/route_table.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+const pw::RouteTable table { {
+    { .name = "root", .pathPrefix = "/" },
+    { .name = "share", .pathPrefix = "/share" },
+    { .name = "share-detail", .pathPrefix = "/share/detail" },
+    { .name = "order", .method = "POST", .pathPrefix = "/share" },
+} };
+
+struct MatchRow {
+    const char* method;
+    const char* target;
+    const char* route; ///< Empty: none.
+};
+
+std::ostream& operator<<(std::ostream& out, const MatchRow& row)
+{
+    return out << row.method << ' ' << row.target;
+}
+
+const std::vector<MatchRow> matchRows {
+    { "GET", "/share", "share" },
+    { "GET", "/share?member=1", "share" },
+    { "GET", "/share/7", "share" },
+    { "GET", "/shared", "root" },
+    { "GET", "/share/detail/7", "share-detail" },
+    { "POST", "/share/detail", "order" },
+    { "DELETE", "/share", "" },
+    { "get", "/share", "" },
+};
+
+struct HeaderRow {
+    const char* name;
+    bool forwarded;
+};
+
+std::ostream& operator<<(std::ostream& out, const HeaderRow& row)
+{
+    return out << row.name;
+}
+
+const std::vector<HeaderRow> headerRows {
+    { "Accept", true },
+    { "Authorization", true },
+    { "Connection", false },
+    { "keep-alive", false },
+    { "TRANSFER-ENCODING", false },
+    { "Upgrade", false },
+    { "Content-Length", false },
+    { "Pistachio-Key", false },
+    { "pistachio-context", false },
+    { "Pistachio-Workspace", false },
+    { "X-Named", false }, // Connection names it.
+};
+
+struct KeyRow {
+    const char* target;
+    pw::HeaderLine header;
+    const char* body;
+    bool misplaced;
+};
+
+std::ostream& operator<<(std::ostream& out, const KeyRow& row)
+{
+    return out << row.target << ' ' << row.header.name << ' ' << row.body;
+}
+
+const std::vector<KeyRow> keyRows {
+    { "/a", { "Pistachio-Key", "pwk_1" }, "", false },
+    { "/a", { "pistachio-key", "pwk_1" }, "", false },
+    { "/a?key=pwk_1", { "Accept", "*/*" }, "", true },
+    { "/a", { "Authorization", "Bearer pwk_1" }, "", true },
+    { "/a", { "X-pwk_1", "1" }, "", true },
+    { "/a", { "Accept", "*/*" }, R"({"key":"pwk_1"})", true },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RoutesAndHeaders)
+
+BOOST_DATA_TEST_CASE(longestPrefixAtASegmentBorderWins, data::make(matchRows), row)
+{
+    const auto* route = table.match(row.method, row.target);
+    BOOST_TEST((route ? route->name : "") == row.route);
+}
+
+BOOST_DATA_TEST_CASE(onlyEndToEndHeadersAreForwarded, data::make(headerRows), row)
+{
+    auto forwarded = pw::forwardedHeaders({ { row.name, "value" }, { "Connection", "close, x-named" } });
+    BOOST_TEST(pw::countHeader(forwarded, row.name) == (row.forwarded ? 1U : 0U));
+}
+
+BOOST_DATA_TEST_CASE(aKeyOutsideItsHeaderIsSeen, data::make(keyRows), row)
+{
+    BOOST_TEST(pw::hasMisplacedKey(row.target, { row.header }, row.body) == row.misplaced);
+}
+
+BOOST_AUTO_TEST_CASE(aRepeatedHeaderHasNoSingleValue)
+{
+    BOOST_TEST(!pw::singleHeader({ { "Pistachio-Key", "a" }, { "pistachio-key", "b" } }, "Pistachio-Key").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
