Serve operators over HTTP with proof of their secret

Operators need status, changes and drain at any daemon, without the secret ever crossing the network and without a copied request working twice, also when clocks differ: a challenge that the daemon can check without memory, an HMAC over the whole request, and one over the answer, so that nobody between can forge "accepted". Requests talk to typed ports; nothing waits inside the loop.

--- /dev/null
+++ b/src/app/daemon_reporter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "app/control_session.h"
+#include "app/server_role.h"
+#include "app/settings.h"
+#include "ports/operator_backend.h"
+#include "ports/timers.h"
+
+namespace pw {
+
+/// Tells operators about this daemon, from its roles.
+class DaemonReporter final : public LocalDaemon {
+public:
+    /// \param server null without the server role. Everything must outlive this object.
+    DaemonReporter(const Settings& settings, const ControlSession& session, const ServerDirectory& directory, const Timers& timers,
+        ServerRole* server);
+
+    DaemonReport report() const override;
+    std::vector<ServerEntry> servers() const override;
+    bool drain(std::string& reason) override;
+
+private:
+    const Settings& m_settings;
+    const ControlSession& m_session;
+    const ServerDirectory& m_directory;
+    const Timers& m_timers;
+    ServerRole* m_server;
+};
+
+} // namespace pw
--- /dev/null
+++ b/src/app/operator_http.cpp
@@ -0,0 +1,314 @@
+#include "app/operator_http.h"
+
+#include "adapters/crypto.h"
+#include "app/deployment_yaml.h"
+#include "app/http_query.h"
+#include "core/deployment_check.h"
+#include "core/header_rules.h"
+#include "core/json_writer.h"
+
+#include <algorithm>
+#include <array>
+
+namespace pw {
+namespace {
+
+    constexpr std::string_view metricsPath = "/metrics";
+    constexpr std::string_view challengePath = "/v1/challenge";
+    constexpr std::size_t maxLabelBytes = 128;
+    constexpr std::size_t digestHexBytes = 64;
+
+    constexpr int ok = 200;
+    constexpr int badRequest = 400;
+    constexpr int unauthorized = 401;
+    constexpr int notFound = 404;
+    constexpr int conflict = 409;
+    constexpr int misdirected = 421;
+    constexpr int unprocessable = 422;
+    constexpr int unavailable = 503;
+    constexpr int unknown = 504;
+
+    constexpr std::array<int, static_cast<std::size_t>(ChangeOutcome::Count)> outcomeStatus { ok, conflict, unprocessable, unknown,
+        unavailable };
+
+    HeaderLine headerLine(std::string_view name, std::string_view value)
+    {
+        return { std::string(name), std::string(value) };
+    }
+
+    std::string errorJson(std::string_view error)
+    {
+        return JsonWriter().object().field("error", error).endObject().text() + "\n";
+    }
+
+    bool isLabel(const std::string& text)
+    {
+        return text.size() <= maxLabelBytes && std::ranges::all_of(text, [](char c) { return c >= ' ' && c <= '~'; });
+    }
+
+    std::optional<std::byte> hexByte(const char* digits)
+    {
+        unsigned value = 0;
+        auto [stop, ec] = std::from_chars(digits, digits + 2, value, 16);
+        return ec == std::errc() && stop == digits + 2 ? std::optional(static_cast<std::byte>(value)) : std::nullopt;
+    }
+
+    std::optional<KeyDigest> parseDigest(const std::string& hex)
+    {
+        if (hex.size() != digestHexBytes) {
+            return std::nullopt;
+        }
+        KeyDigest digest {};
+        for (std::size_t n = 0; n < digest.size(); ++n) {
+            const auto byte = hexByte(hex.data() + 2 * n);
+            if (!byte) {
+                return std::nullopt;
+            }
+            digest.at(n) = *byte;
+        }
+        return digest;
+    }
+
+    std::string digestHex(const KeyDigest& digest)
+    {
+        return crypto::toHex({ reinterpret_cast<const char*>(digest.data()), digest.size() });
+    }
+
+} // namespace
+
+int statusOfOutcome(ChangeOutcome outcome)
+{
+    return outcomeStatus.at(static_cast<std::size_t>(outcome));
+}
+
+const std::vector<OperatorHttp::Endpoint>& OperatorHttp::endpoints()
+{
+    static const std::vector<Endpoint> table {
+        { "GET", "/v1/status", false, &OperatorHttp::status },
+        { "POST", "/v1/drain", false, &OperatorHttp::drain },
+        { "GET", "/v1/configuration", true, &OperatorHttp::showConfiguration },
+        { "POST", "/v1/configuration", true, &OperatorHttp::submitConfiguration },
+        { "GET", "/v1/configuration/history", true, &OperatorHttp::history },
+        { "GET", "/v1/keys", true, &OperatorHttp::listKeys },
+        { "POST", "/v1/keys", true, &OperatorHttp::issueKey },
+        { "POST", "/v1/keys/withdraw", true, &OperatorHttp::withdrawKey },
+        { "POST", "/v1/members/remove", true, &OperatorHttp::removeMember },
+        { "POST", "/v1/members/bootstrap", true, &OperatorHttp::bootstrap },
+        { "GET", "/v1/in-force", true, &OperatorHttp::inForce },
+    };
+    return table;
+}
+
+OperatorHttp::OperatorHttp(Parts parts)
+    : m_parts(std::move(parts))
+    , m_auth(m_parts.secrets)
+    , m_http(m_parts.base, [this](const std::shared_ptr<HttpExchange>& exchange) { onRequest(exchange); })
+    , m_alive(std::make_shared<bool>(true))
+{
+}
+
+OperatorHttp::~OperatorHttp() = default;
+
+bool OperatorHttp::init(const std::string& address, std::string& reason)
+{
+    return m_http.init(address, reason);
+}
+
+void OperatorHttp::onRequest(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto& request = exchange->request();
+    const auto path = pathOf(request.target);
+    if (request.method == "GET" && path == metricsPath) {
+        exchange->reply({ ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_parts.metrics.render() });
+        return;
+    }
+    if (request.method == "GET" && path == challengePath) {
+        exchange->reply({ ok, { { "Content-Type", "text/plain" } }, m_auth.challenge(m_parts.timers.now()) });
+        return;
+    }
+    const auto proven = prove(exchange);
+    if (!proven) {
+        return;
+    }
+    auto matches = [&](const Endpoint& it) { return it.method == request.method && it.path == path; };
+    const auto endpoint = std::ranges::find_if(endpoints(), matches);
+    if (endpoint == endpoints().end()) {
+        answer(proven, notFound, errorJson("there is no such request"));
+    } else if (endpoint->control && !m_parts.control) {
+        answer(proven, misdirected, errorJson("this daemon has no control role"));
+    } else {
+        (this->*endpoint->handle)(proven);
+    }
+}
+
+OperatorHttp::ProvenPtr OperatorHttp::prove(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto& request = exchange->request();
+    const auto proof = singleHeader(request.headers, header::operatorProof).value_or("");
+    std::string reason;
+    auto checked = m_auth.check(proof, { request.method, request.target, request.body }, m_parts.timers.now(), reason);
+    if (!checked) {
+        PW_EVENT(m_parts.log, Event::OperatorRefused, { "method", request.method }, { "path", pathOf(request.target) },
+            { "reason", proof.empty() ? "no proof" : reason });
+        exchange->reply({ unauthorized, { { "Content-Type", "application/json" } }, errorJson("the operators' secret was not proven") });
+        return nullptr;
+    }
+    return std::make_shared<Proven>(Proven { exchange, std::move(*checked), HttpQuery(request.target).text("change") });
+}
+
+void OperatorHttp::status(const ProvenPtr& proven)
+{
+    answer(proven, ok, statusJson(m_parts.daemon, m_parts.control));
+}
+
+void OperatorHttp::showConfiguration(const ProvenPtr& proven)
+{
+    const auto& record = m_parts.control->configuration();
+    JsonWriter json;
+    json.object().field("version", record.version).field("text", record.text).endObject();
+    answer(proven, ok, json.text() + "\n");
+}
+
+void OperatorHttp::history(const ProvenPtr& proven)
+{
+    JsonWriter json;
+    json.object().array("history");
+    for (const auto& it : m_parts.control->history()) {
+        json.object().field("version", it.version).field("index", it.index).field("changeId", it.changeId).endObject();
+    }
+    json.endArray().endObject();
+    answer(proven, ok, json.text() + "\n");
+}
+
+void OperatorHttp::submitConfiguration(const ProvenPtr& proven)
+{
+    const auto& request = proven->exchange->request();
+    const auto base = HttpQuery(request.target).number("base");
+    if (!base) {
+        malformed(proven, "base: missing or no number; accepted: the version that the change is based on");
+        return;
+    }
+    std::string reason;
+    if (!parseDeployment(request.body, reason)) {
+        answerChange(proven, { ChangeOutcome::Invalid, m_parts.control->configuration().version, 0, reason });
+        return;
+    }
+    submit(proven, { proven->change, SubmitConfiguration { *base, request.body } });
+}
+
+void OperatorHttp::listKeys(const ProvenPtr& proven)
+{
+    JsonWriter json;
+    json.object().array("keys");
+    for (const auto& [id, key] : m_parts.control->keys()) {
+        json.object().field("keyId", key.keyId).field("workspace", key.workspace).field("label", key.label);
+        json.field("digest", digestHex(key.digest)).field("withdrawn", key.withdrawn).endObject();
+    }
+    json.endArray().endObject();
+    answer(proven, ok, json.text() + "\n");
+}
+
+void OperatorHttp::issueKey(const ProvenPtr& proven)
+{
+    const HttpQuery query(proven->exchange->request().target);
+    IssueKey change { query.text("id"), query.text("workspace"), query.text("label"), {} };
+    const auto digest = parseDigest(query.text("digest"));
+    if (!isName(change.keyId) || !isName(change.workspace)) {
+        malformed(proven, "id or workspace: not a name; accepted: " + std::string(nameAccepted));
+    } else if (!isLabel(change.label)) {
+        malformed(proven, "label: not accepted; accepted: up to 128 printable ASCII characters");
+    } else if (!digest) {
+        malformed(proven, "digest: not a digest; accepted: 64 hexadecimal digits");
+    } else {
+        change.digest = *digest;
+        submit(proven, { proven->change, change });
+    }
+}
+
+void OperatorHttp::withdrawKey(const ProvenPtr& proven)
+{
+    const HttpQuery query(proven->exchange->request().target);
+    submit(proven, { proven->change, WithdrawKey { query.text("id") } });
+}
+
+void OperatorHttp::removeMember(const ProvenPtr& proven)
+{
+    const auto name = HttpQuery(proven->exchange->request().target).text("name");
+    m_parts.control->removeMember(name, [this, proven, alive = std::weak_ptr(m_alive)](const ChangeResult& result) {
+        if (!alive.expired()) {
+            answerChange(proven, result);
+        }
+    });
+}
+
+void OperatorHttp::bootstrap(const ProvenPtr& proven)
+{
+    std::string reason;
+    const bool done = m_parts.control->bootstrap(reason);
+    answerChange(proven, { done ? ChangeOutcome::Accepted : ChangeOutcome::Invalid, m_parts.control->configuration().version, 0, reason });
+}
+
+void OperatorHttp::inForce(const ProvenPtr& proven)
+{
+    const auto index = HttpQuery(proven->exchange->request().target).number("index");
+    if (!index) {
+        malformed(proven, "index: missing or no number; accepted: the index of an accepted change");
+        return;
+    }
+    m_parts.control->inForce(*index, [this, proven, alive = std::weak_ptr(m_alive)](bool inForce) {
+        if (!alive.expired()) {
+            answer(proven, ok, JsonWriter().object().field("inForce", inForce).endObject().text() + "\n");
+        }
+    });
+}
+
+void OperatorHttp::drain(const ProvenPtr& proven)
+{
+    std::string reason;
+    const bool done = m_parts.daemon.drain(reason);
+    answerChange(proven, { done ? ChangeOutcome::Accepted : ChangeOutcome::Invalid, 0, 0, reason });
+}
+
+void OperatorHttp::submit(const ProvenPtr& proven, Change change)
+{
+    if (!isName(change.id)) {
+        malformed(proven, "change: not a change id; accepted: " + std::string(nameAccepted));
+        return;
+    }
+    m_parts.control->submit(std::move(change), [this, proven, alive = std::weak_ptr(m_alive)](const ChangeResult& result) {
+        if (!alive.expired()) {
+            answerChange(proven, result);
+        }
+    });
+}
+
+void OperatorHttp::answerChange(const ProvenPtr& proven, const ChangeResult& result)
+{
+    const auto& request = proven->exchange->request();
+    PW_EVENT(m_parts.log, Event::OperatorChange, { "path", pathOf(request.target) }, { "change", proven->change },
+        { "outcome", changeOutcomeName(result.outcome) }, { "version", result.version }, { "index", result.index });
+    JsonWriter json;
+    json.object().field("outcome", changeOutcomeName(result.outcome)).field("changeId", proven->change);
+    json.field("version", result.version).field("index", result.index).field("reason", result.reason).endObject();
+    answer(proven, statusOfOutcome(result.outcome), json.text() + "\n");
+}
+
+void OperatorHttp::malformed(const ProvenPtr& proven, const std::string& reason)
+{
+    answer(proven, badRequest, errorJson(reason));
+}
+
+void OperatorHttp::answer(const ProvenPtr& proven, int status, const std::string& json)
+{
+    reply(proven, { status, { { "Content-Type", "application/json" } }, json });
+}
+
+void OperatorHttp::reply(const ProvenPtr& proven, HttpResponse response)
+{
+    const auto& proof = proven->proof;
+    response.headers.push_back(
+        headerLine(header::answerProof, proveAnswer(proof.secret, proof.challenge, response.status, response.body)));
+    proven->exchange->reply(response);
+}
+
+} // namespace pw
