--- a/src/config.h
+++ b/src/config.h
@@ -55,7 +55,7 @@
 inline constexpr double gradientFall = 0.95;
 /// Share of the way to its target that the gradient strategy goes in one round of its limit.
 inline constexpr double gradientSmoothing = 0.5;
-/// Growth of the delay strategy's limit for each whole answer, in requests.
+/// Growth of the delay strategy's limit in one round of answers, as a share of the announced slots.
 inline constexpr double delayLimitGrowth = 0.05;
 /// Shortest time between two decreases of the delay strategy's limit.
 inline constexpr milliseconds delayLimitInterval { 100 };
@@ -64,7 +64,7 @@
 /// Silence after which an estimate of the service time begins to fade, and the time in which it halves.
 inline constexpr milliseconds serviceTimeHalfLife { 250 };
 /// Share of the expected service time that must be left before the deadline for a request to start.
-inline constexpr double startServiceShare = 0.5;
+inline constexpr double startServiceShare = 1.0;
 /// Waiting requests for each one that may run.
 inline constexpr double queueLimitShare = 1.0;
 /// Waiting requests that are always allowed, however low the limit.
--- a/src/core/limit_delay.cpp
+++ b/src/core/limit_delay.cpp
@@ -22,16 +22,25 @@
         void learn(const LimitSample& sample, TimePoint now) override
         {
             if (sample.outcome == RunOutcome::Ok) {
-                m_limit = std::min(capacity(), m_limit + config::delayLimitGrowth);
-            } else if (now >= m_nextDecrease) {
+                m_limit = std::min(capacity(), m_limit + config::delayLimitGrowth * capacity() / m_limit);
+                m_lastWhole = now;
+            } else if (tooMany(sample, now) && now >= m_nextDecrease) {
                 m_limit = std::max(1.0, m_limit * config::limitDecrease);
                 m_nextDecrease = now + config::delayLimitInterval;
             }
         }
 
     private:
+        /// A run that timed out at a server which answered others meanwhile shows a slow server or a late start; fewer
+        /// runs at once would only lower its throughput.
+        bool tooMany(const LimitSample& sample, TimePoint now) const
+        {
+            return sample.outcome != RunOutcome::Timeout || m_lastWhole < now - sample.serviceTime;
+        }
+
         double m_limit;
         TimePoint m_nextDecrease {};
+        TimePoint m_lastWhole {};
     };
 
 } // namespace
