Shed by virtual time, and keep a standing queue short

At twice its capacity the Association's greedy workspace got a third of the price reads that were left over: history reads waited a whole service time in front of the saturated archive and held slots of the price guide meanwhile. A queue that was not empty for 100 ms now counts as standing and is bounded by an eighth of the limit.

--- a/src/config.h
+++ b/src/config.h
@@ -69,6 +69,13 @@
 inline constexpr double queueLimitShare = 1.0;
 /// Waiting requests that are always allowed, however low the limit.
 inline constexpr std::size_t minQueueBound = 8;
+/// Time for which a queue may stay without being empty before it counts as a standing one.
+inline constexpr milliseconds standingQueueInterval { 100 };
+/// Time without shedding after which a queue that is empty counts as a burst's again.
+inline constexpr milliseconds standingQueueMemory { 500 };
+/// Waiting requests in a standing queue, for each one that may run, and at least.
+inline constexpr double standingQueueShare = 0.125;
+inline constexpr std::size_t minStandingQueue = 4;
 /// Interval over which the admission floor is judged.
 inline constexpr milliseconds admissionInterval { 100 };
 /// Bounds of the time after which a refused caller is told to ask again.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -96,6 +96,7 @@
         start(next->item, next->since, now);
         work.start.push_back(next->item.id);
     }
+    watchQueue(now);
     return work;
 }
 
@@ -152,8 +153,20 @@
 
 std::size_t Admission::queueBound() const
 {
-    auto share = static_cast<std::size_t>(std::ceil(m_limit->current() * config::queueLimitShare));
-    return std::max(config::minQueueBound, share);
+    auto share = m_standing ? config::standingQueueShare : config::queueLimitShare;
+    auto least = m_standing ? config::minStandingQueue : config::minQueueBound;
+    return std::max(least, static_cast<std::size_t>(std::ceil(m_limit->current() * share)));
+}
+
+void Admission::watchQueue(TimePoint now)
+{
+    if (m_queue.size() == 0) {
+        m_waitingSince.reset();
+        m_standing = m_standing && now - m_lastShed < config::standingQueueMemory;
+        return;
+    }
+    m_waitingSince = m_waitingSince.value_or(now);
+    m_standing = m_standing || now - *m_waitingSince > config::standingQueueInterval;
 }
 
 Refusal Admission::refusal(Reason reason, TimePoint now) const
@@ -167,6 +180,7 @@
 void Admission::noteShed(Importance importance, TimePoint now)
 {
     rollInterval(now);
+    m_lastShed = now;
     ++m_tally.at(static_cast<std::size_t>(importance)).shed;
 }
 
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -96,6 +96,7 @@
     bool canFinish(const AdmissionItem& item, Duration wait, TimePoint now) const;
     Duration expectedWait(const AdmissionItem& item, TimePoint now) const;
     std::size_t queueBound() const;
+    void watchQueue(TimePoint now);
     Refusal refusal(Reason reason, TimePoint now) const;
     void noteShed(Importance importance, TimePoint now);
     void noteStarted(Importance importance, TimePoint now);
@@ -107,6 +108,9 @@
     std::vector<Shed> m_shed;
     ServiceTime m_serviceTime;
     bool m_leaving = false;
+    std::optional<TimePoint> m_waitingSince; ///< Since when the queue was never empty.
+    bool m_standing = false; ///< The queue outlasts bursts: it adds delay and no throughput.
+    TimePoint m_lastShed {};
 
     /// Started and shed requests of one importance in the current interval.
     struct Tally {
--- a/src/core/admission_queue.cpp
+++ b/src/core/admission_queue.cpp
@@ -53,16 +53,15 @@
     if (lowest->first > rankOf(newcomer)) {
         return std::nullopt;
     }
-    auto victims = mostQueued(lowest->second);
+    auto victims = lastServed(lowest->second);
     if (lowest->first < rankOf(newcomer)) {
         return take(victims->second.back().item.id);
     }
-    // Of equal rank: only a workspace that waits with more than its share makes room.
+    // Of equal rank: the one whose turn would come last makes room.
     auto own = lowest->second.find(newcomer.workspace);
-    auto ownCount = own == lowest->second.end() ? 1.0 : static_cast<double>(own->second.size() + 1);
-    auto ownLoad = ownCount / weight(newcomer.workspace);
-    auto victimLoad = static_cast<double>(victims->second.size()) / weight(victims->first);
-    if (victims->first == newcomer.workspace || victimLoad <= ownLoad) {
+    auto ownQueued = own == lowest->second.end() ? 0 : own->second.size();
+    auto ownTurn = startTag(newcomer.workspace) + static_cast<double>(ownQueued) / weight(newcomer.workspace);
+    if (lastTurn(*victims) <= ownTurn) {
         return std::nullopt;
     }
     return take(victims->second.back().item.id);
@@ -144,10 +143,14 @@
     return std::ranges::min_element(waiting, {}, [this](const auto& entry) { return startTag(entry.first); });
 }
 
-AdmissionQueue::Class::iterator AdmissionQueue::mostQueued(Class& waiting) const
+AdmissionQueue::Class::iterator AdmissionQueue::lastServed(Class& waiting) const
 {
-    return std::ranges::max_element(waiting, {},
-        [this](const auto& entry) { return static_cast<double>(entry.second.size()) / weight(entry.first); });
+    return std::ranges::max_element(waiting, {}, [this](const auto& entry) { return lastTurn(entry); });
+}
+
+double AdmissionQueue::lastTurn(const Class::value_type& entry) const
+{
+    return startTag(entry.first) + static_cast<double>(entry.second.size() - 1) / weight(entry.first);
 }
 
 WaitingItem AdmissionQueue::take(std::uint64_t id)
--- a/src/core/admission_queue.h
+++ b/src/core/admission_queue.h
@@ -80,7 +80,9 @@
     double weight(const std::string& workspace) const;
     double startTag(const std::string& workspace) const;
     Class::iterator leastServed(Class& waiting) const;
-    Class::iterator mostQueued(Class& waiting) const;
+    Class::iterator lastServed(Class& waiting) const;
+    /// \returns the virtual time at which the last waiting request of a workspace has its turn.
+    double lastTurn(const Class::value_type& entry) const;
     WaitingItem take(std::uint64_t id);
 
     Classes m_classes;
