Let the downstream gate open as soon as shedding stops

Recovery waited for the gate: it grew with what was taken lately, an answer's latency behind, for each workspace alone. It now counts a service as recovered after 40 answers or 400 ms without shedding at that importance, over all workspaces, and opens by half in each 100 ms from then on.

--- a/src/config.h
+++ b/src/config.h
@@ -88,11 +88,17 @@
 inline constexpr milliseconds gateInterval { 100 };
 /// Part of the downstream gate's counts that is kept at the end of an interval.
 inline constexpr double gateDecay = 0.7;
-/// Requests let through for each one that the downstream service took, while it sheds and while it does not.
+/// Requests let through for each one that a shedding downstream service takes, and besides in each memory of the counts.
 inline constexpr double gateProbe = 1.05;
-inline constexpr double gateGrowth = 2.0;
-/// Share of shed requests below which a downstream service counts as not shedding.
+inline constexpr double gateProbeFloor = 0.5;
+/// Share of shed requests up to which nothing is held back.
 inline constexpr double gateQuietShare = 0.01;
+/// Answers or time without shedding after which a downstream service counts as recovered.
+inline constexpr std::uint32_t gateQuietAnswers = 40;
+inline constexpr milliseconds gateQuietTime { 400 };
+/// Growth of the share let through in each interval from then on, and the share from which it grows.
+inline constexpr double gateGrowth = 1.5;
+inline constexpr double gateLeastShare = 0.05;
 /// Time after which a route's downstream service that was not seen again is forgotten.
 inline constexpr milliseconds downstreamMemory { 60000 };
 /// Keys that one downstream gate counts at most.
--- a/src/core/downstream_gate.cpp
+++ b/src/core/downstream_gate.cpp
@@ -17,16 +17,16 @@
     std::erase_if(it->second, [now](const auto& entry) { return now - entry.second > config::downstreamMemory; });
     auto refused = false;
     for (const auto& [service, seen] : it->second) {
-        auto& entry = counts({ service, importance, workspace }, now);
+        auto& entry = flow(service, importance, workspace, now);
         entry.wanted += 1;
-        entry.credit = std::min(2.0, entry.credit + share(entry));
+        entry.credit = std::min(2.0, entry.credit + entry.share);
         refused = refused || entry.credit < 1;
     }
     if (refused) {
         return Refusal { Verdict::NotRun, Reason::DownstreamOverloaded, config::minRetryAfter };
     }
     for (const auto& [service, seen] : it->second) {
-        counts({ service, importance, workspace }, now).credit -= 1;
+        flow(service, importance, workspace, now).credit -= 1;
     }
     return std::nullopt;
 }
@@ -41,60 +41,70 @@
     for (const auto& service : answer.downstream) {
         known[service] = now;
         if (service != answer.saturated) {
-            counts({ service, importance, workspace }, now).taken += 1;
+            flow(service, importance, workspace, now).taken += 1;
+            ++m_levels[{ service, importance }].takenSince;
         }
     }
     if (!answer.saturated.empty()) {
         known[answer.saturated] = now;
-        auto& entry = counts({ answer.saturated, importance, workspace }, now);
-        entry.shed += 1;
-        entry.throttled = entry.throttled || !quiet(entry);
+        noteShed(answer.saturated, importance, workspace, now);
     }
 }
 
-DownstreamGate::Counts& DownstreamGate::counts(Key key, TimePoint now)
+void DownstreamGate::noteShed(const std::string& service, Importance importance, const std::string& workspace, TimePoint now)
 {
-    if (m_counts.size() >= config::maxGateKeys) {
-        forget(now);
+    m_levels[{ service, importance }] = { 0, now };
+    auto& entry = flow(service, importance, workspace, now);
+    entry.shed += 1;
+    if (entry.share >= 1 && entry.shed <= config::gateQuietShare * (entry.taken + entry.shed)) {
+        return;
     }
-    auto& entry = m_counts[std::move(key)];
-    decay(entry, now);
-    return entry;
+    auto allowed = config::gateProbe * entry.taken + config::gateProbeFloor;
+    entry.share = std::min(1.0, allowed / std::max(1.0, entry.wanted));
 }
 
-void DownstreamGate::decay(Counts& counts, TimePoint now)
+DownstreamGate::Flow& DownstreamGate::flow(
+    const std::string& service, Importance importance, const std::string& workspace, TimePoint now)
 {
-    auto intervals = (now - counts.last) / config::gateInterval;
-    if (intervals == 0) {
-        return;
+    if (m_flows.size() >= config::maxGateKeys) {
+        forget(now);
+    }
+    FlowKey key { { service, importance }, workspace };
+    auto& entry = m_flows[key];
+    if (now - entry.last >= config::gateInterval) {
+        update(key, entry, now);
     }
-    auto kept = std::pow(config::gateDecay, static_cast<double>(intervals));
-    counts.wanted *= kept;
-    counts.taken *= kept;
-    counts.shed *= kept;
-    counts.last = now;
+    return entry;
 }
 
-bool DownstreamGate::quiet(const Counts& counts)
+bool DownstreamGate::quiet(const LevelKey& key, TimePoint now) const
 {
-    return counts.shed <= config::gateQuietShare * (counts.taken + counts.shed);
+    auto it = m_levels.find(key);
+    return it == m_levels.end() || it->second.takenSince >= config::gateQuietAnswers
+        || now - it->second.lastShed >= config::gateQuietTime;
 }
 
-double DownstreamGate::share(Counts& counts)
+void DownstreamGate::update(const FlowKey& key, Flow& flow, TimePoint now) const
 {
-    if (!counts.throttled) {
-        return 1;
+    auto intervals = static_cast<double>((now - flow.last) / config::gateInterval);
+    flow.last = now;
+    if (flow.share < 1 && quiet(key.level, now)) {
+        flow.share = std::min(1.0, std::max(flow.share, config::gateLeastShare) * std::pow(config::gateGrowth, std::min(intervals, 64.0)));
+    } else if (flow.share < 1) {
+        auto allowed = config::gateProbe * flow.taken + config::gateProbeFloor;
+        flow.share = std::min(1.0, allowed / std::max(1.0, flow.wanted));
     }
-    auto allowed = (quiet(counts) ? config::gateGrowth : config::gateProbe) * counts.taken + 1;
-    counts.throttled = !quiet(counts) || allowed < counts.wanted;
-    return std::min(1.0, allowed / std::max(1.0, counts.wanted));
+    auto kept = std::pow(config::gateDecay, intervals);
+    flow.wanted *= kept;
+    flow.taken *= kept;
+    flow.shed *= kept;
 }
 
 void DownstreamGate::forget(TimePoint now)
 {
-    std::erase_if(m_counts, [now](const auto& entry) { return now - entry.second.last > config::downstreamMemory; });
-    if (m_counts.size() >= config::maxGateKeys) {
-        m_counts.clear();
+    std::erase_if(m_flows, [now](const auto& entry) { return now - entry.second.last > config::downstreamMemory; });
+    if (m_flows.size() >= config::maxGateKeys) {
+        m_flows.clear();
     }
 }
 
--- a/src/core/downstream_gate.h
+++ b/src/core/downstream_gate.h
@@ -26,35 +26,46 @@
     void onAnswer(const std::string& route, Importance importance, const std::string& workspace, const Answer& answer, TimePoint now);
 
 private:
-    /// A downstream service for one importance and workspace.
-    struct Key {
+    /// A downstream service as requests of one importance meet it.
+    struct LevelKey {
         std::string service;
         Importance importance;
+        auto operator<=>(const LevelKey&) const = default;
+    };
+    struct FlowKey {
+        LevelKey level;
         std::string workspace;
-        auto operator<=>(const Key&) const = default;
+        auto operator<=>(const FlowKey&) const = default;
+    };
+
+    /// What was seen since a level last shed something.
+    struct Level {
+        std::uint32_t takenSince = 0;
+        TimePoint lastShed {};
     };
 
-    /// Decayed counts of requests.
-    struct Counts {
+    /// Decayed counts of one workspace's requests at a level.
+    struct Flow {
         double wanted = 0; ///< That came, let through or not.
         double taken = 0; ///< That the downstream service did not shed.
         double shed = 0; ///< That it shed.
-        double credit = 0; ///< Turns the share let through into single decisions without random numbers.
-        bool throttled = false; ///< It shed lately, and what it takes has not caught up with what comes.
-        TimePoint last {};
+        double share = 1; ///< Part that is let through now.
+        double credit = 0; ///< Turns the share into single decisions without random numbers.
+        TimePoint last {}; ///< When the counts decayed and the share was set.
     };
 
     /// Services seen downstream of a route, with the time they were last seen.
     using Downstream = std::map<std::string, TimePoint>;
 
-    Counts& counts(Key key, TimePoint now);
-    static void decay(Counts& counts, TimePoint now);
-    static double share(Counts& counts);
-    static bool quiet(const Counts& counts);
+    Flow& flow(const std::string& service, Importance importance, const std::string& workspace, TimePoint now);
+    bool quiet(const LevelKey& key, TimePoint now) const;
+    void update(const FlowKey& key, Flow& flow, TimePoint now) const;
+    void noteShed(const std::string& service, Importance importance, const std::string& workspace, TimePoint now);
     void forget(TimePoint now);
 
     std::unordered_map<std::string, Downstream> m_routes;
-    std::map<Key, Counts> m_counts;
+    std::map<LevelKey, Level> m_levels;
+    std::map<FlowKey, Flow> m_flows;
 };
 
 } // namespace pw
