--- a/src/config.h
+++ b/src/config.h
@@ -69,7 +69,7 @@
 inline constexpr double gradientFall = 0.95;
 /// Share of the way to its target that the gradient strategy goes in one round of its limit.
 inline constexpr double gradientSmoothing = 0.5;
-/// Growth of the delay strategy's limit for each whole answer, in requests.
+/// Growth of the delay strategy's limit in one round of answers, as a share of the announced slots.
 inline constexpr double delayLimitGrowth = 0.05;
 /// Shortest time between two decreases of the delay strategy's limit.
 inline constexpr milliseconds delayLimitInterval { 100 };
@@ -78,11 +78,18 @@
 /// Silence after which an estimate of the service time begins to fade, and the time in which it halves.
 inline constexpr milliseconds serviceTimeHalfLife { 250 };
 /// Share of the expected service time that must be left before the deadline for a request to start.
-inline constexpr double startServiceShare = 0.5;
+inline constexpr double startServiceShare = 1.0;
 /// Waiting requests for each one that may run.
 inline constexpr double queueLimitShare = 1.0;
 /// Waiting requests that are always allowed, however low the limit.
 inline constexpr std::size_t minQueueBound = 8;
+/// Time for which a queue may stay without being empty before it counts as a standing one.
+inline constexpr milliseconds standingQueueInterval { 100 };
+/// Time without shedding after which a queue that is empty counts as a burst's again.
+inline constexpr milliseconds standingQueueMemory { 500 };
+/// Waiting requests in a standing queue, for each one that may run, and at least.
+inline constexpr double standingQueueShare = 0.125;
+inline constexpr std::size_t minStandingQueue = 4;
 /// Interval over which the admission floor is judged.
 inline constexpr milliseconds admissionInterval { 100 };
 /// Bounds of the time after which a refused caller is told to ask again.
@@ -95,11 +102,17 @@
 inline constexpr milliseconds gateInterval { 100 };
 /// Part of the downstream gate's counts that is kept at the end of an interval.
 inline constexpr double gateDecay = 0.7;
-/// Requests let through for each one that the downstream service took, while it sheds and while it does not.
+/// Requests let through for each one that a shedding downstream service takes, and besides in each memory of the counts.
 inline constexpr double gateProbe = 1.05;
-inline constexpr double gateGrowth = 2.0;
-/// Share of shed requests below which a downstream service counts as not shedding.
+inline constexpr double gateProbeFloor = 0.5;
+/// Share of shed requests up to which nothing is held back.
 inline constexpr double gateQuietShare = 0.01;
+/// Answers or time without shedding after which a downstream service counts as recovered.
+inline constexpr std::uint32_t gateQuietAnswers = 40;
+inline constexpr milliseconds gateQuietTime { 400 };
+/// Growth of the share let through in each interval from then on, and the share from which it grows.
+inline constexpr double gateGrowth = 1.5;
+inline constexpr double gateLeastShare = 0.05;
 /// Time after which a route's downstream service that was not seen again is forgotten.
 inline constexpr milliseconds downstreamMemory { 60000 };
 /// Keys that one downstream gate counts at most.
@@ -155,6 +168,12 @@
 inline constexpr milliseconds announcementLease { 3000 };
 /// Time for which a leaving server still takes new work, while the fleet learns that it leaves.
 inline constexpr milliseconds leaveGrace { 1000 };
+/// Time for which a server that said it is leaving is not picked, while the membership view is late.
+inline constexpr milliseconds leavingHintMemory { 2000 };
+/// Interval at which a stopping daemon looks whether its requests have ended.
+inline constexpr milliseconds stopPollInterval { 20 };
+/// Time that a stopping daemon leaves its last messages to go out.
+inline constexpr milliseconds stopFlushTime { 200 };
 /// Interval of the raft clock.
 inline constexpr milliseconds raftTickInterval { 20 };
 /// Interval between heartbeats of the control leader.
@@ -220,4 +239,6 @@
 /// Interval at which the owner of the rates serves the daemons that wait for tokens.
 inline constexpr milliseconds grantServeInterval { 5 };
 
+static_assert(raftLeaderLease < raftElectionTimeout, "a leader must step down before another can be elected");
+
 } // namespace pw::config
