Add the control role and every daemon's session with it

Cause: operators submit changes at any member; every daemon must learn them within seconds and may judge keys only while it knows that it has all of them.

Conclusion: changes are forwarded to the leader and repeated under their id; a daemon's lease counts from its own send time minus the age that the member states, so no two clocks are compared.

--- /dev/null
+++ b/src/app/control_session.cpp
@@ -0,0 +1,315 @@
+#include "app/control_session.h"
+
+#include "adapters/codec_control.h"
+#include "config.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace pw {
+
+/// State of the session.
+class ControlSession::Impl {
+public:
+    Impl(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events,
+        DeploymentParser parser)
+        : m_settings(settings)
+        , m_network(network)
+        , m_timers(timers)
+        , m_events(events)
+        , m_parser(std::move(parser))
+        , m_random(seed)
+        , m_startedAt(timers.now())
+    {
+    }
+
+    ~Impl() { m_timers.cancel(m_askTimer); }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    void start();
+    bool keysValid(TimePoint now) const { return m_inService && now < m_validAsOf + config::validityLease; }
+    const Deployment& deployment() const { return m_deployment; }
+    std::uint64_t version() const { return m_version; }
+    const FleetImage& image() const { return m_image; }
+    const PeerAddress& member() const { return m_member; }
+    std::vector<PeerAddress> members() const;
+    void onChanged(std::function<void()> handler) { m_changed.push_back(std::move(handler)); }
+
+private:
+    void beat();
+    void ask();
+    void chooseMember();
+    std::vector<PeerAddress> preferred() const;
+    void moveOn(std::string_view cause);
+    void handle(const PeerAddress& from, SessionReply reply);
+    bool isFromOurCluster(const SessionReply& reply);
+    bool takeState(SessionReply& reply);
+    void takeValidity(const SessionReply& reply);
+    void publish();
+    void watchValidity();
+
+    Settings m_settings;
+    PeerNetwork& m_network;
+    Timers& m_timers;
+    EventLog& m_events;
+    DeploymentParser m_parser;
+    Random m_random;
+    TimePoint m_startedAt;
+
+    PeerAddress m_member; ///< Attached to; empty before start().
+    TimePoint m_attachedAt {};
+    TimePoint m_answeredAt {}; ///< By m_member.
+    TimerId m_askTimer = 0;
+
+    std::uint64_t m_cluster = 0; ///< Of the first state; no other is taken after it.
+    FleetImage m_image;
+    TimePoint m_validAsOf {}; ///< The image held everything accepted before this time.
+    bool m_inService = false; ///< The image is at least as new as what any earlier process here had.
+    bool m_valid = false; ///< As last told to the event log.
+    std::uint64_t m_version = 0;
+    Deployment m_deployment;
+    std::vector<std::function<void()>> m_changed;
+};
+
+void ControlSession::Impl::start()
+{
+    m_network.onMessage(MessageKind::SessionReply, [this](const PeerAddress& from, std::span<const std::byte> bytes) {
+        if (auto reply = decodeSessionReply(bytes)) {
+            handle(from, std::move(*reply));
+        }
+    });
+    m_network.onLost([this](const PeerAddress& peer) {
+        if (peer == m_member) {
+            moveOn("link-lost");
+        }
+    });
+    chooseMember();
+    beat();
+}
+
+std::vector<PeerAddress> ControlSession::Impl::members() const
+{
+    std::vector<PeerAddress> result;
+    if (m_image.members().empty()) {
+        std::ranges::transform(m_settings.controlMembers, std::back_inserter(result), &ControlMember::peerAddress);
+    } else {
+        std::ranges::transform(m_image.members(), std::back_inserter(result), &ControlMemberRecord::address);
+    }
+    return result;
+}
+
+std::vector<PeerAddress> ControlSession::Impl::preferred() const
+{
+    // Rendezvous hashing spreads the daemons over the members without anybody's choice.
+    const auto rank = [this](const PeerAddress& it) {
+        const auto isSelf = it == m_network.self();
+        return std::pair { !isSelf, std::hash<std::string> {}(m_settings.name + '/' + it) };
+    };
+    auto result = members();
+    std::ranges::sort(result, {}, rank);
+    return result;
+}
+
+void ControlSession::Impl::chooseMember()
+{
+    const auto order = preferred();
+    m_member = order.empty() ? PeerAddress {} : order.front();
+    m_attachedAt = m_timers.now();
+}
+
+void ControlSession::Impl::moveOn(std::string_view cause)
+{
+    const auto order = preferred();
+    if (order.empty()) {
+        return;
+    }
+    const auto it = std::ranges::find(order, m_member);
+    const auto last = it == order.end() || std::next(it) == order.end();
+    m_member = last ? order.front() : *std::next(it);
+    m_attachedAt = m_timers.now();
+    PW_EVENT(m_events, Event::SessionMoved, { "member", m_member }, { "cause", cause });
+}
+
+void ControlSession::Impl::beat()
+{
+    const auto now = m_timers.now();
+    if (now >= std::max(m_answeredAt, m_attachedAt) + config::sessionSilence) {
+        moveOn("silent");
+    } else if (now >= std::max(m_validAsOf, m_attachedAt) + config::sessionStale) {
+        moveOn("stale"); // It answers, but is itself cut off from the leader.
+    } else if (now >= m_attachedAt + config::sessionRebalance) {
+        chooseMember();
+    }
+    watchValidity();
+    ask();
+    const auto jitter = 0.9 + 0.2 * uniform(m_random);
+    const auto urgent = now >= m_validAsOf + config::sessionSilence;
+    const auto interval = urgent ? config::sessionHurry : config::sessionInterval;
+    const auto delay = std::chrono::duration_cast<Duration>(interval * jitter);
+    m_askTimer = m_timers.after(delay, [this] { beat(); });
+}
+
+void ControlSession::Impl::ask()
+{
+    if (!m_member.empty()) {
+        const SessionAsk ask { m_cluster, m_settings.name, m_image.index(), m_version, m_timers.now().time_since_epoch() };
+        m_network.send(m_member, MessageKind::SessionAsk, encodeSessionAsk(ask));
+    }
+}
+
+void ControlSession::Impl::handle(const PeerAddress& from, SessionReply reply)
+{
+    if (from == m_member) {
+        m_answeredAt = m_timers.now();
+    }
+    if (!reply.serving) {
+        if (from == m_member && m_inService) {
+            moveOn("not-serving");
+        }
+        return;
+    }
+    if (!isFromOurCluster(reply)) {
+        return;
+    }
+    const auto before = m_image.index();
+    const auto changed = takeState(reply);
+    const auto missed = m_image.index() < reply.index;
+    takeValidity(reply);
+    publish();
+    watchValidity();
+    if (changed || (missed && m_image.index() == before && reply.sentAt == Duration::zero())) {
+        ask(); // Acknowledges what changed, or asks for what was missed.
+    }
+}
+
+bool ControlSession::Impl::isFromOurCluster(const SessionReply& reply)
+{
+    if (m_cluster == 0) {
+        m_cluster = reply.image ? reply.cluster : 0;
+        return reply.image.has_value();
+    }
+    if (reply.cluster != m_cluster) {
+        PW_EVENT(m_events, Event::ClusterMismatch, { "expected", m_cluster }, { "got", reply.cluster });
+    }
+    return reply.cluster == m_cluster;
+}
+
+bool ControlSession::Impl::takeState(SessionReply& reply)
+{
+    if (reply.image) {
+        const auto newer = reply.image->index() > m_image.index();
+        if (newer) {
+            m_image = std::move(*reply.image);
+        }
+        return newer;
+    }
+    if (reply.baseIndex > m_image.index()) {
+        return false; // Steps before these are missing.
+    }
+    const auto before = m_image.index();
+    std::ranges::for_each(reply.deltas, [this](const FleetDelta& it) { m_image.apply(it); });
+    const auto changed = m_image.index() > before;
+    m_image.advance(reply.index);
+    return changed;
+}
+
+void ControlSession::Impl::takeValidity(const SessionReply& reply)
+{
+    const TimePoint sentAt(reply.sentAt);
+    if (!reply.age || reply.sentAt == Duration::zero() || sentAt > m_timers.now() || m_image.index() < reply.index) {
+        return;
+    }
+    m_validAsOf = std::max(m_validAsOf, sentAt - *reply.age);
+    // An earlier process here cannot have applied anything that was accepted after this one started.
+    m_inService = m_inService || m_validAsOf >= m_startedAt;
+}
+
+void ControlSession::Impl::publish()
+{
+    const auto& record = m_image.configuration();
+    if (!m_inService || record.version <= m_version) {
+        return;
+    }
+    std::string reason;
+    auto parsed = m_parser(record.text, reason);
+    if (!parsed) {
+        PW_EVENT(m_events, Event::ConfigurationUnreadable, { "version", record.version }, { "reason", reason });
+        return;
+    }
+    m_deployment = std::move(*parsed);
+    m_version = record.version;
+    PW_EVENT(m_events, Event::ConfigurationApplied, { "version", m_version }, { "index", m_image.index() });
+    std::ranges::for_each(m_changed, [](const auto& handler) { handler(); });
+}
+
+void ControlSession::Impl::watchValidity()
+{
+    const auto valid = keysValid(m_timers.now());
+    if (valid == m_valid) {
+        return;
+    }
+    m_valid = valid;
+    if (valid) {
+        PW_EVENT(m_events, Event::ValidityRenewed, { "index", m_image.index() }, { "member", m_member });
+    } else {
+        PW_EVENT(m_events, Event::ValidityLapsed, { "index", m_image.index() }, { "member", m_member });
+    }
+}
+
+ControlSession::ControlSession(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed,
+    EventLog& events, DeploymentParser parser)
+    : m_impl(std::make_unique<Impl>(settings, network, timers, seed, events, std::move(parser)))
+{
+}
+
+ControlSession::~ControlSession() = default;
+
+void ControlSession::start()
+{
+    m_impl->start();
+}
+
+const Deployment& ControlSession::deployment() const
+{
+    return m_impl->deployment();
+}
+
+std::uint64_t ControlSession::version() const
+{
+    return m_impl->version();
+}
+
+std::optional<std::string> ControlSession::workspaceOfKey(const KeyDigest& digest) const
+{
+    const auto* key = m_impl->image().keyOf(digest);
+    return key ? std::optional(key->workspace) : std::nullopt;
+}
+
+bool ControlSession::keysValid(TimePoint now) const
+{
+    return m_impl->keysValid(now);
+}
+
+void ControlSession::onChanged(std::function<void()> handler)
+{
+    m_impl->onChanged(std::move(handler));
+}
+
+std::uint64_t ControlSession::appliedIndex() const
+{
+    return m_impl->image().index();
+}
+
+const PeerAddress& ControlSession::controlMember() const
+{
+    return m_impl->member();
+}
+
+std::vector<PeerAddress> ControlSession::controlMembers() const
+{
+    return m_impl->members();
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/operator_desk.cpp
@@ -0,0 +1,237 @@
+#include "app/operator_desk.h"
+
+#include "adapters/codec_control.h"
+#include "config.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace pw {
+namespace {
+
+    constexpr Duration leaseOutlasts = config::validityLease + config::leaseMargin;
+
+    std::string asString(const Bytes& bytes)
+    {
+        return { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
+    }
+
+    Duration timeoutOf(const decltype(OperatorAsk::what)& what)
+    {
+        return std::holds_alternative<AwaitInForce>(what) ? config::inForceTimeout : config::changeTimeout;
+    }
+
+} // namespace
+
+OperatorDesk::OperatorDesk(PeerNetwork& network, Timers& timers, Raft& raft, DeploymentParser parser)
+    : m_network(network)
+    , m_timers(timers)
+    , m_raft(raft)
+    , m_parser(std::move(parser))
+    , m_lastToken(raft.identity())
+    , m_knowsAllFrom(timers.now() + leaseOutlasts)
+{
+}
+
+void OperatorDesk::submit(decltype(OperatorAsk::what) what, Done done)
+{
+    if (const auto* change = std::get_if<Change>(&what)) {
+        if (const auto reason = whyInvalid(*change)) {
+            done({ ChangeOutcome::Invalid, 0, 0, *reason });
+            return;
+        }
+    }
+    const auto now = m_timers.now();
+    const auto timeout = timeoutOf(what);
+    m_requests[++m_lastToken] = { std::move(what), std::move(done), now + timeout, now, false };
+    work();
+}
+
+std::optional<std::string> OperatorDesk::whyInvalid(const Change& change) const
+{
+    const auto* submitted = std::get_if<SubmitConfiguration>(&change.what);
+    std::string reason;
+    if (submitted && !m_parser(submitted->text, reason)) {
+        return reason;
+    }
+    return std::nullopt;
+}
+
+void OperatorDesk::work()
+{
+    followLeadership();
+    settleWaits();
+    const auto now = m_timers.now();
+    std::vector<std::uint64_t> late;
+    for (auto& [token, request] : m_requests) {
+        if (now >= request.deadline) {
+            late.push_back(token);
+        }
+    }
+    for (const auto token : late) {
+        const auto sent = m_requests.at(token).sent;
+        finish(token, { sent ? ChangeOutcome::Unknown : ChangeOutcome::Unavailable, 0, 0, sent ? "the leader has not answered: ask again with the same change id" : "no leader was reached" });
+    }
+    const auto tokens = m_requests | std::views::keys;
+    for (const auto token : std::vector(tokens.begin(), tokens.end())) {
+        const auto it = m_requests.find(token);
+        if (it != m_requests.end() && now >= it->second.nextTry) {
+            it->second.nextTry = now + config::changeRetry;
+            attempt(token, it->second);
+        }
+    }
+}
+
+void OperatorDesk::attempt(std::uint64_t token, Request& request)
+{
+    if (m_raft.leading(m_timers.now())) {
+        request.sent = true;
+        execute({ {}, token }, decltype(OperatorAsk::what)(request.what));
+        return;
+    }
+    const auto leader = m_raft.leaderAddress();
+    if (!leader.empty() && leader != m_network.self()) {
+        request.sent = m_network.send(leader, MessageKind::OperatorAsk, encodeOperatorAsk({ token, request.what })) || request.sent;
+    }
+}
+
+void OperatorDesk::handle(const PeerAddress& from, const OperatorAsk& ask)
+{
+    if (m_raft.leading(m_timers.now())) {
+        execute({ from, ask.token }, ask.what);
+    }
+}
+
+void OperatorDesk::handle(const OperatorReply& reply)
+{
+    finish(reply.token, reply.result);
+}
+
+bool OperatorDesk::isWorkedOn(const Origin& origin) const
+{
+    const auto origins = m_proposals | std::views::values | std::views::transform(&Proposal::origin);
+    return m_waits.contains(origin) || std::ranges::find(origins, origin) != origins.end();
+}
+
+void OperatorDesk::execute(const Origin& origin, const decltype(OperatorAsk::what)& what)
+{
+    if (!isWorkedOn(origin)) {
+        std::visit([&](const auto& it) { execute(origin, it); }, what);
+    }
+}
+
+void OperatorDesk::execute(const Origin& origin, const Change& change)
+{
+    const auto next = m_raft.lastIndex() + 1;
+    m_proposals[next] = { origin, m_raft.term() };
+    if (!m_raft.propose(asString(encodeChange(change)), m_timers.now())) {
+        m_proposals.erase(next);
+    }
+}
+
+void OperatorDesk::execute(const Origin& origin, const RemoveMember& order)
+{
+    if (order.name == m_raft.name()) {
+        answer(origin, { ChangeOutcome::Invalid, 0, 0, "this member leads: stop it first, another then leads" });
+        return;
+    }
+    const auto known = std::ranges::find(m_raft.members(), order.name, &ControlMemberRecord::name) != m_raft.members().end();
+    if (!known) {
+        answer(origin, { ChangeOutcome::Accepted, 0, 0, {} });
+        return;
+    }
+    const auto next = m_raft.lastIndex() + 1;
+    m_proposals[next] = { origin, m_raft.term() };
+    if (!m_raft.removeMember(order.name, m_timers.now())) {
+        m_proposals.erase(next);
+    }
+}
+
+void OperatorDesk::execute(const Origin& origin, const AwaitInForce& wait)
+{
+    m_waits[origin] = { wait.index, std::nullopt, m_timers.now() + config::inForceTimeout };
+    settleWaits();
+}
+
+void OperatorDesk::applied(const LogEntry& entry, const ChangeResult& result)
+{
+    const auto it = m_proposals.find(entry.index);
+    if (it == m_proposals.end()) {
+        return;
+    }
+    const auto proposal = it->second;
+    m_proposals.erase(it);
+    if (proposal.term == entry.term) {
+        answer(proposal.origin, result);
+    }
+}
+
+void OperatorDesk::answer(const Origin& origin, const ChangeResult& result)
+{
+    if (origin.address.empty()) {
+        finish(origin.token, result);
+    } else {
+        m_network.send(origin.address, MessageKind::OperatorReply, encodeOperatorReply({ origin.token, result }));
+    }
+}
+
+void OperatorDesk::finish(std::uint64_t token, const ChangeResult& result)
+{
+    auto node = m_requests.extract(token);
+    if (!node.empty()) {
+        node.mapped().done(result);
+    }
+}
+
+void OperatorDesk::followLeadership()
+{
+    const auto now = m_timers.now();
+    if (m_raft.term() != m_term || m_raft.role() != RaftRole::Leader) {
+        m_term = m_raft.term();
+        m_proposals.clear(); // Their origins ask the next leader, with the same change ids.
+        m_waits.clear();
+        m_members.clear();
+        m_knowsAllFrom = now + leaseOutlasts;
+        return;
+    }
+    const auto isMember = [this](const auto& it) {
+        return std::ranges::find(m_raft.members(), it.id, &ControlMemberRecord::id) != m_raft.members().end();
+    };
+    if (!std::ranges::all_of(m_members, isMember)) {
+        m_knowsAllFrom = now + leaseOutlasts;
+    }
+    m_members = m_raft.members();
+}
+
+bool OperatorDesk::everyDaemonApplied(std::uint64_t index) const
+{
+    const auto now = m_timers.now();
+    const auto reported = [&](const ControlMemberRecord& it) {
+        const auto report = m_raft.sessionsIndexOf(it.id);
+        return report && report->first >= index;
+    };
+    return now >= m_knowsAllFrom && m_raft.leading(now) && std::ranges::all_of(m_raft.members(), reported);
+}
+
+void OperatorDesk::settleWaits()
+{
+    const auto now = m_timers.now();
+    std::vector<std::pair<Origin, ChangeResult>> settled;
+    for (auto& [origin, wait] : m_waits) {
+        if (!wait.appliedAt && m_raft.appliedIndex() >= wait.index) {
+            wait.appliedAt = now;
+        }
+        const auto lapsed = wait.appliedAt && now >= *wait.appliedAt + leaseOutlasts;
+        if (wait.appliedAt && (lapsed || everyDaemonApplied(wait.index))) {
+            settled.emplace_back(origin, ChangeResult { ChangeOutcome::Accepted, 0, wait.index, {} });
+        } else if (now >= wait.deadline) {
+            settled.emplace_back(origin, ChangeResult { ChangeOutcome::Unknown, 0, 0, "not known in time" });
+        }
+    }
+    for (const auto& [origin, result] : settled) {
+        m_waits.erase(origin);
+        answer(origin, result);
+    }
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/session_server.cpp
@@ -0,0 +1,109 @@
+#include "app/session_server.h"
+
+#include "adapters/codec_control.h"
+#include "config.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace pw {
+namespace {
+
+    /// Time for which a daemon may hold a lease after it was answered.
+    constexpr Duration leaseOutlasts = config::validityLease + config::leaseMargin;
+
+} // namespace
+
+SessionServer::SessionServer(PeerNetwork& network, TimePoint now)
+    : m_network(network)
+    , m_knowsAllFrom(now + leaseOutlasts)
+{
+}
+
+void SessionServer::reset(const FleetImage& image)
+{
+    m_deltas.clear();
+    m_floor = image.index();
+}
+
+void SessionServer::record(const FleetDelta& delta)
+{
+    m_deltas.push_back(delta);
+    if (m_deltas.size() > config::keptDeltas) {
+        m_floor = m_deltas.front().index;
+        m_deltas.pop_front();
+    }
+}
+
+std::vector<FleetDelta> SessionServer::deltasAfter(std::uint64_t index) const
+{
+    const auto first = std::ranges::upper_bound(m_deltas, index, {}, &FleetDelta::index);
+    return { first, m_deltas.end() };
+}
+
+void SessionServer::handle(const PeerAddress& from, const SessionAsk& ask, const FleetImage& image,
+    const Completeness& complete, TimePoint now)
+{
+    SessionReply reply { complete.cluster, false, ask.sentAt, complete.age, ask.appliedIndex, image.index(), {}, {} };
+    const auto foreign = ask.cluster != 0 && ask.cluster != complete.cluster;
+    if (m_closed || foreign || !complete.age) {
+        m_network.send(from, MessageKind::SessionReply, encodeSessionReply(reply));
+        return;
+    }
+    reply.serving = true;
+    if (ask.appliedIndex < m_floor || ask.cluster == 0) {
+        reply.image = image;
+    } else {
+        reply.deltas = deltasAfter(ask.appliedIndex);
+    }
+    m_sessions[from] = { ask.name, ask.appliedIndex, ask.version, std::max(image.index(), ask.appliedIndex), now, now };
+    m_network.send(from, MessageKind::SessionReply, encodeSessionReply(reply));
+}
+
+void SessionServer::push(const FleetImage& image, std::uint64_t cluster, TimePoint now)
+{
+    const auto latest = m_deltas.empty() ? m_floor : m_deltas.back().index;
+    if (latest <= m_pushedIndex) {
+        return;
+    }
+    m_pushedIndex = latest;
+    for (auto& [address, session] : m_sessions) {
+        if (session.sentIndex >= latest || session.sentIndex < m_floor || now >= session.answered + leaseOutlasts) {
+            continue;
+        }
+        const SessionReply reply { cluster, true, {}, {}, session.sentIndex, image.index(), {}, deltasAfter(session.sentIndex) };
+        session.sentIndex = image.index();
+        m_network.send(address, MessageKind::SessionReply, encodeSessionReply(reply));
+    }
+}
+
+void SessionServer::close(std::uint64_t cluster)
+{
+    m_closed = true;
+    const auto farewell = encodeSessionReply({ cluster, false, {}, {}, 0, 0, {}, {} });
+    for (const auto& address : m_sessions | std::views::keys) {
+        m_network.send(address, MessageKind::SessionReply, farewell);
+    }
+}
+
+std::uint64_t SessionServer::index(std::uint64_t applied, TimePoint now)
+{
+    std::erase_if(m_sessions, [now](const auto& entry) { return now >= entry.second.answered + leaseOutlasts; });
+    if (now < m_knowsAllFrom) {
+        return 0;
+    }
+    const auto indexes = m_sessions | std::views::values | std::views::transform(&Session::appliedIndex);
+    return m_sessions.empty() ? applied : std::min(applied, std::ranges::min(indexes));
+}
+
+std::vector<SessionStatus> SessionServer::status(TimePoint now) const
+{
+    std::vector<SessionStatus> result;
+    for (const auto& [address, session] : m_sessions) {
+        const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(now - session.asked);
+        result.push_back({ address, session.name, session.appliedIndex, session.version, silence });
+    }
+    return result;
+}
+
+} // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -83,6 +83,16 @@
 inline constexpr milliseconds changeRetry { 300 };
 /// Longest wait for a change to be in force everywhere.
 inline constexpr milliseconds inForceTimeout { 10000 };
+/// Longest wait for another member to take the leadership over before a planned stop.
+inline constexpr milliseconds handOverTimeout { 1000 };
+/// Silence of a control member after which a daemon moves to another.
+inline constexpr milliseconds sessionSilence { 800 };
+/// Age of the validity lease after which a daemon moves to another control member although this one answers.
+inline constexpr milliseconds sessionStale { 1200 };
+/// Interval at which a daemon asks while its validity lease is older than sessionSilence.
+inline constexpr milliseconds sessionHurry { 100 };
+/// Interval after which a daemon goes back to the control member that it prefers.
+inline constexpr milliseconds sessionRebalance { 60000 };
 /// Margin for clocks that run at different speeds, on top of a validity lease.
 inline constexpr milliseconds leaseMargin { 100 };
 
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -24,6 +24,17 @@
         { 500, "configuration-applied", Level::Info, false },
         { 501, "validity-lapsed", Level::Warning, false },
         { 502, "validity-renewed", Level::Info, false },
+        { 503, "control-role-changed", Level::Info, false },
+        { 504, "control-stopped", Level::Error, false },
+        { 505, "control-members-changed", Level::Info, false },
+        { 506, "control-member-removed", Level::Error, false },
+        { 507, "log-tail-repaired", Level::Warning, false },
+        { 508, "log-compacted", Level::Info, false },
+        { 509, "change-decided", Level::Info, false },
+        { 510, "session-moved", Level::Info, false },
+        { 511, "cluster-founded", Level::Info, false },
+        { 512, "configuration-unreadable", Level::Error, false },
+        { 513, "cluster-mismatch", Level::Error, false },
     } };
 
 } // namespace
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -39,6 +39,17 @@
     ConfigurationApplied,
     ValidityLapsed,
     ValidityRenewed,
+    ControlRoleChanged,
+    ControlStopped,
+    ControlMembersChanged,
+    ControlMemberRemoved,
+    LogTailRepaired,
+    LogCompacted,
+    ChangeDecided,
+    SessionMoved,
+    ClusterFounded,
+    ConfigurationUnreadable,
+    ClusterMismatch,
     Count
 };
 
