Test the decision library

Parameterised tables with seeds and passed-in time. Two faults found and mended: a nested call refused for lack of budget did not count towards the number of siblings that a route's requests want at once, so the next request failed the same way; and a slow server that was not used kept losing ties for good.

--- a/src/config.h
+++ b/src/config.h
@@ -117,8 +117,8 @@
 inline constexpr milliseconds maxAvoidTime { 1000 };
 /// Weight of a new sample in the picker's average latency of a backend server.
 inline constexpr double latencyWeight = 0.2;
-/// Time in which the picker's memory of a slow backend server halves.
-inline constexpr milliseconds slowHalfLife { 1000 };
+/// Time in which a slow backend server that is not used is forgiven.
+inline constexpr milliseconds slowMemory { 3000 };
 /// A server is slow from this many times the latency of the fastest one of its service plus the margin.
 inline constexpr int slowTolerance = 2;
 inline constexpr milliseconds slowMargin { 5 };
--- a/src/core/context_table.cpp
+++ b/src/core/context_table.cpp
@@ -58,6 +58,7 @@
     if (context.base.depth + 1 >= config::maxCallDepth) {
         return refused(Reason::TooDeep);
     }
+    context.mostActive = std::max(context.mostActive, context.active + 1);
     if (context.remaining == 0) {
         return refused(Reason::BudgetExhausted);
     }
@@ -69,7 +70,6 @@
         context.activeSince = now;
     }
     ++context.active;
-    context.mostActive = std::max(context.mostActive, context.active);
     return { grant, {} };
 }
 
--- a/src/core/context_table.h
+++ b/src/core/context_table.h
@@ -77,7 +77,7 @@
         NestedGrant base; ///< Depth and attempts are the running request's own.
         std::uint32_t remaining = 0; ///< Attempts not handed out.
         std::uint32_t active = 0; ///< Nested calls under way.
-        std::uint32_t mostActive = 0;
+        std::uint32_t mostActive = 0; ///< Nested calls wanted at once, refused ones included.
         TimePoint activeSince {};
         Duration nestedTime { 0 };
         std::set<std::string> downstream;
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 
 namespace pw {
 
@@ -147,9 +146,9 @@
 double Picker::slowFactor(const Observation& seen, const Scene& scene)
 {
     // A server that is not sampled is forgiven in time, so that it is probed again.
-    auto age = std::chrono::duration<double>(scene.now - seen.latencyAt) / std::chrono::duration<double>(config::slowHalfLife);
+    auto age = std::chrono::duration<double>(scene.now - seen.latencyAt) / std::chrono::duration<double>(config::slowMemory);
     auto factor = std::clamp(seen.latency / scene.slowFrom, 1.0, config::maxSlowFactor);
-    return 1 + (factor - 1) * std::exp2(-age);
+    return 1 + (factor - 1) * std::max(0.0, 1 - age);
 }
 
 bool Picker::avoided(const Observation& seen, TimePoint now)
--- /dev/null
+++ b/tests/unit/picker_test.cpp
@@ -0,0 +1,166 @@
+#include "core/picker.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+namespace data = boost::unit_test::data;
+using namespace std::chrono_literals;
+using pw::RunOutcome;
+using pw::TimePoint;
+
+namespace {
+
+const pw::PickContext here { "d0", "west", {} };
+
+/// Six servers, two in each of three failure domains, and the picker of one daemon in the first.
+struct Fleet {
+    explicit Fleet(std::uint64_t seed)
+        : picker(seed)
+    {
+        for (auto n = 0; n < 6; ++n) {
+            pw::ServerEntry entry;
+            entry.name = "s" + std::to_string(n);
+            entry.failureDomain = "d" + std::to_string(n / 2);
+            entry.region = "west";
+            entry.slots = entry.connections = 10;
+            servers.push_back(entry);
+        }
+    }
+
+    std::string pick(const pw::PickContext& context = here)
+    {
+        auto n = picker.pick(servers, context, now);
+        return n ? servers[*n].name : "";
+    }
+
+    void call(const std::string& name, RunOutcome outcome, pw::Duration latency = 10ms, std::uint32_t limit = 10)
+    {
+        picker.started(name, now);
+        now += 1ms;
+        pw::LoadHint hint { 0, 0, limit, {}, false };
+        picker.finished(name, outcome, latency, outcome == RunOutcome::Ok ? &hint : nullptr, now);
+    }
+
+    /// Gives every server an answer, so that its limit is known.
+    void introduce()
+    {
+        for (const auto& server : servers) {
+            call(server.name, RunOutcome::Ok);
+        }
+    }
+
+    std::map<std::string, int> count(int picks, const pw::PickContext& context = here)
+    {
+        std::map<std::string, int> counts;
+        for (auto n = 0; n < picks; ++n) {
+            ++counts[pick(context)];
+        }
+        return counts;
+    }
+
+    pw::Picker picker;
+    std::vector<pw::ServerEntry> servers;
+    TimePoint now { 100s };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Pickers)
+
+BOOST_DATA_TEST_CASE(usesTheOwnFailureDomainUntilItIsLoaded, data::xrange(1, 4), seed)
+{
+    Fleet fleet(static_cast<std::uint64_t>(seed));
+    fleet.introduce();
+    std::map<std::string, int> counts;
+    for (auto n = 0; n < 50; ++n) {
+        auto name = fleet.pick();
+        fleet.picker.started(name, fleet.now);
+        ++counts[name];
+    }
+    BOOST_TEST(counts["s0"] >= 7);
+    BOOST_TEST(counts["s1"] >= 7);
+    for (const auto& [name, count] : counts) {
+        BOOST_TEST(count <= 13, name << " has " << count);
+    }
+    BOOST_TEST(counts.size() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(neverPicksExcludedOrLeavingServers)
+{
+    Fleet fleet(1);
+    fleet.introduce();
+    fleet.servers[1].leaving = true;
+    auto counts = fleet.count(200, { "d0", "west", { "s0", "s2" } });
+    BOOST_TEST(counts.count("s0") + counts.count("s1") + counts.count("s2") == 0U);
+    auto none = fleet.count(1, { "d0", "west", { "s0", "s1", "s2", "s3", "s4", "s5" } });
+    BOOST_TEST(none.count("") == 1U);
+    BOOST_TEST(!fleet.picker.pick({}, here, fleet.now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(avoidsAFailingServerAndProbesItOnceInAWhile)
+{
+    Fleet fleet(1);
+    fleet.introduce();
+    for (auto n = 0; n < 5; ++n) {
+        fleet.call("s0", RunOutcome::Failed);
+    }
+    BOOST_TEST(fleet.count(200).count("s0") == 0U);
+    fleet.now += 2s;
+    auto probes = 0;
+    for (auto n = 0; n < 100; ++n) {
+        auto name = fleet.pick();
+        probes += name == "s0" ? 1 : 0;
+        if (name == "s0") {
+            fleet.picker.started(name, fleet.now);
+        }
+    }
+    BOOST_TEST(probes == 1);
+    pw::LoadHint hint { 0, 0, 10, {}, false };
+    fleet.picker.finished("s0", RunOutcome::Ok, 10ms, &hint, fleet.now);
+    BOOST_TEST(fleet.count(200)["s0"] > 50);
+}
+
+BOOST_AUTO_TEST_CASE(usesWhatThereIsWhenEveryServerFails)
+{
+    Fleet fleet(1);
+    for (auto n = 0; n < 6; ++n) {
+        for (const auto& server : fleet.servers) {
+            fleet.call(server.name, RunOutcome::Failed);
+        }
+    }
+    BOOST_TEST(fleet.count(10).count("") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(givesASlowServerLessAndForgivesItInTime)
+{
+    Fleet fleet(1);
+    fleet.introduce();
+    for (auto n = 0; n < 50; ++n) {
+        fleet.call("s0", RunOutcome::Ok, 500ms);
+        fleet.call("s1", RunOutcome::Ok, 20ms);
+    }
+    BOOST_TEST(fleet.count(200)["s0"] == 0);
+    fleet.now += 10s;
+    BOOST_TEST(fleet.count(200)["s0"] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(aNewServerGetsLittleUntilItAnswers)
+{
+    Fleet fleet(1);
+    fleet.introduce();
+    fleet.servers[0].name = "new";
+    auto sent = 0;
+    for (auto n = 0; n < 30; ++n) {
+        auto name = fleet.pick();
+        fleet.picker.started(name, fleet.now);
+        sent += name == "new" ? 1 : 0;
+    }
+    BOOST_TEST(sent <= 3);
+    fleet.picker.retain({ "s1" });
+    BOOST_TEST(fleet.picker.outstanding("new") == static_cast<std::uint32_t>(sent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
