Claim request ids with a majority of in-memory replicas

Cause: a caller's re-send of a request id must not run a second time, at whatever daemon it arrives, across restarts and partitions.

A daemon dispatches only after two of three control members granted the key. A restarted member grants nothing until it has refilled from all others, or the retention time has passed.

--- /dev/null
+++ b/src/adapters/codec_claims.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/claims.h"
+#include "ports/peer_network.h"
+
+#include <optional>
+
+/// Codec of the claims of request ids; see claims.capnp.
+namespace pw {
+
+Bytes encodeClaimMessage(const ClaimMemberMessage& message);
+Bytes encodeClaimVote(const ClaimVote& vote);
+Bytes encodeClaimFetch(const ClaimFetch& fetch);
+Bytes encodeClaimFetched(const ClaimFetched& fetched);
+
+/// Each returns nothing when \p bytes hold no valid message.
+std::optional<ClaimMemberMessage> decodeClaimMessage(std::span<const std::byte> bytes);
+std::optional<ClaimVote> decodeClaimVote(std::span<const std::byte> bytes);
+std::optional<ClaimFetch> decodeClaimFetch(std::span<const std::byte> bytes);
+std::optional<ClaimFetched> decodeClaimFetched(std::span<const std::byte> bytes);
+
+} // namespace pw
--- /dev/null
+++ b/src/app/control_claims.cpp
@@ -0,0 +1,171 @@
+#include "app/control_claims.h"
+
+#include "adapters/codec_claims.h"
+#include "adapters/file_marker.h"
+#include "config.h"
+#include "core/claim_replica.h"
+#include "core/claim_replicas.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+#include <variant>
+
+namespace pw {
+namespace {
+
+    std::uint64_t randomSeed()
+    {
+        std::random_device device;
+        constexpr unsigned halfBits = 32;
+        return (static_cast<std::uint64_t>(device()) << halfBits) | device();
+    }
+
+    std::vector<std::string> memberAddresses(const Settings& settings)
+    {
+        std::vector<std::string> result;
+        std::ranges::transform(settings.controlMembers, std::back_inserter(result), &ControlMember::peerAddress);
+        return result;
+    }
+
+    std::vector<std::string> without(std::vector<std::string> addresses, const std::string& self)
+    {
+        std::erase(addresses, self);
+        return addresses;
+    }
+
+} // namespace
+
+class ControlClaims::Impl {
+public:
+    Impl(const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& events, StartMarker& marker, std::uint64_t seed)
+        : m_network(network)
+        , m_timers(timers)
+        , m_events(events)
+        , m_marker(marker)
+        , m_members(memberAddresses(settings))
+        , m_replica(without(m_members, network.self()), seed, !marker.isSet(), { config::claimRetention, config::claimRoundLimit }, timers.now())
+    {
+        m_network.onMessage(MessageKind::ClaimAsk, [this](const PeerAddress& from, std::span<const std::byte> message) { received(from, message); });
+        PW_EVENT(m_events, Event::ClaimReplicaRefilling, { "first_start", marker.isSet() ? "no" : "yes" });
+        advance();
+    }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    ~Impl()
+    {
+        m_network.onMessage(MessageKind::ClaimAsk, {});
+        m_timers.cancel(m_timer);
+    }
+
+    const ClaimReplica& replica() const { return m_replica; }
+
+private:
+    /// Asks for what is missing until the replica is complete, then opens it.
+    void advance()
+    {
+        m_timer = 0;
+        if (openIfComplete()) {
+            return;
+        }
+        for (const auto& [address, ask] : m_replica.refillAsks()) {
+            m_network.send(address, MessageKind::ClaimAsk, encodeClaimMessage(ask));
+        }
+        m_timer = m_timers.after(config::claimRefillRetry, [this] { advance(); });
+    }
+
+    /// The marker is durable before the first claim is granted.
+    bool openIfComplete()
+    {
+        if (m_replica.ready()) {
+            return true;
+        }
+        if (!m_replica.complete(m_timers.now()) || !(m_marker.isSet() || m_marker.set())) {
+            return false;
+        }
+        m_replica.open();
+        PW_EVENT(m_events, Event::ClaimReplicaReady, { "claims", m_replica.table().size() });
+        return true;
+    }
+
+    void received(const PeerAddress& from, std::span<const std::byte> bytes)
+    {
+        const auto message = decodeClaimMessage(bytes);
+        if (!message) {
+            PW_EVENT(m_events, Event::FrameRefused, { "from", from }, { "kind", "claim-ask" });
+            return;
+        }
+        std::visit([this, &from](const auto& it) { handle(from, it); }, *message);
+    }
+
+    void handle(const PeerAddress& from, const ClaimRequest& request)
+    {
+        const auto vote = m_replica.claim(from, request, m_timers.now());
+        m_network.send(from, MessageKind::ClaimReply, encodeClaimVote(vote));
+    }
+
+    void handle(const PeerAddress& from, const ClaimRelease& release)
+    {
+        m_replica.release(from, release, m_timers.now());
+        const ClaimVote vote { release.key, release.token, ClaimVoteKind::Released, {}, 0 };
+        m_network.send(from, MessageKind::ClaimReply, encodeClaimVote(vote));
+    }
+
+    void handle(const PeerAddress& from, const ClaimRefillAsk& ask)
+    {
+        const auto wanted = [this, &from](const ClaimKey& key) {
+            const auto replicas = claimReplicasOf(key, m_members, config::claimReplicas);
+            return std::ranges::find(replicas, from) != replicas.end();
+        };
+        const auto page = m_replica.answer(ask, config::claimRefillPage, wanted, m_timers.now());
+        m_network.send(from, MessageKind::ClaimAsk, encodeClaimMessage(page));
+    }
+
+    void handle(const PeerAddress& from, const ClaimRefillPage& page)
+    {
+        const bool more = m_replica.refill(from, page, m_timers.now());
+        if (openIfComplete() || !more) {
+            return;
+        }
+        for (const auto& [address, ask] : m_replica.refillAsks()) {
+            if (address == from) {
+                m_network.send(address, MessageKind::ClaimAsk, encodeClaimMessage(ask));
+            }
+        }
+    }
+
+    PeerNetwork& m_network;
+    Timers& m_timers;
+    EventLog& m_events;
+    StartMarker& m_marker;
+    std::vector<std::string> m_members;
+    ClaimReplica m_replica;
+    TimerId m_timer = 0;
+};
+
+ControlClaims::ControlClaims(const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& events)
+    : m_ownMarker(std::make_unique<FileMarker>(settings.dataFolder, "claims-served"))
+    , m_impl(std::make_unique<Impl>(settings, network, timers, events, *m_ownMarker, randomSeed()))
+{
+}
+
+ControlClaims::ControlClaims(const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& events, StartMarker& marker, std::uint64_t seed)
+    : m_impl(std::make_unique<Impl>(settings, network, timers, events, marker, seed))
+{
+}
+
+ControlClaims::~ControlClaims() = default;
+
+bool ControlClaims::ready() const
+{
+    return m_impl->replica().ready();
+}
+
+std::size_t ControlClaims::claims() const
+{
+    return m_impl->replica().table().size();
+}
+
+} // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -74,4 +74,30 @@
 /// Interval at which the owner of the rates serves the daemons that wait for tokens.
 inline constexpr milliseconds grantServeInterval { 5 };
 
+/// Time for which a claimed request id stays claimed, and its answer may be asked for again.
+inline constexpr milliseconds claimRetention { 300000 };
+/// Longest time from the first message of a round of claiming to its decision.
+inline constexpr milliseconds claimRoundLimit { 1000 };
+/// Time after which a claim is sent again to members that have not voted.
+inline constexpr milliseconds claimAskRetry { 150 };
+/// Rounds of claiming that one request may go through when votes are split.
+inline constexpr int claimRounds = 4;
+/// Longest pause before another round; the pause is random.
+inline constexpr milliseconds claimRoundPause { 40 };
+/// Longest time to wait for the claiming daemon's word on what became of a request id.
+inline constexpr milliseconds claimFetchTimeout { 400 };
+/// Interval at which a release is sent again to members that have not confirmed it, and how often.
+inline constexpr milliseconds claimReleaseRetry { 300 };
+inline constexpr int claimReleaseTries = 10;
+/// Control members that vote on one request id.
+inline constexpr std::size_t claimReplicas = 3;
+/// Claims in one page when a restarted member refills its replica.
+inline constexpr std::size_t claimRefillPage = 500;
+/// Interval at which a restarted member asks again for pages that did not come.
+inline constexpr milliseconds claimRefillRetry { 200 };
+/// Bytes of answers that a daemon keeps for re-sends.
+inline constexpr std::size_t keptAnswerBytes = 4 * 1024 * 1024;
+/// Request ids that a daemon remembers of its own claims.
+inline constexpr std::size_t keptClaims = 20000;
+
 } // namespace pw::config
--- /dev/null
+++ b/src/core/claim_replicas.cpp
@@ -0,0 +1,17 @@
+#include "core/claim_replicas.h"
+
+#include "core/member_choice.h"
+
+namespace pw {
+
+std::vector<std::string> claimReplicasOf(const ClaimKey& key, const std::vector<std::string>& members, std::size_t most)
+{
+    if (members.size() <= most) {
+        return members;
+    }
+    auto order = rendezvousOrder(members, std::to_string(key.high));
+    order.resize(most);
+    return order;
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/core/claim_replicas.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/claims.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace pw {
+
+/// \returns the members that vote on \p key: \p most of \p members, the same in every process.
+std::vector<std::string> claimReplicasOf(const ClaimKey& key, const std::vector<std::string>& members, std::size_t most);
+
+} // namespace pw
