Add the command-line tool

Operators submit, compare and watch through any control member. A change is repeated at the next member under the same id.

--- /dev/null
+++ b/src/app/cli_config.cpp
@@ -0,0 +1,170 @@
+#include "app/cli_support.h"
+
+#include "app/deployment_diff.h"
+#include "app/deployment_yaml.h"
+#include "core/json_writer.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <ostream>
+#include <sstream>
+
+namespace pw::cli {
+namespace {
+
+    std::optional<std::string> readFile(const CliContext& context)
+    {
+        std::ifstream in(context.options.argument, std::ios::binary);
+        std::ostringstream text;
+        if (!in || !(text << in.rdbuf())) {
+            context.err << context.options.argument << ": cannot be read: " << std::strerror(errno) << '\n';
+            return std::nullopt;
+        }
+        return text.str();
+    }
+
+    /// Reads and checks the file that is the argument.
+    std::optional<Deployment> readDeployment(const CliContext& context, std::string& text)
+    {
+        auto content = readFile(context);
+        if (!content) {
+            return std::nullopt;
+        }
+        text = *content;
+        std::string reason;
+        auto deployment = parseDeployment(text, reason, context.options.argument);
+        if (!deployment && context.options.json) {
+            context.out << JsonWriter().object().field("valid", false).field("reason", reason).endObject().text() << '\n';
+        } else if (!deployment) {
+            context.err << reason << '\n';
+        }
+        return deployment;
+    }
+
+    /// \returns the accepted configuration, an empty one before the first.
+    std::optional<Deployment> acceptedDeployment(const CliContext& context, std::uint64_t& version, ExitCode& code)
+    {
+        const auto json = fetch(context, "/v1/configuration", code);
+        if (!json) {
+            return std::nullopt;
+        }
+        version = numberOf(*json, "version");
+        if (version == 0) {
+            return Deployment();
+        }
+        std::string reason;
+        auto deployment = parseDeployment(textOf(*json, "text"), reason, "accepted configuration");
+        if (!deployment) {
+            context.err << reason << '\n';
+            code = ExitCode::Invalid;
+        }
+        return deployment;
+    }
+
+    void printCounts(const CliContext& context, const Deployment& deployment)
+    {
+        if (context.options.json) {
+            JsonWriter json;
+            json.object().field("valid", true).field("services", deployment.services.size());
+            json.field("routes", deployment.routes.size()).field("workspaces", deployment.workspaces.size()).endObject();
+            context.out << json.text() << '\n';
+            return;
+        }
+        context.out << "valid: " << deployment.services.size() << " services, " << deployment.routes.size() << " routes, "
+                    << deployment.workspaces.size() << " workspaces\n";
+    }
+
+    void printDiff(const CliContext& context, std::uint64_t version, const std::vector<std::string>& lines)
+    {
+        if (context.options.json) {
+            JsonWriter json;
+            json.object().field("version", version).array("changes");
+            std::ranges::for_each(lines, [&](const std::string& it) { json.item(it); });
+            context.out << json.endArray().endObject().text() << '\n';
+            return;
+        }
+        std::ranges::for_each(lines, [&](const std::string& it) { context.out << it << '\n'; });
+        context.err << lines.size() << " differences from version " << version << '\n';
+    }
+
+} // namespace
+
+ExitCode configCheck(const CliContext& context)
+{
+    std::string text;
+    const auto deployment = readDeployment(context, text);
+    if (!deployment) {
+        return ExitCode::Invalid;
+    }
+    printCounts(context, *deployment);
+    return ExitCode::Done;
+}
+
+ExitCode configDiff(const CliContext& context)
+{
+    std::string text;
+    const auto after = readDeployment(context, text);
+    if (!after) {
+        return ExitCode::Invalid;
+    }
+    auto code = ExitCode::Done;
+    std::uint64_t version = 0;
+    const auto before = acceptedDeployment(context, version, code);
+    if (!before) {
+        return code;
+    }
+    const auto lines = diffDeployments(*before, *after);
+    printDiff(context, version, lines);
+    return lines.empty() ? ExitCode::Done : ExitCode::Differs;
+}
+
+ExitCode configSubmit(const CliContext& context)
+{
+    std::string text;
+    if (!readDeployment(context, text)) {
+        return ExitCode::Invalid;
+    }
+    const auto id = context.options.changeId.empty() ? newId("change") : context.options.changeId;
+    const auto target = "/v1/configuration?base=" + std::to_string(*context.options.base) + "&change=" + queryText(id);
+    return print(context, change(context, target, id, text));
+}
+
+ExitCode configShow(const CliContext& context)
+{
+    auto code = ExitCode::Done;
+    std::string text;
+    const auto json = fetch(context, "/v1/configuration", code, &text);
+    if (!json) {
+        return code;
+    }
+    if (context.options.json) {
+        context.out << text;
+        return code;
+    }
+    context.out << textOf(*json, "text");
+    context.err << "version " << numberOf(*json, "version") << '\n';
+    return code;
+}
+
+ExitCode configHistory(const CliContext& context)
+{
+    auto code = ExitCode::Done;
+    std::string text;
+    const auto json = fetch(context, "/v1/configuration/history", code, &text);
+    if (!json) {
+        return code;
+    }
+    if (context.options.json) {
+        context.out << text;
+        return code;
+    }
+    for (const auto& it : (*json)["history"]) {
+        context.out << "version " << textOf(it, "version") << "  index " << textOf(it, "index") << "  change " << textOf(it, "changeId")
+                    << '\n';
+    }
+    return code;
+}
+
+} // namespace pw::cli
--- /dev/null
+++ b/src/app/deployment_diff.cpp
@@ -0,0 +1,85 @@
+#include "app/deployment_diff.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <array>
+#include <map>
+#include <utility>
+
+namespace pw {
+namespace {
+
+    using Fields = std::map<std::string, std::string>;
+    using Entries = std::map<std::string, Fields>;
+
+    /// A section of the configuration and what one of its entries is called.
+    constexpr std::array<std::pair<const char*, const char*>, 3> sections { {
+        { "services", "service" },
+        { "routes", "route" },
+        { "workspaces", "workspace" },
+    } };
+
+    Entries entriesOf(const YAML::Node& section)
+    {
+        Entries result;
+        for (const auto& entry : section) {
+            auto& fields = result[entry["name"].Scalar()];
+            for (const auto& it : entry) {
+                fields[it.first.Scalar()] = it.second.Scalar();
+            }
+        }
+        return result;
+    }
+
+    std::string changedFields(const Fields& before, const Fields& after)
+    {
+        std::string result;
+        for (const auto& [key, value] : after) {
+            const auto& old = before.at(key);
+            if (old != value) {
+                result.append(result.empty() ? "" : ", ").append(key).append(" ").append(old).append(" -> ").append(value);
+            }
+        }
+        return result;
+    }
+
+    /// \returns "+ route share", with \p changes after a colon when there are any.
+    std::string line(char sign, const std::string& kind, const std::string& name, const std::string& changes = "")
+    {
+        std::string result(1, sign);
+        result.append(" ").append(kind).append(" ").append(name);
+        return result.append(changes.empty() ? "" : ": ").append(changes);
+    }
+
+    void diffSection(const std::string& kind, const Entries& before, const Entries& after, std::vector<std::string>& lines)
+    {
+        for (const auto& [name, fields] : before) {
+            if (!after.contains(name)) {
+                lines.push_back(line('-', kind, name));
+            }
+        }
+        for (const auto& [name, fields] : after) {
+            const auto old = before.find(name);
+            if (old == before.end()) {
+                lines.push_back(line('+', kind, name));
+            } else if (const auto changed = changedFields(old->second, fields); !changed.empty()) {
+                lines.push_back(line('~', kind, name, changed));
+            }
+        }
+    }
+
+} // namespace
+
+std::vector<std::string> diffDeployments(const Deployment& before, const Deployment& after)
+{
+    // Both go through the same text, so that a field that is added to a struct is compared without code here.
+    const auto old = YAML::Load(toYaml(before));
+    const auto now = YAML::Load(toYaml(after));
+    std::vector<std::string> lines;
+    for (const auto& [section, kind] : sections) {
+        diffSection(kind, entriesOf(old[section]), entriesOf(now[section]), lines);
+    }
+    return lines;
+}
+
+} // namespace pw
