--- a/tools/measure_log/main.cpp
+++ b/tools/measure-log/main.cpp
@@ -55,7 +55,7 @@
     EasyloggingEventLog log({ row.level, file, row.sampling }, &timers);
     std::string reason;
     if (!log.open(reason)) {
-        std::fprintf(stderr, "measure_log: %s\n", reason.c_str());
+        std::fprintf(stderr, "measure-log: %s\n", reason.c_str());
         return false;
     }
     std::vector<double> times(rounds);
