--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -23,6 +23,9 @@
     DaemonStopping,
     DaemonStopped,
     SettingsRefused,
+    LogLinesLost,
+    OperatorRefused,
+    OperatorChange,
     LinkOpened,
     LinkClosed,
     LinkRefused,
@@ -50,6 +53,18 @@
     ClusterFounded,
     ConfigurationUnreadable,
     ClusterMismatch,
+    LedgerOpened,
+    LedgerClosed,
+    RateRefused,
+    RateOwnerSilent,
+    ClaimReplicaReady,
+    ClaimReplicaRefilling,
+    ClaimDecided,
+    ViewAttached,
+    ViewMemberSilent,
+    ViewServerAdded,
+    ViewServerLeaving,
+    ViewServerLapsed,
     Count
 };
 
