--- a/src/config.h
+++ b/src/config.h
@@ -249,7 +249,6 @@
 /// Interval at which the owner of the rates serves the daemons that wait for tokens.
 inline constexpr milliseconds grantServeInterval { 5 };
 
-static_assert(raftLeaderLease < raftElectionTimeout, "a leader must step down before another can be elected");
 /// Time for which a claimed request id stays claimed, and its answer may be asked for again.
 inline constexpr milliseconds claimRetention { 300000 };
 /// Longest time from the first message of a round of claiming to its decision.
@@ -276,4 +275,6 @@
 /// Request ids that a daemon remembers of its own claims.
 inline constexpr std::size_t keptClaims = 20000;
 
+static_assert(raftLeaderLease < raftElectionTimeout, "a leader must step down before another can be elected");
+
 } // namespace pw::config
