--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -8,8 +8,12 @@
 #include "app/control_session.h"
 #include "app/daemon_claims.h"
 #include "app/daemon_grants.h"
+#include "app/daemon_metrics.h"
+#include "app/daemon_reporter.h"
 #include "app/daemon_view.h"
 #include "app/deployment_yaml.h"
+#include "app/operator_control.h"
+#include "app/operator_http.h"
 #include "config.h"
 
 #include <algorithm>
@@ -17,12 +21,14 @@
 
 namespace pw {
 
-Daemon::Daemon(event_base* base, Timers& timers, EventLog& log, const Settings& settings, std::vector<std::string> fleetSecrets)
+Daemon::Daemon(event_base* base, Timers& timers, EventLog& log, const Settings& settings, Secrets secrets)
     : m_base(base)
     , m_timers(timers)
     , m_log(log)
     , m_settings(settings)
-    , m_network({ base, &log, settings.peerAddress, std::move(fleetSecrets) }, timers)
+    , m_secrets(std::move(secrets))
+    , m_network({ base, &log, settings.peerAddress, m_secrets.fleet, settings.peerListenAddress }, timers)
+    , m_metrics(std::make_unique<DaemonMetrics>(timers))
 {
 }
 
@@ -31,7 +37,7 @@
 bool Daemon::init(std::string& reason)
 {
     makeSession();
-    if (!makeControl(reason) || !makeServer(reason) || !makeEntry(reason) || !m_network.init(reason)) {
+    if (!makeControl(reason) || !makeServer(reason) || !makeEntry(reason) || !makeOperatorPort(reason) || !m_network.init(reason)) {
         return false;
     }
     m_session->onChanged([this] { applyConfiguration(); });
@@ -82,9 +88,27 @@
     m_grants = std::make_unique<DaemonGrants>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log, *m_session);
     m_claims = std::make_unique<DaemonClaims>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log);
     m_callerEdge = std::make_unique<CallerEdge>(m_base, m_timers, m_log, *m_session, *m_grants, *m_claims, *m_dispatcher);
+    m_callerEdge->finished().connect([this](const RequestRecord& record) { m_metrics->count(record); });
     return m_callerEdge->init(m_settings.callerAddress, reason);
 }
 
+bool Daemon::makeOperatorPort(std::string& reason)
+{
+    if (m_server) {
+        m_metrics->watch(*m_server);
+    }
+    if (m_settings.operatorAddress.empty()) {
+        return true;
+    }
+    m_reporter = std::make_unique<DaemonReporter>(m_settings, *m_session, *m_view, m_timers, m_server.get());
+    if (m_control) {
+        m_operatorControl = std::make_unique<OperatorControl>(m_control->log());
+    }
+    m_operatorHttp = std::make_unique<OperatorHttp>(OperatorHttp::Parts {
+        m_base, m_timers, m_log, m_metrics->metrics(), *m_reporter, m_operatorControl.get(), m_secrets.operators });
+    return m_operatorHttp->init(m_settings.operatorAddress, reason);
+}
+
 void Daemon::applyConfiguration()
 {
     if (!m_server) {
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -19,15 +19,25 @@
 class ControlSession;
 class DaemonClaims;
 class DaemonGrants;
+class DaemonMetrics;
+class DaemonReporter;
 class DaemonView;
 class Dispatcher;
+class OperatorControl;
+class OperatorHttp;
 class ServerRole;
 
+/// Secrets read from the files that the settings name.
+struct Secrets {
+    std::vector<std::string> fleet;
+    std::vector<std::string> operators; ///< Empty: nobody can prove to be an operator.
+};
+
 /// One process: the roles that its settings name, on one loop in one thread.
 class Daemon {
 public:
     /// \param base the loop. It, \p timers, \p log and \p settings must outlive this object.
-    Daemon(event_base* base, Timers& timers, EventLog& log, const Settings& settings, std::vector<std::string> fleetSecrets);
+    Daemon(event_base* base, Timers& timers, EventLog& log, const Settings& settings, Secrets secrets);
     ~Daemon();
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
@@ -44,6 +54,7 @@
     bool makeControl(std::string& reason);
     bool makeServer(std::string& reason);
     bool makeEntry(std::string& reason);
+    bool makeOperatorPort(std::string& reason);
     void applyConfiguration();
     void stopTaking();
     void waitUntilQuiet();
@@ -54,6 +65,7 @@
     Timers& m_timers;
     EventLog& m_log;
     const Settings& m_settings;
+    Secrets m_secrets;
     bool m_stopping = false;
     TimePoint m_stopBy {};
     PeerNetworkLibevent m_network;
@@ -67,6 +79,10 @@
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<BackendEdge> m_backendEdge;
     std::unique_ptr<CallerEdge> m_callerEdge;
+    std::unique_ptr<DaemonMetrics> m_metrics;
+    std::unique_ptr<DaemonReporter> m_reporter;
+    std::unique_ptr<OperatorControl> m_operatorControl;
+    std::unique_ptr<OperatorHttp> m_operatorHttp;
 };
 
 } // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -131,8 +131,8 @@
 inline constexpr milliseconds maxAvoidTime { 1000 };
 /// Weight of a new sample in the picker's average latency of a backend server.
 inline constexpr double latencyWeight = 0.2;
-/// Time in which the picker's memory of a slow backend server halves.
-inline constexpr milliseconds slowHalfLife { 1000 };
+/// Time in which a slow backend server that is not used is forgiven.
+inline constexpr milliseconds slowMemory { 3000 };
 /// A server is slow from this many times the latency of the fastest one of its service plus the margin.
 inline constexpr int slowTolerance = 2;
 inline constexpr milliseconds slowMargin { 5 };
@@ -213,6 +213,16 @@
 inline constexpr milliseconds changeRetry { 300 };
 /// Longest wait for a change to be in force everywhere.
 inline constexpr milliseconds inForceTimeout { 10000 };
+/// Longest wait for another member to take the leadership over before a planned stop.
+inline constexpr milliseconds handOverTimeout { 1000 };
+/// Silence of a control member after which a daemon moves to another.
+inline constexpr milliseconds sessionSilence { 800 };
+/// Age of the validity lease after which a daemon moves to another control member although this one answers.
+inline constexpr milliseconds sessionStale { 1200 };
+/// Interval at which a daemon asks while its validity lease is older than sessionSilence.
+inline constexpr milliseconds sessionHurry { 100 };
+/// Interval after which a daemon goes back to the control member that it prefers.
+inline constexpr milliseconds sessionRebalance { 60000 };
 /// Margin for clocks that run at different speeds, on top of a validity lease.
 inline constexpr milliseconds leaseMargin { 100 };
 
@@ -239,6 +249,32 @@
 /// Interval at which the owner of the rates serves the daemons that wait for tokens.
 inline constexpr milliseconds grantServeInterval { 5 };
 
+/// Time for which a claimed request id stays claimed, and its answer may be asked for again.
+inline constexpr milliseconds claimRetention { 300000 };
+/// Longest time from the first message of a round of claiming to its decision.
+inline constexpr milliseconds claimRoundLimit { 1000 };
+/// Time after which a claim is sent again to members that have not voted.
+inline constexpr milliseconds claimAskRetry { 150 };
+/// Rounds of claiming that one request may go through when votes are split.
+inline constexpr int claimRounds = 4;
+/// Longest pause before another round; the pause is random.
+inline constexpr milliseconds claimRoundPause { 40 };
+/// Longest time to wait for the claiming daemon's word on what became of a request id.
+inline constexpr milliseconds claimFetchTimeout { 400 };
+/// Interval at which a release is sent again to members that have not confirmed it, and how often.
+inline constexpr milliseconds claimReleaseRetry { 300 };
+inline constexpr int claimReleaseTries = 10;
+/// Control members that vote on one request id.
+inline constexpr std::size_t claimReplicas = 3;
+/// Claims in one page when a restarted member refills its replica.
+inline constexpr std::size_t claimRefillPage = 500;
+/// Interval at which a restarted member asks again for pages that did not come.
+inline constexpr milliseconds claimRefillRetry { 200 };
+/// Bytes of answers that a daemon keeps for re-sends.
+inline constexpr std::size_t keptAnswerBytes = 4 * 1024 * 1024;
+/// Request ids that a daemon remembers of its own claims.
+inline constexpr std::size_t keptClaims = 20000;
+
 static_assert(raftLeaderLease < raftElectionTimeout, "a leader must step down before another can be elected");
 
 } // namespace pw::config
