--- a/tests/process/support/fleet.cpp
+++ b/tests/process/support/fleet.cpp
@@ -61,8 +61,25 @@
     return m_entries.emplace_back(m_folder, plan("entry-" + std::to_string(m_entries.size() + 1), failureDomain, { "entry" }), m_files);
 }
 
+void Fleet::bootstrap()
+{
+    if (m_bootstrapped) {
+        return;
+    }
+    std::string last;
+    m_bootstrapped = eventually(startBound, [&] {
+        const auto ran = m_operators->bootstrap();
+        last = ran.output;
+        return ran.status == 0;
+    });
+    if (!m_bootstrapped) {
+        throw std::runtime_error("the cluster was not founded: " + last);
+    }
+}
+
 void Fleet::configure(const std::string& configuration)
 {
+    bootstrap();
     std::string last;
     const auto submitted = [&] {
         const auto ran = m_operators->submit(configuration);
--- a/tests/process/support/fleet.h
+++ b/tests/process/support/fleet.h
@@ -57,6 +57,7 @@
     void cutOff(const Daemon& daemon) const { m_proxy->cutOff(daemon.spec().name, daemon.spec().ip); }
 
 private:
+    void bootstrap();
     DaemonSpec plan(const std::string& name, const std::string& failureDomain, std::vector<std::string> roles);
 
     Folder m_folder;
@@ -67,6 +68,7 @@
     std::deque<Server> m_servers;
     std::unique_ptr<OperatorCli> m_operators;
     int m_planned = 0;
+    bool m_bootstrapped = false;
 };
 
 } // namespace pw::test
--- a/tests/process/support/operator_cli.cpp
+++ b/tests/process/support/operator_cli.cpp
@@ -12,8 +12,12 @@
     /// \returns the JSON of \p ran; an empty node when the tool printed none.
     YAML::Node jsonOf(const Ran& ran)
     {
+        const auto begin = ran.output.find('{');
+        if (begin == std::string::npos) {
+            return {};
+        }
         try {
-            return YAML::Load(ran.output);
+            return YAML::Load(ran.output.substr(begin, ran.output.find('\n', begin) - begin));
         } catch (const YAML::Exception&) {
             return {};
         }
@@ -27,16 +31,27 @@
 {
     for (const auto& it : files.members) {
         m_members += (m_members.empty() ? "" : ",") + it.operators;
+        m_memberAddresses.push_back(it.operators);
     }
 }
 
 Ran OperatorCli::run(const std::vector<std::string>& arguments) const
 {
-    std::vector<std::string> all { "--secret", m_secretFile, "--control", m_members, "--json" };
-    all.insert(all.begin(), arguments.begin(), arguments.end());
+    return runAt(m_members, arguments);
+}
+
+Ran OperatorCli::runAt(const std::string& members, const std::vector<std::string>& arguments) const
+{
+    std::vector<std::string> all = arguments;
+    all.insert(all.end(), { "--secret-file", m_secretFile, "--members", members, "--json" });
     return runToEnd("pistachiowheel", all, m_folder.path("operator-" + std::to_string(++m_runs) + ".out"), commandBound);
 }
 
+Ran OperatorCli::bootstrap() const
+{
+    return runAt(m_memberAddresses.front(), { "member", "bootstrap" });
+}
+
 Ran OperatorCli::submit(const std::string& configuration) const
 {
     return submitBased(configuration, version(), "change-" + std::to_string(m_runs + 1));
@@ -45,12 +60,12 @@
 Ran OperatorCli::submitBased(const std::string& configuration, std::uint64_t base, const std::string& changeId) const
 {
     const std::string file = m_folder.write("configuration-" + changeId + ".yaml", configuration);
-    return run({ "config", "submit", file, "--base", std::to_string(base), "--change", changeId, "--wait" });
+    return run({ "config", "submit", file, "--base", std::to_string(base), "--change-id", changeId, "--wait" });
 }
 
 IssuedKey OperatorCli::issueKey(const std::string& workspace) const
 {
-    const Ran ran = run({ "key", "issue", workspace, "--wait" });
+    const Ran ran = run({ "key", "issue", "--workspace", workspace, "--wait" });
     const auto json = jsonOf(ran);
     if (ran.status != 0 || !json.IsMap()) {
         throw std::runtime_error("no key was issued: " + ran.output);
@@ -65,8 +80,13 @@
 
 std::string OperatorCli::leader() const
 {
-    const auto json = jsonOf(run({ "status" }));
-    return json.IsMap() ? json["leader"].as<std::string>("") : std::string();
+    for (const auto& it : m_memberAddresses) {
+        const auto json = jsonOf(runAt(it, { "status", "--timeout", "1" }));
+        if (json.IsMap() && json["control"]["role"].as<std::string>("") == "leader") {
+            return json["daemon"]["name"].as<std::string>("");
+        }
+    }
+    return {};
 }
 
 std::uint64_t OperatorCli::version() const
--- a/tests/process/support/operator_cli.h
+++ b/tests/process/support/operator_cli.h
@@ -24,6 +24,11 @@
 
     /// Runs the tool with \p arguments.
     Ran run(const std::vector<std::string>& arguments) const;
+    /// Runs the tool with \p arguments against the operator address \p members.
+    Ran runAt(const std::string& members, const std::vector<std::string>& arguments) const;
+
+    /// Founds the cluster at the first control daemon.
+    Ran bootstrap() const;
 
     /// Submits \p configuration, based on the version in force, and waits until it is in force everywhere.
     Ran submit(const std::string& configuration) const;
@@ -42,6 +47,7 @@
     const Folder& m_folder;
     std::string m_secretFile;
     std::string m_members; ///< Operator addresses, separated by commas.
+    std::vector<std::string> m_memberAddresses;
     mutable std::atomic<int> m_runs = 0;
 };
 
