Keep a membership view without consensus

Cause: every daemon has to know the backend servers, and stop using one that leaves within 2 s, also while control members fail.

Each control member vouches for the servers of the daemons attached to it and sends changes, never refreshes, to the other members and to its daemons. Records are versioned by their owner; digests heal what was lost. A member that restarted or is cut off from the majority takes nothing out of view.

--- /dev/null
+++ b/src/adapters/codec_view.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/view_messages.h"
+#include "ports/peer_network.h"
+
+#include <optional>
+
+/// Codec of the membership view; see view.capnp.
+namespace pw {
+
+Bytes encodeViewMessage(const ViewMemberMessage& message);
+Bytes encodeViewDelta(const ViewDelta& delta);
+
+/// Each returns nothing when \p bytes hold no valid message.
+std::optional<ViewMemberMessage> decodeViewMessage(std::span<const std::byte> bytes);
+std::optional<ViewDelta> decodeViewDelta(std::span<const std::byte> bytes);
+
+} // namespace pw
--- /dev/null
+++ b/src/app/control_view.cpp
@@ -0,0 +1,212 @@
+#include "app/control_view.h"
+
+#include "adapters/codec_view.h"
+#include "config.h"
+#include "core/membership_view.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <variant>
+
+namespace pw {
+namespace {
+
+    std::vector<std::string> otherMembers(const Settings& settings, const std::string& self)
+    {
+        std::vector<std::string> result;
+        std::ranges::transform(settings.controlMembers, std::back_inserter(result), &ControlMember::peerAddress);
+        std::erase(result, self);
+        return result;
+    }
+
+} // namespace
+
+class ControlView::Impl {
+public:
+    Impl(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events)
+        : m_network(network)
+        , m_timers(timers)
+        , m_stream(seed)
+        , m_events(events)
+        , m_others(otherMembers(settings, network.self()))
+        , m_view(network.self(), m_others, { config::announcementLease, config::viewMemberGrace, config::viewTombstone }, timers.now())
+    {
+        m_network.onMessage(MessageKind::ServerReport, [this](const PeerAddress& from, std::span<const std::byte> bytes) { received(from, bytes); });
+        sendToMembers(MemberSyncAsk {});
+        tick();
+    }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    ~Impl()
+    {
+        m_network.onMessage(MessageKind::ServerReport, {});
+        m_timers.cancel(m_tickTimer);
+        m_timers.cancel(m_pushTimer);
+    }
+
+    std::size_t attached() const { return m_daemons.size(); }
+
+private:
+    /// A daemon that reports here.
+    struct Daemon {
+        std::string server; ///< Name of the server beside it, once known.
+        TimePoint heard;
+        std::uint64_t sent = 0; ///< Position up to which it has been sent changes.
+        bool following = false; ///< It has this member's stream.
+        TimePoint wholeSent;
+    };
+
+    void sendToMembers(const ViewMemberMessage& message)
+    {
+        const auto bytes = encodeViewMessage(message);
+        std::ranges::for_each(m_others, [&](const auto& other) { m_network.send(other, MessageKind::ServerReport, bytes); });
+    }
+
+    void received(const PeerAddress& from, std::span<const std::byte> bytes)
+    {
+        const auto message = decodeViewMessage(bytes);
+        if (!message) {
+            PW_EVENT(m_events, Event::FrameRefused, { "from", from }, { "kind", "server-report" });
+            return;
+        }
+        std::visit([this, &from](const auto& it) { handle(from, it); }, *message);
+    }
+
+    void handle(const PeerAddress& from, DaemonReport report)
+    {
+        const auto now = m_timers.now();
+        auto& daemon = m_daemons[from];
+        daemon.heard = now;
+        if (report.entry) {
+            report.entry->daemon = from;
+            daemon.server = report.entry->name;
+        }
+        const bool unnamed = daemon.server.empty() && report.incarnation;
+        const bool known = !unnamed && m_view.report(daemon.server, report, now);
+        changed();
+        reply(from, daemon, report, !known);
+    }
+
+    void handle(const PeerAddress& from, const MemberRecords& records)
+    {
+        m_view.merge(from, records, m_timers.now());
+        changed();
+    }
+
+    void handle(const PeerAddress& from, const MemberDigest& digest)
+    {
+        if (m_view.compare(from, digest, m_timers.now())) {
+            m_network.send(from, MessageKind::ServerReport, encodeViewMessage(MemberSyncAsk {}));
+        }
+    }
+
+    void handle(const PeerAddress& from, const MemberSyncAsk& /*ask*/)
+    {
+        m_network.send(from, MessageKind::ServerReport, encodeViewMessage(MemberRecords { true, m_view.vouched() }));
+    }
+
+    /// Answers a report with what the daemon lacks, often nothing.
+    void reply(const PeerAddress& address, Daemon& daemon, const DaemonReport& report, bool wantEntry)
+    {
+        const auto now = m_timers.now();
+        const bool sameView = report.digest == m_view.digest();
+        ViewDelta delta;
+        delta.stream = m_stream;
+        delta.wantEntry = wantEntry;
+        delta.to = m_view.position();
+        const bool following = report.stream == m_stream && m_view.remembers(report.position);
+        const bool diverged = following && report.position == m_view.position() && !sameView;
+        if (following && !diverged) {
+            delta.from = report.position;
+            delta.changes = m_view.changesAfter(report.position);
+        } else if (sameView) {
+            delta.whole = true;
+        } else if (now - daemon.wholeSent >= config::viewWholeInterval) {
+            daemon.wholeSent = now;
+            delta.whole = true;
+            delta.replace = m_view.settled(now);
+            delta.changes = m_view.all();
+        } else {
+            delta.from = delta.to;
+        }
+        daemon.sent = delta.to;
+        m_network.send(address, MessageKind::ViewDelta, encodeViewDelta(delta));
+    }
+
+    /// Shares what changed with the other members at once and with the daemons soon.
+    void changed()
+    {
+        auto records = m_view.takeChanged();
+        std::ranges::for_each(records, [this](const ViewRecord& record) { logChange(record); });
+        if (!records.empty()) {
+            sendToMembers(MemberRecords { false, std::move(records) });
+        }
+        if (!m_pushTimer && m_pushed != m_view.position()) {
+            m_pushTimer = m_timers.after(config::viewPushDelay, [this] { push(); });
+        }
+    }
+
+    void logChange(const ViewRecord& record)
+    {
+        const auto& entry = record.entry;
+        const auto present = entry.leaving ? Event::ViewServerLeaving : Event::ViewServerAdded;
+        const auto event = record.lapsed ? Event::ViewServerLapsed : present;
+        PW_EVENT(m_events, event, { "server", entry.name }, { "service", entry.service }, { "incarnation", entry.incarnation }, { "sequence", entry.sequence });
+    }
+
+    void push()
+    {
+        m_pushTimer = 0;
+        m_pushed = m_view.position();
+        std::map<std::uint64_t, Bytes> deltas; // By the position that they follow.
+        for (auto& [address, daemon] : m_daemons) {
+            if (daemon.sent >= m_pushed) {
+                continue;
+            }
+            auto& bytes = deltas[daemon.sent];
+            if (bytes.empty()) {
+                bytes = encodeViewDelta({ m_stream, daemon.sent, m_pushed, false, false, false, m_view.changesAfter(daemon.sent) });
+            }
+            m_network.send(address, MessageKind::ViewDelta, bytes);
+            daemon.sent = m_pushed;
+        }
+    }
+
+    void tick()
+    {
+        const auto now = m_timers.now();
+        m_view.tick(now);
+        changed();
+        std::erase_if(m_daemons, [now](const auto& entry) { return now - entry.second.heard >= config::announcementLease; });
+        sendToMembers(MemberDigest { m_view.vouchedDigest(m_network.self()) });
+        m_tickTimer = m_timers.after(config::viewTickInterval, [this] { tick(); });
+    }
+
+    PeerNetwork& m_network;
+    Timers& m_timers;
+    std::uint64_t m_stream;
+    EventLog& m_events;
+    std::vector<std::string> m_others;
+    MembershipView m_view;
+    std::map<PeerAddress, Daemon> m_daemons;
+    std::uint64_t m_pushed = 0;
+    TimerId m_tickTimer = 0;
+    TimerId m_pushTimer = 0;
+};
+
+ControlView::ControlView(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events)
+    : m_impl(std::make_unique<Impl>(settings, network, timers, seed, events))
+{
+}
+
+ControlView::~ControlView() = default;
+
+std::size_t ControlView::attached() const
+{
+    return m_impl->attached();
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/daemon_view.cpp
@@ -0,0 +1,208 @@
+#include "app/daemon_view.h"
+
+#include "adapters/codec_view.h"
+#include "config.h"
+#include "core/member_choice.h"
+#include "core/view_mirror.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace pw {
+namespace {
+
+    std::vector<std::string> memberAddresses(const Settings& settings)
+    {
+        std::vector<std::string> result;
+        std::ranges::transform(settings.controlMembers, std::back_inserter(result), &ControlMember::peerAddress);
+        return result;
+    }
+
+} // namespace
+
+class DaemonView::Impl {
+public:
+    Impl(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events)
+        : m_network(network)
+        , m_timers(timers)
+        , m_events(events)
+        , m_choice(memberAddresses(settings), settings.name)
+        , m_heard(timers.now())
+        , m_phase(std::chrono::duration_cast<Duration>(config::viewReportInterval) * (seed % phases) / phases)
+    {
+        m_network.onMessage(MessageKind::ViewDelta, [this](const PeerAddress& from, std::span<const std::byte> bytes) { received(from, bytes); });
+        m_network.onLost([this, alive = std::weak_ptr(m_alive)](const PeerAddress& peer) {
+            if (!alive.expired()) {
+                lost(peer);
+            }
+        });
+        attach();
+    }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    ~Impl()
+    {
+        m_network.onMessage(MessageKind::ViewDelta, {});
+        m_timers.cancel(m_timer);
+    }
+
+    void publish(const ServerEntry& entry)
+    {
+        const bool same = m_own && m_own->incarnation == entry.incarnation && m_own->sequence == entry.sequence;
+        m_own = entry;
+        if (!same) {
+            m_ownKnown = false;
+            sendReport();
+        }
+    }
+
+    void onChanged(std::function<void(const std::string&)> handler) { m_handlers.push_back(std::move(handler)); }
+
+    const ViewMirror& mirror() const { return m_mirror; }
+
+private:
+    static constexpr std::uint64_t phases = 64; ///< Daemons spread their reports over the interval.
+
+    void attach()
+    {
+        m_heard = m_timers.now();
+        m_attached = m_heard;
+        m_ownKnown = false;
+        ++m_attachment;
+        report();
+    }
+
+    /// Turns to another member at once, unless this one was chosen just now.
+    void lost(const PeerAddress& peer)
+    {
+        if (peer == m_choice.current() && m_timers.now() - m_attached >= config::viewLossPause) {
+            m_choice.next();
+            attach();
+        }
+    }
+
+    /// Reports, again after the interval; turns to another member when the one in use is silent.
+    void report()
+    {
+        const auto now = m_timers.now();
+        m_timers.cancel(m_timer);
+        if (now - m_heard >= config::viewMemberSilence) {
+            PW_EVENT(m_events, Event::ViewMemberSilent, { "member", m_choice.current() });
+            m_choice.next();
+            m_timer = 0;
+            attach();
+            return;
+        }
+        sendReport();
+        const auto interval = m_first ? m_phase : Duration(config::viewReportInterval);
+        m_first = false;
+        m_timer = m_timers.after(interval, [this] { report(); });
+    }
+
+    void sendReport()
+    {
+        if (m_choice.current().empty()) {
+            return;
+        }
+        DaemonReport report;
+        report.attachment = m_attachment;
+        if (m_own) {
+            report.incarnation = m_own->incarnation;
+            report.sequence = m_own->sequence;
+        }
+        if (m_own && !m_ownKnown) {
+            report.entry = m_own;
+        }
+        report.stream = m_mirror.stream();
+        report.position = m_mirror.position();
+        report.digest = m_mirror.digest();
+        m_network.send(m_choice.current(), MessageKind::ServerReport, encodeViewMessage(report));
+    }
+
+    void received(const PeerAddress& from, std::span<const std::byte> bytes)
+    {
+        const auto delta = decodeViewDelta(bytes);
+        if (!delta) {
+            PW_EVENT(m_events, Event::FrameRefused, { "from", from }, { "kind", "view-delta" });
+            return;
+        }
+        if (from != m_choice.current()) {
+            return;
+        }
+        m_heard = m_timers.now();
+        followStream(from, delta->stream);
+        for (const auto& service : m_mirror.apply(*delta)) {
+            const auto handlers = m_handlers;
+            std::ranges::for_each(handlers, [&service](const auto& handler) { handler(service); });
+        }
+        noteOwn(delta->wantEntry);
+    }
+
+    /// A member that was restarted is a new attachment: it vouches for this server anew.
+    void followStream(const PeerAddress& from, std::uint64_t stream)
+    {
+        if (stream == m_stream && from == m_member) {
+            return;
+        }
+        const bool restarted = from == m_member;
+        m_stream = stream;
+        m_member = from;
+        if (restarted) {
+            ++m_attachment;
+        }
+        PW_EVENT(m_events, Event::ViewAttached, { "member", from }, { "attachment", m_attachment });
+    }
+
+    void noteOwn(bool wanted)
+    {
+        const bool again = wanted && m_ownKnown;
+        m_ownKnown = !wanted;
+        if (again) {
+            sendReport();
+        }
+    }
+
+    PeerNetwork& m_network;
+    Timers& m_timers;
+    EventLog& m_events;
+    MemberChoice m_choice;
+    TimePoint m_heard; ///< Last message of the member in use.
+    TimePoint m_attached; ///< When that member was chosen.
+    Duration m_phase;
+    bool m_first = true;
+    std::uint64_t m_attachment = 0;
+    PeerAddress m_member; ///< Whose stream is followed.
+    std::uint64_t m_stream = 0;
+    std::optional<ServerEntry> m_own;
+    bool m_ownKnown = false; ///< The member has confirmed the latest version.
+    ViewMirror m_mirror;
+    std::vector<std::function<void(const std::string&)>> m_handlers;
+    TimerId m_timer = 0;
+    std::shared_ptr<int> m_alive = std::make_shared<int>();
+};
+
+DaemonView::DaemonView(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events)
+    : m_impl(std::make_unique<Impl>(settings, network, timers, seed, events))
+{
+}
+
+DaemonView::~DaemonView() = default;
+
+const std::vector<ServerEntry>& DaemonView::servers(const std::string& service) const
+{
+    return m_impl->mirror().servers(service);
+}
+
+void DaemonView::publish(const ServerEntry& entry)
+{
+    m_impl->publish(entry);
+}
+
+void DaemonView::onChanged(std::function<void(const std::string& service)> handler)
+{
+    m_impl->onChanged(std::move(handler));
+}
+
+} // namespace pw
--- a/src/app/daemon_view.h
+++ b/src/app/daemon_view.h
@@ -19,8 +19,10 @@
     DaemonView(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events);
     ~DaemonView() override;
 
-    const std::vector<ServerEntry>& servers(const std::string& service) const override;
+    /// Repeats of the same version cost nothing; this class reports the entry for as long as it lives.
     void publish(const ServerEntry& entry) override;
+
+    const std::vector<ServerEntry>& servers(const std::string& service) const override;
     void onChanged(std::function<void(const std::string& service)> handler) override;
 
 private:
--- a/src/config.h
+++ b/src/config.h
@@ -100,4 +100,21 @@
 /// Request ids that a daemon remembers of its own claims.
 inline constexpr std::size_t keptClaims = 20000;
 
+/// Interval at which a daemon reports to the control member that it is attached to.
+inline constexpr milliseconds viewReportInterval { 1000 };
+/// Silence of that member after which the daemon attaches to another.
+inline constexpr milliseconds viewMemberSilence { 1600 };
+/// Shortest time between two attachments when links are lost.
+inline constexpr milliseconds viewLossPause { 300 };
+/// Time over which a control member gathers changes before it pushes them to its daemons.
+inline constexpr milliseconds viewPushDelay { 50 };
+/// Interval at which a control member looks for lapsed servers and compares digests with the others.
+inline constexpr milliseconds viewTickInterval { 500 };
+/// Time for which servers stay known after the control member that vouched for them fell silent.
+inline constexpr milliseconds viewMemberGrace { 6000 };
+/// Time for which a lapsed server is remembered, so that its removal reaches every daemon.
+inline constexpr milliseconds viewTombstone { 60000 };
+/// Shortest time between two whole views sent to one daemon.
+inline constexpr milliseconds viewWholeInterval { 3000 };
+
 } // namespace pw::config
--- /dev/null
+++ b/src/core/membership_view.cpp
@@ -0,0 +1,223 @@
+#include "core/membership_view.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace pw {
+
+MembershipView::MembershipView(std::string self, std::vector<std::string> others, MembershipTimes times, TimePoint start)
+    : m_self(std::move(self))
+    , m_times(times)
+    , m_start(start)
+{
+    std::ranges::for_each(others, [this, start](const auto& other) { m_members[other] = start; });
+}
+
+bool MembershipView::report(const std::string& name, const DaemonReport& report, TimePoint now)
+{
+    const auto it = m_items.find(name);
+    if (!report.incarnation) {
+        if (it != m_items.end() && it->second.record.home == m_self) {
+            setLapsed(it->second, true, now);
+        }
+        return true;
+    }
+    const auto reported = std::tuple(report.incarnation, report.sequence, report.attachment);
+    const auto versionOf = [](const ViewRecord& record) { return std::tuple(record.entry.incarnation, record.entry.sequence, record.attachment); };
+    const bool known = it != m_items.end() && versionOf(it->second.record) >= reported;
+    if (!known && !report.entry) {
+        return false;
+    }
+    auto& item = m_items[name];
+    item.heard = now;
+    if (!known) {
+        replace(item, { *report.entry, m_self, report.attachment, 0, false }, now);
+        item.changed = true;
+    } else if (item.record.home == m_self) {
+        setLapsed(item, false, now);
+    }
+    return true;
+}
+
+void MembershipView::merge(const std::string& member, const MemberRecords& records, TimePoint now)
+{
+    m_members[member] = now;
+    std::set<std::string> listed;
+    for (const auto& record : records.records) {
+        listed.insert(record.entry.name);
+        auto& item = m_items[record.entry.name];
+        if (item.record.version() < record.version()) {
+            replace(item, record, now);
+            item.changed = false;
+        }
+    }
+    if (!records.all) {
+        return;
+    }
+    for (auto& [name, item] : m_items) {
+        if (item.record.home == member && !listed.contains(name)) {
+            item.record.home.clear(); // Its daemon has the time of the grace to attach again.
+            item.heard = now;
+        }
+    }
+}
+
+bool MembershipView::compare(const std::string& member, const MemberDigest& digest, TimePoint now)
+{
+    m_members[member] = now;
+    return digest.digest != vouchedDigest(member);
+}
+
+void MembershipView::replace(Item& item, ViewRecord record, TimePoint now)
+{
+    const bool wasVisible = item.visible() && !item.record.entry.name.empty();
+    const auto digestBefore = serverDigest(item.record.entry);
+    item.record = std::move(record);
+    item.hidden = false;
+    shown(item, wasVisible, digestBefore, now);
+}
+
+void MembershipView::setLapsed(Item& item, bool lapsed, TimePoint now)
+{
+    if (item.record.lapsed == lapsed) {
+        return;
+    }
+    const bool wasVisible = item.visible();
+    item.record.lapsed = lapsed;
+    ++item.record.revision;
+    item.changed = true;
+    shown(item, wasVisible, serverDigest(item.record.entry), now);
+}
+
+void MembershipView::setHidden(Item& item, bool hidden, TimePoint now)
+{
+    const bool wasVisible = item.visible();
+    item.hidden = hidden;
+    shown(item, wasVisible, serverDigest(item.record.entry), now);
+}
+
+/// Gives a change that daemons can see its position; a change of home or attachment is none.
+void MembershipView::shown(Item& item, bool wasVisible, std::uint64_t digestBefore, TimePoint now)
+{
+    const auto digest = serverDigest(item.record.entry);
+    if (wasVisible == item.visible() && digest == digestBefore) {
+        return;
+    }
+    m_digest ^= wasVisible ? digestBefore : 0;
+    m_digest ^= item.visible() ? digest : 0;
+    item.position = ++m_position;
+    item.removed = now;
+}
+
+bool MembershipView::majorityHeard(TimePoint now) const
+{
+    const auto heard = std::ranges::count_if(m_members, [this, now](const auto& entry) { return now - entry.second < m_times.grace; });
+    const auto size = m_members.size() + 1;
+    return static_cast<std::size_t>(heard) + 1 > size / 2;
+}
+
+/// A member that is itself cut off from the majority keeps showing what it last knew.
+bool MembershipView::isHidden(const Item& item, bool majority, TimePoint now) const
+{
+    if (item.record.home == m_self) {
+        return false;
+    }
+    const auto member = m_members.find(item.record.home);
+    const auto heard = member == m_members.end() ? item.heard : member->second;
+    const bool silent = now - heard >= m_times.grace;
+    return silent && (majority || item.hidden);
+}
+
+void MembershipView::tick(TimePoint now)
+{
+    const bool majority = majorityHeard(now);
+    for (auto& [name, item] : m_items) {
+        if (item.record.home == m_self && now - item.heard >= m_times.lease) {
+            setLapsed(item, true, now);
+        }
+        if (const bool hidden = isHidden(item, majority, now); hidden != item.hidden) {
+            setHidden(item, hidden, now);
+        }
+    }
+    prune(now);
+}
+
+void MembershipView::prune(TimePoint now)
+{
+    std::erase_if(m_items, [this, now](const auto& entry) {
+        const auto& item = entry.second;
+        const bool outdated = !item.visible() && !item.changed && now - item.removed >= m_times.tombstone;
+        m_pruned = outdated ? std::max(m_pruned, item.position) : m_pruned;
+        return outdated;
+    });
+}
+
+std::vector<ViewRecord> MembershipView::takeChanged()
+{
+    std::vector<ViewRecord> result;
+    for (auto& [name, item] : m_items) {
+        if (std::exchange(item.changed, false) && item.record.home == m_self) {
+            result.push_back(item.record);
+        }
+    }
+    return result;
+}
+
+std::vector<ViewRecord> MembershipView::vouched() const
+{
+    std::vector<ViewRecord> result;
+    for (const auto& [name, item] : m_items) {
+        if (item.record.home == m_self) {
+            result.push_back(item.record);
+        }
+    }
+    return result;
+}
+
+std::uint64_t MembershipView::vouchedDigest(const std::string& member) const
+{
+    std::uint64_t digest = 0;
+    for (const auto& [name, item] : m_items) {
+        if (item.record.home == member && !item.record.lapsed) {
+            digest ^= serverDigest(item.record.entry) + item.record.attachment + item.record.revision;
+        }
+    }
+    return digest;
+}
+
+std::vector<ViewChange> MembershipView::changesAfter(std::uint64_t position) const
+{
+    std::vector<ViewChange> result;
+    for (const auto& [name, item] : m_items) {
+        if (item.position > position) {
+            result.push_back({ item.record.entry, !item.visible() });
+        }
+    }
+    return result;
+}
+
+std::vector<ViewChange> MembershipView::all() const
+{
+    std::vector<ViewChange> result;
+    for (const auto& [name, item] : m_items) {
+        if (item.visible()) {
+            result.push_back({ item.record.entry, false });
+        }
+    }
+    return result;
+}
+
+const ViewRecord* MembershipView::find(const std::string& name) const
+{
+    const auto it = m_items.find(name);
+    return it == m_items.end() ? nullptr : &it->second.record;
+}
+
+bool MembershipView::visible(const std::string& name) const
+{
+    const auto it = m_items.find(name);
+    return it != m_items.end() && it->second.visible();
+}
+
+} // namespace pw
--- a/tests/unit/claims_test.cpp
+++ b/tests/unit/claims_test.cpp
@@ -264,6 +264,18 @@
     BOOST_TEST((table.claim("other", { key, 33 }, now).kind == ClaimVoteKind::Granted));
 }
 
+BOOST_AUTO_TEST_CASE(lateRepetitionOfAReleasedClaimIsNotGranted)
+{
+    const TimePoint now { 1h };
+    const ClaimRequest request { { 1, 2 }, 11 };
+    ClaimTable table(config::claimRetention);
+    BOOST_TEST((table.claim("d1", request, now).kind == ClaimVoteKind::Granted));
+    BOOST_TEST((table.claim("d1", request, now).kind == ClaimVoteKind::Granted));
+    table.release("d1", { request.key, request.token }, now);
+    BOOST_TEST((table.claim("d1", request, now).kind == ClaimVoteKind::Taken));
+    BOOST_TEST((table.claim("d2", { request.key, 22 }, now).kind == ClaimVoteKind::Granted));
+}
+
 BOOST_AUTO_TEST_CASE(refillCountsOnlyAfterRoundsOfTheEarlierProcessAreDecided)
 {
     const TimePoint start { 1h };
@@ -306,6 +318,18 @@
     BOOST_TEST(replica.complete(start));
 }
 
+BOOST_AUTO_TEST_CASE(restartedMemberFoundsNothing)
+{
+    const TimePoint start { 1h };
+    ClaimReplica replica({ "c1" }, 7, false, { config::claimRetention, config::claimRoundLimit }, start);
+    ClaimRefillPage page;
+    page.asker = 7;
+    page.incarnation = 8;
+    page.firstStart = true; // Replaced, so it has lost what it granted together with this one.
+    replica.refill("c1", page, start);
+    BOOST_TEST(!replica.complete(start));
+}
+
 BOOST_AUTO_TEST_CASE(roundNeedsAMajorityInTime)
 {
     const TimePoint start { 1h };
--- /dev/null
+++ b/tests/unit/view_test.cpp
@@ -0,0 +1,304 @@
+#include "app/control_view.h"
+#include "app/daemon_view.h"
+#include "config.h"
+#include "support/fake_network.h"
+#include "support/fleet_fakes.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace pw;
+using namespace pw::test;
+using namespace std::chrono_literals;
+
+const std::vector<PeerAddress> members { "c0", "c1", "c2" };
+const std::string service = "forecast";
+
+/// Control members and daemons, each daemon with a backend server beside it.
+class ViewFleet {
+public:
+    ViewFleet(std::uint64_t seed, std::size_t daemons)
+        : network(timers, seed)
+        , m_random(seed)
+        , m_members(members.size())
+        , m_daemons(daemons)
+        , m_entries(daemons)
+    {
+        for (std::size_t n = 0; n < members.size(); ++n) {
+            startMember(n);
+        }
+        for (std::size_t n = 0; n < daemons; ++n) {
+            startDaemon(n);
+        }
+    }
+
+    void startMember(std::size_t n)
+    {
+        stopMember(n);
+        m_members[n] = std::make_unique<Member>(*this, members[n], m_random());
+    }
+
+    void stopMember(std::size_t n) { m_members[n].reset(); }
+
+    void startDaemon(std::size_t n)
+    {
+        m_daemons[n].reset();
+        const auto name = "d" + std::to_string(n);
+        m_daemons[n] = std::make_unique<Daemon>(*this, name, m_random());
+        m_entries[n] = { name, service, name, "fd1", "r1", 10, 20, m_entries[n].incarnation + 1, 1, false };
+        m_daemons[n]->view.publish(m_entries[n]);
+    }
+
+    void stopDaemon(std::size_t n) { m_daemons[n].reset(); }
+
+    void leave(std::size_t n)
+    {
+        if (m_daemons[n]) {
+            ++m_entries[n].sequence;
+            m_entries[n].leaving = true;
+            m_daemons[n]->view.publish(m_entries[n]);
+        }
+    }
+
+    /// \returns whether daemon \p n is told to send work to the server beside daemon \p server.
+    bool sees(std::size_t n, std::size_t server) const
+    {
+        const auto& servers = m_daemons[n]->view.servers(service);
+        return std::ranges::find(servers, "d" + std::to_string(server), &ServerEntry::name) != servers.end();
+    }
+
+    std::size_t seenBy(std::size_t n) const { return m_daemons[n]->view.servers(service).size(); }
+
+    /// \returns whether every live daemon sees \p server as \p expected.
+    bool allSee(std::size_t server, bool expected) const
+    {
+        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+            if (m_daemons[n] && sees(n, server) != expected) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// \returns whether every live daemon sees just the servers of live daemons that are not leaving.
+    bool converged() const
+    {
+        for (std::size_t server = 0; server < m_daemons.size(); ++server) {
+            if (!allSee(server, m_daemons[server] && !m_entries[server].leaving)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    std::size_t attachedTo(std::size_t member) const { return m_members[member] ? m_members[member]->view.attached() : 0; }
+
+    FakeTimers timers;
+    FakeNetwork network;
+
+private:
+    struct Member {
+        Member(ViewFleet& fleet, const PeerAddress& address, std::uint64_t seed)
+            : peer(fleet.network, address)
+            , view(daemonSettings(address, members), peer, fleet.timers, seed, fleet.m_events)
+        {
+        }
+
+        FakePeer peer;
+        ControlView view;
+    };
+
+    struct Daemon {
+        Daemon(ViewFleet& fleet, const PeerAddress& address, std::uint64_t seed)
+            : peer(fleet.network, address)
+            , view(daemonSettings(address, members), peer, fleet.timers, seed, fleet.m_events)
+        {
+        }
+
+        FakePeer peer;
+        DaemonView view;
+    };
+
+    NoEvents m_events;
+    Random m_random;
+    std::vector<std::unique_ptr<Member>> m_members;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::vector<ServerEntry> m_entries;
+};
+
+constexpr std::size_t daemons = 12;
+
+void disturb(ViewFleet& fleet, Random& random)
+{
+    const auto what = uniform(random);
+    const auto member = random() % members.size();
+    const auto daemon = random() % daemons;
+    if (what < 0.1) {
+        fleet.startMember(member);
+    } else if (what < 0.2) {
+        fleet.stopMember(member);
+    } else if (what < 0.4) {
+        fleet.startDaemon(daemon);
+    } else if (what < 0.5) {
+        fleet.stopDaemon(daemon);
+    } else if (what < 0.7) {
+        fleet.leave(daemon);
+    } else if (what < 0.8) {
+        fleet.network.cut("d" + std::to_string(daemon), members[member]);
+    } else if (what < 0.85) {
+        fleet.network.cut(members[member], members[random() % members.size()]);
+    } else {
+        fleet.network.healAll();
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(view)
+
+BOOST_DATA_TEST_CASE(viewsConvergeAfterAnyFaults, boost::unit_test::data::xrange(1, 41), seed)
+{
+    ViewFleet fleet(static_cast<std::uint64_t>(seed), daemons);
+    fleet.network.faults = { 1ms, 80ms, 0.15, 0.1, false };
+    Random random(static_cast<std::uint64_t>(seed));
+    for (int n = 0; n < 100; ++n) {
+        disturb(fleet, random);
+        fleet.timers.run(std::chrono::milliseconds(random() % 2000));
+    }
+    fleet.network.healAll();
+    fleet.network.faults = {};
+    for (std::size_t n = 0; n < members.size(); ++n) {
+        fleet.startMember(n); // At once: every member begins without memory.
+    }
+    fleet.timers.run(config::viewMemberGrace + 6s);
+    BOOST_TEST(fleet.converged());
+}
+
+BOOST_DATA_TEST_CASE(viewsConvergeWithLossAndWithoutRestarts, boost::unit_test::data::xrange(1, 21), seed)
+{
+    ViewFleet fleet(static_cast<std::uint64_t>(seed), daemons);
+    fleet.network.faults = { 1ms, 80ms, 0.15, 0.1, false };
+    Random random(static_cast<std::uint64_t>(seed));
+    for (int n = 0; n < 60; ++n) {
+        if (n % 3 == 0) {
+            fleet.startDaemon(random() % daemons);
+        } else {
+            fleet.leave(random() % daemons);
+        }
+        fleet.timers.run(std::chrono::milliseconds(random() % 500));
+    }
+    fleet.network.faults = {};
+    fleet.timers.run(4s);
+    BOOST_TEST(fleet.converged());
+}
+
+BOOST_AUTO_TEST_CASE(changesReachEveryDaemonWithinTwoSeconds)
+{
+    ViewFleet fleet(1, daemons);
+    fleet.timers.run(2s);
+    BOOST_TEST(fleet.converged());
+    fleet.leave(3);
+    fleet.timers.run(2s);
+    BOOST_TEST(fleet.allSee(3, false));
+    fleet.startDaemon(3);
+    fleet.timers.run(2s);
+    BOOST_TEST(fleet.allSee(3, true));
+}
+
+BOOST_AUTO_TEST_CASE(silentServerLapses)
+{
+    ViewFleet fleet(2, daemons);
+    fleet.timers.run(5s);
+    fleet.stopDaemon(5);
+    fleet.timers.run(1s);
+    BOOST_TEST(fleet.sees(0, 5));
+    fleet.timers.run(config::announcementLease + 1s);
+    BOOST_TEST(fleet.allSee(5, false));
+}
+
+BOOST_AUTO_TEST_CASE(deathOfAMemberHidesNoServer)
+{
+    ViewFleet fleet(3, daemons);
+    fleet.timers.run(10s);
+    const auto before = fleet.attachedTo(1);
+    BOOST_TEST(before > 0U);
+    fleet.stopMember(1);
+    for (int n = 0; n < 200; ++n) {
+        fleet.timers.run(100ms);
+        BOOST_TEST(fleet.converged());
+    }
+    BOOST_TEST(fleet.attachedTo(0) + fleet.attachedTo(2) == daemons);
+    fleet.leave(4);
+    fleet.timers.run(2s);
+    BOOST_TEST(fleet.allSee(4, false));
+}
+
+BOOST_AUTO_TEST_CASE(serverThatDiesWithItsMemberLapses)
+{
+    ViewFleet fleet(4, daemons);
+    fleet.timers.run(10s);
+    fleet.stopMember(1);
+    for (std::size_t n = 0; n < 6; ++n) {
+        fleet.stopDaemon(n);
+    }
+    fleet.timers.run(config::viewMemberGrace + 3s);
+    BOOST_TEST(fleet.converged());
+}
+
+BOOST_AUTO_TEST_CASE(restartedMemberDoesNotEmptyTheViewOfItsDaemons)
+{
+    ViewFleet fleet(5, daemons);
+    fleet.timers.run(10s);
+    for (std::size_t n = 0; n < members.size(); ++n) {
+        fleet.startMember(n);
+    }
+    for (int n = 0; n < 150; ++n) {
+        fleet.timers.run(100ms);
+        BOOST_TEST(fleet.converged());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lossOfAllMembersLeavesTheLastView)
+{
+    ViewFleet fleet(6, daemons);
+    fleet.timers.run(5s);
+    for (std::size_t n = 0; n < members.size(); ++n) {
+        fleet.stopMember(n);
+    }
+    fleet.timers.run(60s);
+    BOOST_TEST(fleet.converged());
+}
+
+BOOST_AUTO_TEST_CASE(memberCutOffFromTheOthersKeepsShowingTheirServers)
+{
+    ViewFleet fleet(7, daemons);
+    fleet.timers.run(10s);
+    fleet.network.cut("c0", "c1");
+    fleet.network.cut("c0", "c2");
+    fleet.timers.run(60s);
+    BOOST_TEST(fleet.seenBy(0) == daemons);
+    BOOST_TEST(fleet.attachedTo(0) > 0U);
+    fleet.network.healAll();
+    fleet.timers.run(5s);
+    BOOST_TEST(fleet.converged());
+}
+
+BOOST_AUTO_TEST_CASE(refreshOfALeaseIsNotSentOn)
+{
+    ViewFleet fleet(8, daemons);
+    fleet.timers.run(20s);
+    const auto before = fleet.network.bytesSent(MessageKind::ViewDelta);
+    fleet.timers.run(10s);
+    const auto each = (fleet.network.bytesSent(MessageKind::ViewDelta) - before) / (10 * daemons);
+    BOOST_TEST(each <= 100U); // An empty answer a second, nothing about other servers.
+}
+
+BOOST_AUTO_TEST_SUITE_END()
