Give each rank of the admission queue its own virtual time

What a workspace used while nothing waited is held against it up to four requests only.

The AIMD strategy now judges the average service time against the best average, not each run against the best run: spread alone held it at a tenth of capacity.

--- a/src/config.h
+++ b/src/config.h
@@ -81,6 +81,8 @@
 /// Bounds of the time after which a refused caller is told to ask again.
 inline constexpr milliseconds minRetryAfter { 50 };
 inline constexpr milliseconds maxRetryAfter { 5000 };
+/// Requests that a workspace can be behind its turn at most.
+inline constexpr double maxFairDebt = 4.0;
 /// Workspaces whose virtual time is remembered by one queue.
 inline constexpr std::size_t maxRememberedWorkspaces = 4096;
 
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -34,7 +34,7 @@
     auto free = running() < m_limit->current();
     if (free && m_queue.size() == 0) {
         // Nothing waits: the estimate may be wrong, so an idle slot is never left unused for it.
-        m_queue.charge(item.workspace);
+        m_queue.charge(item);
         start(item, now, now);
         return {};
     }
--- a/src/core/admission_queue.cpp
+++ b/src/core/admission_queue.cpp
@@ -28,19 +28,27 @@
     if (m_classes.empty()) {
         return std::nullopt;
     }
-    auto& best = m_classes.begin()->second;
-    auto id = leastServed(best)->second.front().item.id;
-    auto result = take(id);
-    charge(result.item.workspace);
+    auto best = m_classes.begin();
+    auto rank = best->first;
+    auto result = take(firstServed(best)->second.front().item.id);
+    auto from = startTag(rank, result.item.workspace);
+    m_clocks.at(rank).time = from;
+    pay(rank, result.item.workspace, from);
     return result;
 }
 
-void AdmissionQueue::charge(const std::string& workspace)
+void AdmissionQueue::charge(const AdmissionItem& item)
 {
-    m_virtualTime = startTag(workspace);
-    m_finishTags[workspace] = m_virtualTime + 1 / weight(workspace);
-    if (m_finishTags.size() > config::maxRememberedWorkspaces) {
-        std::erase_if(m_finishTags, [this](const auto& tag) { return tag.second <= m_virtualTime; });
+    auto rank = rankOf(item);
+    pay(rank, item.workspace, startTag(rank, item.workspace));
+}
+
+void AdmissionQueue::pay(Rank rank, const std::string& workspace, double from)
+{
+    auto& clock = m_clocks.at(rank);
+    clock.paidUntil[workspace] = from + 1 / weight(workspace);
+    if (clock.paidUntil.size() > config::maxRememberedWorkspaces) {
+        std::erase_if(clock.paidUntil, [&clock](const auto& entry) { return entry.second <= clock.time; });
     }
 }
 
@@ -53,15 +61,15 @@
     if (lowest->first > rankOf(newcomer)) {
         return std::nullopt;
     }
-    auto victims = lastServed(lowest->second);
+    auto victims = lastServed(lowest);
     if (lowest->first < rankOf(newcomer)) {
         return take(victims->second.back().item.id);
     }
     // Of equal rank: the one whose turn would come last makes room.
     auto own = lowest->second.find(newcomer.workspace);
     auto ownQueued = own == lowest->second.end() ? 0 : own->second.size();
-    auto ownTurn = startTag(newcomer.workspace) + static_cast<double>(ownQueued) / weight(newcomer.workspace);
-    if (lastTurn(*victims) <= ownTurn) {
+    auto ownTurn = startTag(lowest->first, newcomer.workspace) + static_cast<double>(ownQueued) / weight(newcomer.workspace);
+    if (lastTurn(lowest->first, *victims) <= ownTurn) {
         return std::nullopt;
     }
     return take(victims->second.back().item.id);
@@ -122,8 +130,7 @@
     auto sum = std::accumulate(m_weights.begin(), m_weights.end(), 0.0,
         [](double total, const auto& entry) { return total + entry.second; });
     m_averageWeight = m_weights.empty() ? 1 : sum / static_cast<double>(m_weights.size());
-    m_finishTags.clear();
-    m_virtualTime = 0;
+    m_clocks = {};
 }
 
 double AdmissionQueue::weight(const std::string& workspace) const
@@ -132,25 +139,32 @@
     return it == m_weights.end() ? m_averageWeight : it->second;
 }
 
-double AdmissionQueue::startTag(const std::string& workspace) const
+double AdmissionQueue::startTag(Rank rank, const std::string& workspace) const
 {
-    auto it = m_finishTags.find(workspace);
-    return it == m_finishTags.end() ? m_virtualTime : std::max(m_virtualTime, it->second);
+    const auto& clock = m_clocks.at(rank);
+    auto it = clock.paidUntil.find(workspace);
+    if (it == clock.paidUntil.end()) {
+        return clock.time;
+    }
+    // What was used while nothing had to wait is held against a workspace up to a bound only.
+    return std::clamp(it->second, clock.time, clock.time + config::maxFairDebt / weight(workspace));
 }
 
-AdmissionQueue::Class::iterator AdmissionQueue::leastServed(Class& waiting) const
+AdmissionQueue::Class::iterator AdmissionQueue::firstServed(Classes::iterator waiting) const
 {
-    return std::ranges::min_element(waiting, {}, [this](const auto& entry) { return startTag(entry.first); });
+    auto tag = [this, rank = waiting->first](const auto& entry) { return startTag(rank, entry.first); };
+    return std::ranges::min_element(waiting->second, {}, tag);
 }
 
-AdmissionQueue::Class::iterator AdmissionQueue::lastServed(Class& waiting) const
+AdmissionQueue::Class::iterator AdmissionQueue::lastServed(Classes::iterator waiting) const
 {
-    return std::ranges::max_element(waiting, {}, [this](const auto& entry) { return lastTurn(entry); });
+    auto tag = [this, rank = waiting->first](const auto& entry) { return lastTurn(rank, entry); };
+    return std::ranges::max_element(waiting->second, {}, tag);
 }
 
-double AdmissionQueue::lastTurn(const Class::value_type& entry) const
+double AdmissionQueue::lastTurn(Rank rank, const Class::value_type& entry) const
 {
-    return startTag(entry.first) + static_cast<double>(entry.second.size() - 1) / weight(entry.first);
+    return startTag(rank, entry.first) + static_cast<double>(entry.second.size() - 1) / weight(entry.first);
 }
 
 WaitingItem AdmissionQueue::take(std::uint64_t id)
--- a/src/core/admission_queue.h
+++ b/src/core/admission_queue.h
@@ -2,6 +2,7 @@
 
 #include "core/types.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -38,8 +39,8 @@
     /// \returns the next request to start, and charges its workspace.
     std::optional<WaitingItem> pop();
 
-    /// Charges \p workspace for a request that starts without waiting.
-    void charge(const std::string& workspace);
+    /// Charges the workspace of a request that starts without waiting.
+    void charge(const AdmissionItem& item);
 
     /// \returns the request to shed to make room for \p newcomer, or nothing when \p newcomer itself ranks lowest.
     std::optional<WaitingItem> displace(const AdmissionItem& newcomer);
@@ -62,7 +63,7 @@
     std::size_t size() const { return m_places.size(); }
 
 private:
-    /// Requests of one importance, nested or not, by workspace.
+    /// Requests of one rank by workspace.
     using Waiting = std::list<WaitingItem>;
     using Class = std::map<std::string, Waiting>;
     /// Rank of a class: importance first, then nested; the highest goes first.
@@ -76,13 +77,21 @@
         Waiting::iterator it;
     };
 
+    /// Virtual time of one rank, by start-time fair queueing. Each rank has its own: one that is served out of turn
+    /// because it ranks higher must not take the credit of those that wait.
+    struct FairClock {
+        double time = 0; ///< Start of the latest request that waited for its turn.
+        std::unordered_map<std::string, double> paidUntil; ///< Virtual time that a workspace has used up.
+    };
+
     static Rank rankOf(const AdmissionItem& item);
     double weight(const std::string& workspace) const;
-    double startTag(const std::string& workspace) const;
-    Class::iterator leastServed(Class& waiting) const;
-    Class::iterator lastServed(Class& waiting) const;
+    double startTag(Rank rank, const std::string& workspace) const;
+    void pay(Rank rank, const std::string& workspace, double from);
+    Class::iterator firstServed(Classes::iterator waiting) const;
+    Class::iterator lastServed(Classes::iterator waiting) const;
     /// \returns the virtual time at which the last waiting request of a workspace has its turn.
-    double lastTurn(const Class::value_type& entry) const;
+    double lastTurn(Rank rank, const Class::value_type& entry) const;
     WaitingItem take(std::uint64_t id);
 
     Classes m_classes;
@@ -90,8 +99,7 @@
     std::set<std::pair<TimePoint, std::uint64_t>> m_deadlines;
     std::map<std::string, double> m_weights;
     double m_averageWeight = 1;
-    std::unordered_map<std::string, double> m_finishTags; ///< Virtual time at which a workspace's last start is paid for.
-    double m_virtualTime = 0;
+    std::array<FairClock, 2 * static_cast<std::size_t>(Importance::Count)> m_clocks;
 };
 
 } // namespace pw
--- a/src/core/limit_aimd.cpp
+++ b/src/core/limit_aimd.cpp
@@ -1,5 +1,6 @@
 #include "config.h"
 #include "core/limit.h"
+#include "core/service_time.h"
 #include "core/windowed_minimum.h"
 
 #include <algorithm>
@@ -7,7 +8,7 @@
 namespace pw::detail {
 namespace {
 
-    /// Adds while the service time stays near the best seen lately, multiplies down when it does not.
+    /// Adds while the average service time stays near the best one lately, multiplies down when it does not.
     class AimdLimit : public Limit {
     public:
         explicit AimdLimit(const LimitSettings& settings)
@@ -22,9 +23,10 @@
         void learn(const LimitSample& sample, TimePoint now) override
         {
             if (sample.outcome == RunOutcome::Ok) {
-                m_best.add(sample.serviceTime, now);
+                m_recent.add(sample.serviceTime, now);
+                m_best.add(m_recent.estimate(now), now);
             }
-            if (tooSlow(sample)) {
+            if (tooSlow(sample, now)) {
                 decrease(sample, now);
             } else if (limitInUse(sample)) {
                 m_limit = std::min(capacity(), m_limit + 1 / m_limit);
@@ -32,9 +34,9 @@
         }
 
     private:
-        bool tooSlow(const LimitSample& sample) const
+        bool tooSlow(const LimitSample& sample, TimePoint now) const
         {
-            return sample.outcome != RunOutcome::Ok || sample.serviceTime > config::limitLatencyTolerance * m_best.value();
+            return sample.outcome != RunOutcome::Ok || m_recent.estimate(now) > config::limitLatencyTolerance * m_best.value();
         }
 
         void decrease(const LimitSample& sample, TimePoint now)
@@ -49,6 +51,7 @@
 
         double m_limit;
         TimePoint m_nextDecrease {};
+        ServiceTime m_recent;
         WindowedMinimum m_best { config::limitBaselineWindow };
     };
 
