Let each workspace keep one request waiting

A workspace that sends seldom was refused when the short queue was full of requests whose turn came earlier, and had nothing waiting when its own turn came. Up to the burst bound, the first waiting request of a workspace now fits, and is not displaced by one of its own rank.

--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -42,14 +42,9 @@
         noteShed(item.importance, now);
         return { AdmissionOutcome::Refused, refusal(Reason::Overloaded, now) };
     }
-    if (m_queue.size() >= queueBound()) {
-        auto victim = m_queue.displace(item);
-        if (!victim) {
-            noteShed(item.importance, now);
-            return { AdmissionOutcome::Refused, refusal(Reason::Overloaded, now) };
-        }
-        noteShed(victim->item.importance, now);
-        m_shed.push_back({ victim->item.id, refusal(Reason::Overloaded, now) });
+    if (m_queue.size() >= queueBound(m_standing) && !makeRoom(item, now)) {
+        noteShed(item.importance, now);
+        return { AdmissionOutcome::Refused, refusal(Reason::Overloaded, now) };
     }
     m_queue.push(item, now);
     return { AdmissionOutcome::Queued, {} };
@@ -151,10 +146,21 @@
     return scaled(m_serviceTime.estimate(now), turns);
 }
 
-std::size_t Admission::queueBound() const
+bool Admission::makeRoom(const AdmissionItem& item, TimePoint now)
+{
+    if (auto victim = m_queue.displace(item)) {
+        noteShed(victim->item.importance, now);
+        m_shed.push_back({ victim->item.id, refusal(Reason::Overloaded, now) });
+        return true;
+    }
+    // A workspace that sends seldom needs one request waiting to be there when its turn comes.
+    return !m_queue.waits(item) && m_queue.size() < queueBound(false);
+}
+
+std::size_t Admission::queueBound(bool standing) const
 {
-    auto share = m_standing ? config::standingQueueShare : config::queueLimitShare;
-    auto least = m_standing ? config::minStandingQueue : config::minQueueBound;
+    auto share = standing ? config::standingQueueShare : config::queueLimitShare;
+    auto least = standing ? config::minStandingQueue : config::minQueueBound;
     return std::max(least, static_cast<std::size_t>(std::ceil(m_limit->current() * share)));
 }
 
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -95,7 +95,8 @@
     void start(const AdmissionItem& item, TimePoint queuedAt, TimePoint now);
     bool canFinish(const AdmissionItem& item, Duration wait, TimePoint now) const;
     Duration expectedWait(const AdmissionItem& item, TimePoint now) const;
-    std::size_t queueBound() const;
+    bool makeRoom(const AdmissionItem& item, TimePoint now);
+    std::size_t queueBound(bool standing) const;
     void watchQueue(TimePoint now);
     Refusal refusal(Reason reason, TimePoint now) const;
     void noteShed(Importance importance, TimePoint now);
--- a/src/core/admission_queue.cpp
+++ b/src/core/admission_queue.cpp
@@ -61,11 +61,14 @@
     if (lowest->first > rankOf(newcomer)) {
         return std::nullopt;
     }
-    auto victims = lastServed(lowest);
     if (lowest->first < rankOf(newcomer)) {
-        return take(victims->second.back().item.id);
+        return take(lastServed(lowest, 1)->second.back().item.id);
+    }
+    // Of equal rank: the one whose turn would come last makes room, but a workspace keeps one that waits for its turn.
+    auto victims = lastServed(lowest, 2);
+    if (victims == lowest->second.end()) {
+        return std::nullopt;
     }
-    // Of equal rank: the one whose turn would come last makes room.
     auto own = lowest->second.find(newcomer.workspace);
     auto ownQueued = own == lowest->second.end() ? 0 : own->second.size();
     auto ownTurn = startTag(lowest->first, newcomer.workspace) + static_cast<double>(ownQueued) / weight(newcomer.workspace);
@@ -75,6 +78,12 @@
     return take(victims->second.back().item.id);
 }
 
+bool AdmissionQueue::waits(const AdmissionItem& item) const
+{
+    auto it = m_classes.find(rankOf(item));
+    return it != m_classes.end() && it->second.contains(item.workspace);
+}
+
 bool AdmissionQueue::erase(std::uint64_t id)
 {
     if (!m_places.contains(id)) {
@@ -156,10 +165,16 @@
     return std::ranges::min_element(waiting->second, {}, tag);
 }
 
-AdmissionQueue::Class::iterator AdmissionQueue::lastServed(Classes::iterator waiting) const
+AdmissionQueue::Class::iterator AdmissionQueue::lastServed(Classes::iterator waiting, std::size_t least) const
 {
-    auto tag = [this, rank = waiting->first](const auto& entry) { return lastTurn(rank, entry); };
-    return std::ranges::max_element(waiting->second, {}, tag);
+    auto result = waiting->second.end();
+    for (auto it = waiting->second.begin(); it != waiting->second.end(); ++it) {
+        auto later = result == waiting->second.end() || lastTurn(waiting->first, *it) > lastTurn(waiting->first, *result);
+        if (it->second.size() >= least && later) {
+            result = it;
+        }
+    }
+    return result;
 }
 
 double AdmissionQueue::lastTurn(Rank rank, const Class::value_type& entry) const
--- a/src/core/admission_queue.h
+++ b/src/core/admission_queue.h
@@ -45,6 +45,9 @@
     /// \returns the request to shed to make room for \p newcomer, or nothing when \p newcomer itself ranks lowest.
     std::optional<WaitingItem> displace(const AdmissionItem& newcomer);
 
+    /// \returns whether a request of the same rank and workspace as \p item waits.
+    bool waits(const AdmissionItem& item) const;
+
     /// Removes a request. \returns whether it was there.
     bool erase(std::uint64_t id);
 
@@ -89,7 +92,8 @@
     double startTag(Rank rank, const std::string& workspace) const;
     void pay(Rank rank, const std::string& workspace, double from);
     Class::iterator firstServed(Classes::iterator waiting) const;
-    Class::iterator lastServed(Classes::iterator waiting) const;
+    /// \returns the workspace whose last request has the last turn, of those with at least \p least waiting.
+    Class::iterator lastServed(Classes::iterator waiting, std::size_t least) const;
     /// \returns the virtual time at which the last waiting request of a workspace has its turn.
     double lastTurn(Rank rank, const Class::value_type& entry) const;
     WaitingItem take(std::uint64_t id);
--- a/tools/measure-overload/cases.cpp
+++ b/tools/measure-overload/cases.cpp
@@ -142,6 +142,13 @@
 
     auto length = std::chrono::duration<double>(times.measured).count();
     const auto& counts = callers.counts();
+    if (getenv("SERIES"))
+        for (size_t r = 0; r < ideal.size(); ++r) {
+            fprintf(stderr, "%.1f %-14s", factor, deployment.routes[r].name.c_str());
+            for (size_t w = 0; w < 8; ++w)
+                fprintf(stderr, " %6.0f/%6.0f/%6.0f", counts.whole[r][w], ideal[r][w] * length, counts.sent[r][w]);
+            fprintf(stderr, "\n");
+        }
     Figures figures;
     fillTotals(figures, world);
     fillCritical(figures, deployment, counts, demand, ideal);
