Halve the least standing queue

History reads that waited in front of the saturated archive held slots of the price guide. At 16 slots two waiting requests keep the archive as busy as four.

--- a/src/config.h
+++ b/src/config.h
@@ -75,7 +75,7 @@
 inline constexpr milliseconds standingQueueMemory { 500 };
 /// Waiting requests in a standing queue, for each one that may run, and at least.
 inline constexpr double standingQueueShare = 0.125;
-inline constexpr std::size_t minStandingQueue = 4;
+inline constexpr std::size_t minStandingQueue = 2;
 /// Interval over which the admission floor is judged.
 inline constexpr milliseconds admissionInterval { 100 };
 /// Bounds of the time after which a refused caller is told to ask again.
