--- a/tests/unit/context_table_test.cpp
+++ b/tests/unit/context_table_test.cpp
@@ -1,6 +1,6 @@
+#include "../../tools/measure-retries/chain.h"
 #include "config.h"
 #include "core/context_table.h"
-#include "core/retry.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -146,86 +146,23 @@
     BOOST_TEST(table.close(token, now).attemptsUnused == 5U);
 }
 
-namespace {
-
-/// A chain of services, each calling the next once, in which every attempt may fail at every hop.
-class Chain {
-public:
-    Chain(std::uint64_t seed, double failure, std::size_t depth)
-        : m_random(seed)
-        , m_failure(failure)
-        , m_policies(depth)
-    {
-        for (std::size_t n = 0; n < depth; ++n) {
-            m_tables.emplace_back(seeded(seed + n));
-        }
-    }
-
-    /// Calls hop \p depth with \p attempts, the first one included. \returns whether the answer is whole.
-    bool callHop(std::uint8_t depth, std::uint32_t attempts, std::uint32_t& unused)
-    {
-        auto left = attempts;
-        for (std::uint32_t tries = 1;; ++tries) {
-            --left;
-            auto whole = attempt(depth, left);
-            if (whole) {
-                m_policies[depth].onWhole();
-            }
-            pw::RetryQuestion question { { pw::Verdict::NotRun, Reason::Unreachable, {} }, true, left, 1s, tries };
-            if (whole || !m_policies[depth].next(question, m_random)) {
-                unused = left;
-                return whole;
-            }
-        }
-    }
-
-    std::uint64_t runs() const { return m_runs; }
-
-private:
-    bool attempt(std::uint8_t depth, std::uint32_t& left)
-    {
-        ++m_runs;
-        if (pw::uniform(m_random) < m_failure) {
-            return false;
-        }
-        if (depth + 1U == m_tables.size()) {
-            return true;
-        }
-        auto& table = m_tables[depth];
-        auto token = table.open(call(left, depth), now);
-        auto nested = table.beginNested(token, now);
-        auto whole = false;
-        if (nested.grant) {
-            std::uint32_t unused = 0;
-            whole = callHop(static_cast<std::uint8_t>(depth + 1), nested.grant->attempts, unused);
-            table.endNested(token, unused, "next", nullptr, now);
-        }
-        left = table.close(token, now).attemptsUnused;
-        return whole;
-    }
-
-    pw::Random m_random;
-    double m_failure;
-    std::vector<pw::RetryPolicy> m_policies;
-    std::vector<pw::ContextTable> m_tables;
-    std::uint64_t m_runs = 0;
-};
-
-} // namespace
-
 BOOST_DATA_TEST_CASE(aChainEightDeepStaysWithinTheBudgetOfItsRoot, data::xrange(0, 10) * data::make({ 0.0, 0.05, 0.3, 0.9 }), seed, failure)
 {
     constexpr std::uint32_t budget = pw::config::defaultAttemptBudget;
-    Chain chain(static_cast<std::uint64_t>(seed), failure, 8);
+    pw::measure::Chain chain(static_cast<std::uint64_t>(seed), std::vector<double>(8, failure), pw::measure::ChainRetries::Budget);
     auto whole = 0;
+    std::uint64_t calls = 0;
+    std::uint64_t attempts = 0;
     for (auto n = 0; n < 500; ++n) {
-        auto before = chain.runs();
-        std::uint32_t unused = 0;
-        whole += chain.callHop(0, budget, unused) ? 1 : 0;
-        BOOST_TEST(chain.runs() - before <= budget);
-        BOOST_TEST(chain.runs() - before + unused == budget);
+        auto result = chain.send(budget);
+        whole += result.whole ? 1 : 0;
+        calls += result.calls;
+        attempts += result.attempts;
+        BOOST_TEST(result.attempts <= budget);
+        BOOST_TEST(result.attempts + result.unused == budget);
     }
     BOOST_TEST((failure > 0 || whole == 500));
+    BOOST_TEST(static_cast<double>(attempts) <= 1.1 * static_cast<double>(calls));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
