--- a/src/config.h
+++ b/src/config.h
@@ -89,12 +89,14 @@
 inline constexpr milliseconds standingQueueMemory { 500 };
 /// Waiting requests in a standing queue, for each one that may run, and at least.
 inline constexpr double standingQueueShare = 0.125;
-inline constexpr std::size_t minStandingQueue = 4;
+inline constexpr std::size_t minStandingQueue = 2;
 /// Interval over which the admission floor is judged.
 inline constexpr milliseconds admissionInterval { 100 };
 /// Bounds of the time after which a refused caller is told to ask again.
 inline constexpr milliseconds minRetryAfter { 50 };
 inline constexpr milliseconds maxRetryAfter { 5000 };
+/// Requests that a workspace can be behind its turn at most.
+inline constexpr double maxFairDebt = 4.0;
 /// Workspaces whose virtual time is remembered by one queue.
 inline constexpr std::size_t maxRememberedWorkspaces = 4096;
 
