--- a/tests/unit/support/fake_network.h
+++ b/tests/unit/support/fake_network.h
@@ -47,10 +47,12 @@
     bool runUntil(const std::function<bool()>& done, Duration limit, Duration step = std::chrono::milliseconds(1))
     {
         const auto end = m_now + limit;
-        while (!done() && m_now < end) {
+        auto holds = done();
+        while (!holds && m_now < end) {
             run(step);
+            holds = done();
         }
-        return done();
+        return holds;
     }
 
 private:
