--- a/tools/pistachiowheeld/main.cpp
+++ b/tools/pistachiowheeld/main.cpp
@@ -1,4 +1,146 @@
-int main()
+#include "adapters/event_log_easylogging.h"
+#include "adapters/libevent_util.h"
+#include "adapters/timers_libevent.h"
+#include "app/daemon.h"
+#include "app/secret_file.h"
+#include "app/settings.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+constexpr int exitRefused = 1; ///< Settings, secrets, ports or data folder are not usable.
+constexpr int exitUsage = 2; ///< The command line is not understood.
+constexpr int exitCutShort = 3; ///< A second signal ended the daemon before its planned stop did.
+
+struct Arguments {
+    std::string config;
+    bool checkOnly = false;
+};
+
+std::optional<Arguments> parseArguments(int argc, char** argv)
 {
+    cxxopts::Options options("pistachiowheeld", "Overload control daemon. Its roles come from its settings; see docs/SETTINGS.md.");
+    options.add_options()("config", "settings file (YAML)", cxxopts::value<std::string>(), "FILE");
+    options.add_options()("check", "check the settings and exit");
+    options.add_options()("help", "show this text");
+    try {
+        auto parsed = options.parse(argc, argv);
+        if (parsed.count("help")) {
+            std::cout << options.help() << "\nExit codes: 0 stopped as planned, 1 refused to start, 2 usage, 3 stop cut short.\n";
+            std::exit(0);
+        }
+        if (parsed.count("config") == 1 && parsed.unmatched().empty()) {
+            return Arguments { parsed["config"].as<std::string>(), parsed.count("check") > 0 };
+        }
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << "pistachiowheeld: " << error.what() << '\n';
+    }
+    std::cerr << "usage: pistachiowheeld --config FILE [--check]\n";
+    return std::nullopt;
+}
+
+pw::Level levelNamed(const std::string& name)
+{
+    constexpr std::array<std::string_view, 4> names { "debug", "info", "warning", "error" };
+    const auto* it = std::ranges::find(names, name);
+    return it == names.end() ? pw::Level::Info : static_cast<pw::Level>(it - names.begin());
+}
+
+/// Turns SIGTERM and SIGINT into a planned stop, a second one into the end.
+class StopSignals {
+public:
+    StopSignals(event_base* base, pw::Daemon& daemon)
+        : m_daemon(daemon)
+    {
+        constexpr std::array<int, 2> numbers { SIGTERM, SIGINT };
+        std::ranges::transform(numbers, m_events.begin(), [&](int number) {
+            pw::detail::EventPtr signal(evsignal_new(base, number, onSignal, this));
+            event_add(signal.get(), nullptr);
+            return signal;
+        });
+    }
+
+private:
+    static void onSignal(evutil_socket_t, short, void* argument)
+    {
+        auto* self = static_cast<StopSignals*>(argument);
+        if (self->m_seen) {
+            std::_Exit(exitCutShort);
+        }
+        self->m_seen = true;
+        self->m_daemon.stop();
+    }
+
+    pw::Daemon& m_daemon;
+    bool m_seen = false;
+    std::array<pw::detail::EventPtr, 2> m_events;
+};
+
+int refused(const std::string& reason)
+{
+    std::cerr << "pistachiowheeld: " << reason << '\n';
+    return exitRefused;
+}
+
+std::optional<pw::Secrets> readSecrets(const pw::Settings& settings, std::string& reason)
+{
+    auto fleet = pw::readSecretFile(settings.fleetSecretFile, reason);
+    if (!fleet) {
+        return std::nullopt;
+    }
+    pw::Secrets secrets { std::move(*fleet), {} };
+    if (!settings.operatorSecretFile.empty()) {
+        auto operators = pw::readSecretFile(settings.operatorSecretFile, reason);
+        if (!operators) {
+            return std::nullopt;
+        }
+        secrets.operators = std::move(*operators);
+    }
+    return secrets;
+}
+
+int run(const pw::Settings& settings, pw::Secrets secrets)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    pw::detail::BasePtr base(event_base_new());
+    pw::TimersLibevent timers(base.get());
+    pw::EasyloggingEventLog log({ levelNamed(settings.logLevel), settings.logFile, settings.decisionSampling }, &timers);
+    std::string reason;
+    if (!log.open(reason)) {
+        return refused(reason);
+    }
+    pw::Daemon daemon(base.get(), timers, log, settings, std::move(secrets));
+    if (!daemon.init(reason)) {
+        log.flush();
+        return refused(reason);
+    }
+    StopSignals signals(base.get(), daemon);
+    event_base_dispatch(base.get());
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto arguments = parseArguments(argc, argv);
+    if (!arguments) {
+        return exitUsage;
+    }
+    std::string reason;
+    auto settings = pw::loadSettings(arguments->config, reason);
+    if (!settings) {
+        return refused(reason);
+    }
+    auto secrets = readSecrets(*settings, reason);
+    if (!secrets) {
+        return refused(reason);
+    }
+    return arguments->checkOnly ? 0 : run(*settings, std::move(*secrets));
+}
