Bound the connections of callers by the open files of a daemon

Cause: memory must stay bounded however many callers connect, and the HTTP library gives no hook for the end of a connection that could be counted. Ruled out: closing callbacks (set only after the first request), a filtering bufferevent (another layer for each byte). A daemon now counts its open files four times a second and leaves new callers in the system's queue while there are too many. Test: pauses once above the bound, resumes once below.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -135,6 +135,15 @@
     }
 }
 
+void HttpServer::pauseListening(bool pause)
+{
+    if (!m_socket) {
+        return;
+    }
+    auto* listener = evhttp_bound_socket_get_listener(m_socket);
+    pause ? evconnlistener_disable(listener) : evconnlistener_enable(listener);
+}
+
 void HttpServer::shutdown()
 {
     std::ranges::for_each(m_pending, [](HttpExchange* it) { it->m_raw = nullptr; });
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -71,6 +71,8 @@
     void leave() { m_leaving = true; }
     /// Takes no new connections; open ones go on.
     void stopListening();
+    /// Pauses or resumes taking new connections; they wait in the system's queue meanwhile.
+    void pauseListening(bool pause);
     /// Closes every connection.
     void shutdown();
 
--- a/src/app/caller_edge.h
+++ b/src/app/caller_edge.h
@@ -24,6 +24,8 @@
     bool init(const std::string& address, std::string& reason);
     /// Asks callers to go elsewhere with every answer.
     void leave() { m_http.leave(); }
+    /// Leaves new connections waiting while the daemon has too many open.
+    void pauseListening(bool pause) { m_http.pauseListening(pause); }
     /// Takes no new connections.
     void stopListening() { m_http.stopListening(); }
     void shutdown() { m_http.shutdown(); }
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -4,6 +4,7 @@
 #include "adapters/log_storage_file.h"
 #include "app/backend_edge.h"
 #include "app/caller_edge.h"
+#include "app/connection_bound.h"
 #include "app/control_services.h"
 #include "app/control_session.h"
 #include "app/daemon_claims.h"
@@ -89,7 +90,15 @@
     m_claims = std::make_unique<DaemonClaims>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log);
     m_callerEdge = std::make_unique<CallerEdge>(m_base, m_timers, m_log, *m_session, *m_grants, *m_claims, *m_dispatcher);
     m_callerEdge->finished().connect([this](const RequestRecord& record) { m_metrics->count(record); });
-    return m_callerEdge->init(m_settings.callerAddress, reason);
+    if (!m_callerEdge->init(m_settings.callerAddress, reason)) {
+        return false;
+    }
+    // Some files stay free for links and for the backend server.
+    auto files = raiseOpenFileLimit(config::maxOpenFiles + config::reservedOpenFiles);
+    auto limit = files - std::min(files / 2, config::reservedOpenFiles);
+    m_connectionBound = std::make_unique<ConnectionBound>(m_timers, m_log, limit, countOpenFiles,
+        [this](bool pause) { m_callerEdge->pauseListening(pause); });
+    return true;
 }
 
 bool Daemon::makeOperatorPort(std::string& reason)
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -15,6 +15,7 @@
 class BackendEdge;
 class CallTransport;
 class CallerEdge;
+class ConnectionBound;
 class ControlServices;
 class ControlSession;
 class DaemonClaims;
@@ -79,6 +80,7 @@
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<BackendEdge> m_backendEdge;
     std::unique_ptr<CallerEdge> m_callerEdge;
+    std::unique_ptr<ConnectionBound> m_connectionBound;
     std::unique_ptr<DaemonMetrics> m_metrics;
     std::unique_ptr<DaemonReporter> m_reporter;
     std::unique_ptr<OperatorControl> m_operatorControl;
--- a/src/config.h
+++ b/src/config.h
@@ -17,8 +17,12 @@
 inline constexpr std::size_t maxFrameBytes = 4 * 1024 * 1024;
 /// Unsent bytes on one link between daemons above which new messages are dropped.
 inline constexpr std::size_t maxLinkBacklogBytes = 16 * 1024 * 1024;
-/// Concurrent caller connections of one daemon.
-inline constexpr std::size_t maxCallerConnections = 4096;
+/// Open files of one daemon, nearly all of them connections, above which it takes no new caller connections.
+inline constexpr std::size_t maxOpenFiles = 6000;
+/// Open files kept free for links between daemons and for the backend server.
+inline constexpr std::size_t reservedOpenFiles = 500;
+/// Interval at which a daemon counts its open files.
+inline constexpr milliseconds openFilesInterval { 250 };
 /// Time a caller has to send a whole request, and an idle connection stays open.
 inline constexpr milliseconds callerIdleTimeout { 30000 };
 /// Time to connect to another daemon and to prove the fleet's secret.
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -15,6 +15,7 @@
         { 201, "link-closed", Level::Debug, false },
         { 202, "link-refused", Level::Warning, false },
         { 203, "frame-refused", Level::Warning, false },
+        { 204, "connections-bounded", Level::Warning, false },
         { 300, "request-refused", Level::Info, true },
         { 301, "request-done", Level::Debug, true },
         { 302, "route-decision", Level::Info, true },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -30,6 +30,7 @@
     LinkClosed,
     LinkRefused,
     FrameRefused,
+    ConnectionsBounded,
     RequestRefused,
     RequestDone,
     RouteDecision,
--- /dev/null
+++ b/tests/unit/connection_bound_test.cpp
@@ -0,0 +1,33 @@
+#include "app/connection_bound.h"
+#include "support/fake_network.h"
+#include "support/fleet_fakes.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+BOOST_AUTO_TEST_SUITE(ConnectionBounds)
+
+BOOST_AUTO_TEST_CASE(callersWaitOnlyWhileTooManyFilesAreOpen)
+{
+    pw::test::FakeTimers timers;
+    pw::test::NoEvents log;
+    std::size_t open = 9;
+    std::vector<bool> pauses;
+    pw::ConnectionBound bound(
+        timers, log, 10, [&] { return open; }, [&](bool pause) { pauses.push_back(pause); });
+    timers.run(std::chrono::seconds(1));
+    BOOST_TEST(pauses.empty());
+    open = 10;
+    timers.run(std::chrono::seconds(1));
+    open = 3;
+    timers.run(std::chrono::seconds(1));
+    BOOST_TEST((pauses == std::vector { true, false }));
+}
+
+BOOST_AUTO_TEST_CASE(thisProcessHasOpenFiles)
+{
+    BOOST_TEST(pw::countOpenFiles() >= 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
