Spend retries on failures rather than on overload

A retry of a request that a server shed costs three retries of the bucket, and each whole answer earns 0.09 of one instead of 0.05. Once a route's siblings are known, nothing of the budget is held back from a single child; before, a chain eight deep had one attempt left at its end and no retry.

--- a/src/config.h
+++ b/src/config.h
@@ -128,11 +128,13 @@
 inline constexpr double maxSlowFactor = 8.0;
 
 /// Retries earned by each whole answer.
-inline constexpr double retryRatio = 0.05;
+inline constexpr double retryRatio = 0.09;
 /// Retries that can be saved up.
 inline constexpr double maxRetryTokens = 10.0;
 /// Retries that a daemon starts with.
 inline constexpr double initialRetryTokens = 3.0;
+/// Price of a retry after a server shed the request, in retries.
+inline constexpr double overloadedRetryCost = 3.0;
 /// First and longest backoff before a retry.
 inline constexpr milliseconds minRetryBackoff { 5 };
 inline constexpr milliseconds maxRetryBackoff { 250 };
@@ -141,10 +143,10 @@
 /// Share of the time left that a backoff may use.
 inline constexpr double maxBackoffShare = 0.25;
 
-/// Part of a running request's attempts that is kept back from each nested call for its siblings.
+/// Part of a running request's attempts that is kept back for siblings while its route's are not known.
 inline constexpr double siblingReserveShare = 0.25;
 /// Weight of a new sample in the number of nested calls that a route makes at once.
-inline constexpr double siblingMemoryWeight = 0.02;
+inline constexpr double siblingMemoryWeight = 0.005;
 /// Routes whose nested calls are remembered by one context table.
 inline constexpr std::size_t maxRememberedRoutes = 1024;
 
--- a/src/core/context_table.cpp
+++ b/src/core/context_table.cpp
@@ -123,11 +123,14 @@
 std::uint32_t ContextTable::shareOf(const Context& context) const
 {
     auto known = m_parallel.find(context.base.route);
-    auto expected = known == m_parallel.end() ? 1.0 : known->second;
-    auto still = std::max(1.0, std::round(expected) - context.active);
-    auto reserve = static_cast<std::uint32_t>(context.remaining * config::siblingReserveShare);
-    auto even = static_cast<std::uint32_t>(std::ceil(context.remaining / still));
-    return std::clamp(context.remaining - reserve, 1U, std::max(1U, even));
+    if (known == m_parallel.end()) {
+        // Nothing is known of siblings: some of the budget is kept back in case they come.
+        auto reserve = static_cast<std::uint32_t>(context.remaining * config::siblingReserveShare);
+        return std::max(1U, context.remaining - reserve);
+    }
+    auto expected = static_cast<std::uint32_t>(std::lround(known->second));
+    auto others = expected > context.active ? expected - context.active - 1 : 0;
+    return std::max(1U, context.remaining / (others + 1));
 }
 
 void ContextTable::remember(const std::string& route, std::uint32_t parallel)
--- a/src/core/retry.cpp
+++ b/src/core/retry.cpp
@@ -37,16 +37,18 @@
 
 std::optional<Duration> RetryPolicy::next(const RetryQuestion& question, Random& random)
 {
+    // An overloaded service is the likeliest to refuse again: most of the retries are kept for failures.
+    auto cost = question.last.reason == Reason::Overloaded ? config::overloadedRetryCost : 1.0;
     auto safe = question.last.verdict == Verdict::NotRun || question.idempotent;
     auto allowed = question.attemptsLeft > 0 && question.tries < config::maxTriesPerHop;
-    if (!safe || !allowed || m_tokens < 1 || !retryCanHelp(question.last.reason)) {
+    if (!safe || !allowed || m_tokens < cost || !retryCanHelp(question.last.reason)) {
         return std::nullopt;
     }
     auto wait = backoff(question, random);
     if (wait > question.timeLeft * config::maxBackoffShare) {
         return std::nullopt;
     }
-    m_tokens -= 1;
+    m_tokens -= cost;
     return wait;
 }
 
