Test the data folder against torn tails, damage and lost files

Measured: a torn last append and an unwritten sector are repaired; damage in the middle, in a synced last record, in the vote, and missing files are refused with the file's name; one writer holds the folder.

--- /dev/null
+++ b/tests/unit/log_storage_file_test.cpp
@@ -0,0 +1,223 @@
+#include "adapters/log_storage_file.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <ranges>
+
+namespace {
+
+namespace fs = std::filesystem;
+namespace data = boost::unit_test::data;
+
+/// A folder of its own for one test.
+struct Folder {
+    Folder()
+    {
+        std::string name = (fs::temp_directory_path() / "pw-log-XXXXXX").string();
+        BOOST_REQUIRE(mkdtemp(name.data()));
+        path = name;
+    }
+    ~Folder() { fs::remove_all(path); }
+    Folder(const Folder&) = delete;
+    Folder& operator=(const Folder&) = delete;
+
+    std::optional<pw::StoredLog> open(std::string* reason = nullptr) const
+    {
+        pw::Random random(7);
+        pw::LogStorageFile storage(path);
+        auto stored = storage.open(random);
+        if (reason) {
+            *reason = storage.lastReason();
+        }
+        return stored;
+    }
+
+    fs::path path;
+};
+
+pw::LogEntry entryOf(std::uint64_t index, std::uint64_t term)
+{
+    return { index, term, pw::EntryKind::Change, "entry " + std::to_string(index) + std::string(700, 'x'), {} };
+}
+
+std::vector<pw::LogEntry> entriesOf(std::uint64_t first, std::uint64_t last, std::uint64_t term)
+{
+    std::vector<pw::LogEntry> result;
+    std::ranges::transform(std::views::iota(first, last + 1), std::back_inserter(result),
+        [term](std::uint64_t index) { return entryOf(index, term); });
+    return result;
+}
+
+/// Fills a folder with a vote and ten entries, each appended on its own.
+void fill(const Folder& folder)
+{
+    pw::Random random(7);
+    pw::LogStorageFile storage(folder.path);
+    const auto stored = storage.open(random);
+    BOOST_REQUIRE(stored);
+    BOOST_REQUIRE(storage.saveVote({ stored->vote.identity, 5, 2, 9 }));
+    for (const auto& it : entriesOf(1, 10, 1)) {
+        BOOST_REQUIRE(storage.append(std::span(&it, 1)));
+    }
+}
+
+void overwrite(const fs::path& file, std::uint64_t offset, std::string_view bytes)
+{
+    std::fstream stream(file, std::ios::in | std::ios::out | std::ios::binary);
+    stream.seekp(static_cast<std::streamoff>(offset));
+    stream.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+}
+
+/// What a crash or a fault did to a file, and what opening the folder must come to.
+struct Damage {
+    const char* file;
+    double at; ///< Part of the file's size.
+    std::int64_t truncateBy; ///< Bytes cut from the end; zero overwrites at the place instead.
+    bool opens;
+    std::size_t entries; ///< When it opens.
+};
+
+std::ostream& operator<<(std::ostream& stream, const Damage& damage)
+{
+    return stream << damage.file << " at " << damage.at << " cut " << damage.truncateBy;
+}
+
+const Damage damages[] {
+    { "log", 0, 1, true, 9 }, // A torn payload.
+    { "log", 0, 730, true, 9 },
+    { "log", 0.5, 0, false, 0 }, // The middle.
+    { "log", 0.01, 0, false, 0 }, // The base record.
+    { "log", 0.97, 0, false, 0 }, // The last record, whole in length: it was synced.
+    { "vote", 0.5, 0, false, 0 },
+    { "vote", 0, 8, false, 0 },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LogStorageFile)
+
+BOOST_AUTO_TEST_CASE(keepsVoteEntriesAndIdentity)
+{
+    const Folder folder;
+    const auto first = folder.open();
+    BOOST_REQUIRE(first);
+    BOOST_TEST(first->vote.identity != 0U);
+    fill(folder);
+    const auto stored = folder.open();
+    BOOST_REQUIRE(stored);
+    BOOST_TEST((stored->vote == pw::VoteRecord { first->vote.identity, 5, 2, 9 }));
+    BOOST_TEST((stored->entries == entriesOf(1, 10, 1)));
+    BOOST_TEST(stored->tornBytes == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(replacesEntriesAndCompacts)
+{
+    const Folder folder;
+    fill(folder);
+    {
+        pw::Random random(1);
+        pw::LogStorageFile storage(folder.path);
+        BOOST_REQUIRE(storage.open(random));
+        BOOST_TEST(storage.append(entriesOf(8, 12, 2)));
+        BOOST_TEST(storage.saveSnapshot({ 7, 1, {}, "state" }, entriesOf(8, 12, 2)));
+        BOOST_TEST(storage.append(entriesOf(13, 13, 2)));
+    }
+    const auto stored = folder.open();
+    BOOST_REQUIRE(stored);
+    BOOST_TEST(stored->snapshot.index == 7U);
+    BOOST_TEST((stored->entries == entriesOf(8, 13, 2)));
+}
+
+BOOST_AUTO_TEST_CASE(crashBetweenSnapshotAndLogLeavesNoOldEntries)
+{
+    const Folder folder;
+    fill(folder);
+    const auto oldLog = folder.path / "old";
+    fs::copy_file(folder.path / "log", oldLog);
+    {
+        pw::Random random(1);
+        pw::LogStorageFile storage(folder.path);
+        BOOST_REQUIRE(storage.open(random));
+        BOOST_TEST(storage.saveSnapshot({ 20, 3, {}, "installed" }, {}));
+    }
+    fs::rename(oldLog, folder.path / "log");
+    for (auto n = 0; n < 2; ++n) {
+        const auto stored = folder.open();
+        BOOST_REQUIRE(stored);
+        BOOST_TEST(stored->snapshot.index == 20U);
+        BOOST_TEST(stored->entries.empty());
+    }
+}
+
+BOOST_DATA_TEST_CASE(damageIsRepairedOnlyWhereItIsATornAppend, data::make(damages))
+{
+    const Folder folder;
+    fill(folder);
+    const auto file = folder.path / sample.file;
+    const auto size = fs::file_size(file);
+    if (sample.truncateBy > 0) {
+        fs::resize_file(file, size - static_cast<std::uint64_t>(sample.truncateBy));
+    } else {
+        overwrite(file, static_cast<std::uint64_t>(static_cast<double>(size) * sample.at), "\xff\xfe\xfd");
+    }
+    std::string reason;
+    const auto stored = folder.open(&reason);
+    BOOST_TEST(stored.has_value() == sample.opens);
+    if (stored) {
+        BOOST_TEST(stored->entries.size() == sample.entries);
+        BOOST_TEST(stored->tornBytes > 0U);
+    } else {
+        BOOST_TEST(reason.find(sample.file) != std::string::npos, reason);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(unwrittenSectorsAtTheEndAreATornAppend)
+{
+    const Folder folder;
+    fill(folder);
+    const auto file = folder.path / "log";
+    const auto size = fs::file_size(file);
+    overwrite(file, size - 600, std::string(600, '\0'));
+    const auto stored = folder.open();
+    BOOST_REQUIRE(stored);
+    BOOST_TEST(stored->entries.size() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(missingFilesAreRefused)
+{
+    for (const auto* name : { "vote", "log" }) {
+        const Folder folder;
+        fill(folder);
+        fs::remove(folder.path / name);
+        BOOST_TEST(!folder.open().has_value(), name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(folderHasOneWriter)
+{
+    const Folder folder;
+    pw::Random random(1);
+    pw::LogStorageFile storage(folder.path);
+    BOOST_REQUIRE(storage.open(random));
+    std::string reason;
+    BOOST_TEST(!folder.open(&reason).has_value());
+    BOOST_TEST(reason.find("another process") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(failedWriteRefusesAllLaterOnes)
+{
+    const Folder folder;
+    pw::Random random(1);
+    pw::LogStorageFile storage(folder.path);
+    BOOST_REQUIRE(storage.open(random));
+    fs::remove_all(folder.path);
+    BOOST_TEST(!storage.saveVote({ 1, 1, 1, 1 }));
+    BOOST_TEST(!storage.lastReason().empty());
+    fs::create_directories(folder.path);
+    BOOST_TEST(!storage.saveVote({ 1, 1, 1, 1 }));
+    BOOST_TEST(!storage.append(entriesOf(1, 1, 1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/support/raft_cluster.h
+++ b/tests/unit/support/raft_cluster.h
@@ -140,7 +140,8 @@
     {
         std::string result;
         for (auto it = committed.begin(); it != committed.end() && it->first <= index; ++it) {
-            result = std::to_string(std::hash<std::string> {}(result + it->second.data));
+            result.append(it->second.data);
+            result = std::to_string(std::hash<std::string> {}(result));
         }
         return result;
     }
