Split joining and the wiring out of the control log

A test for restarted daemons also passed with the mechanism removed: it now starts from an older version.

--- /dev/null
+++ b/src/app/cluster_join.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "app/settings.h"
+#include "core/raft.h"
+#include "ports/timers.h"
+
+#include <map>
+
+namespace pw {
+
+/// How a member without a cluster gets into one: it asks to be taken in, or founds one when all others are empty too.
+class ClusterJoin {
+public:
+    ClusterJoin(const Settings& settings, PeerNetwork& network, Timers& timers, Raft& raft);
+
+    /// Asks the members that the settings name, while this one belongs to no cluster.
+    void work();
+
+    /// Takes in a join message. \returns false when \p message is none.
+    bool receive(const PeerAddress& from, const RaftMessage& message);
+
+    /// \returns why this member may not found a cluster now, or nothing when it may.
+    std::optional<std::string> whyNotFound() const;
+
+private:
+    void answer(const PeerAddress& from, const RaftMessage& message, const JoinAsk& ask);
+
+    PeerNetwork& m_network;
+    Timers& m_timers;
+    Raft& m_raft;
+    std::string m_name;
+    std::vector<PeerAddress> m_others;
+    TimePoint m_askDue {};
+    std::map<PeerAddress, TimePoint> m_emptyMembers; ///< When each said that it belongs to no cluster.
+};
+
+} // namespace pw
--- /dev/null
+++ b/src/app/control_log_impl.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "app/cluster_join.h"
+#include "app/control_log.h"
+#include "app/operator_desk.h"
+#include "app/session_server.h"
+
+namespace pw {
+
+/// Wires the raft member to the network, the timers, the storage and the replicated state.
+class ControlLog::Impl {
+public:
+    Impl(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events,
+        LogStorage& storage, DeploymentParser parser)
+        : m_settings(settings)
+        , m_network(network)
+        , m_timers(timers)
+        , m_events(events)
+        , m_storage(storage)
+        , m_parser(std::move(parser))
+        , m_random(seed)
+        , m_sessions(network, timers.now())
+    {
+    }
+
+    ~Impl() { m_timers.cancel(m_tick); }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    bool start(std::string& reason);
+    bool bootstrap(std::string& reason);
+    void submit(decltype(OperatorAsk::what) what, OperatorDesk::Done done);
+    void handOver(std::function<void()> done);
+    ControlStatus status() const;
+
+    bool leading(TimePoint now) const { return m_raft && m_raft->leading(now); }
+    std::uint64_t epoch() const { return m_raft ? m_raft->term() : 0; }
+    PeerAddress leader() const { return m_raft ? m_raft->leaderAddress() : PeerAddress {}; }
+    const FleetState& state() const { return m_state; }
+    void onChanged(std::function<void(bool)> handler) { m_changed.push_back(std::move(handler)); }
+
+private:
+    void listen();
+    void tick();
+    void pump();
+    void applyCommitted();
+    void receiveRaft(const PeerAddress& from, const RaftMessage& message);
+    void loadSnapshot();
+    void applyEntry(const LogEntry& entry);
+    ChangeResult applyChange(const LogEntry& entry);
+    void compactIfDue();
+    void sendMessages();
+    void watchRole();
+    void settleHandOver();
+    ControlRole role() const;
+    SessionServer::Completeness completeness() const;
+
+    Settings m_settings;
+    PeerNetwork& m_network;
+    Timers& m_timers;
+    EventLog& m_events;
+    LogStorage& m_storage;
+    DeploymentParser m_parser;
+    Random m_random;
+
+    std::unique_ptr<Raft> m_raft; ///< Null before start() and when the storage was refused.
+    std::unique_ptr<ClusterJoin> m_join;
+    std::unique_ptr<OperatorDesk> m_desk;
+    SessionServer m_sessions;
+    FleetState m_state;
+    std::string m_refusal;
+
+    TimerId m_tick = 0;
+    ControlRole m_role = ControlRole::Empty;
+    bool m_removed = false;
+    bool m_leading = false;
+    bool m_pumping = false;
+    TimePoint m_handOverDeadline {};
+    std::vector<std::function<void()>> m_handOverDone;
+    std::vector<std::function<void(bool)>> m_changed;
+};
+
+} // namespace pw
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -163,7 +163,9 @@
 {
     ControlFleet fleet(3, 1, 5);
     BOOST_REQUIRE(fleet.form());
-    // One member is cut off from the others, keeps answering daemons, and knows nothing of version 1.
+    fleet.configure(*fleet.leader(), "c1", 0, "one");
+    fleet.timers.run(1s);
+    // One member is cut off from the others, keeps answering daemons, and knows nothing of version 2.
     auto& stale = fleet.follower();
     for (auto* it : fleet.controls()) {
         if (it != &stale) {
@@ -171,8 +173,8 @@
         }
     }
     auto& daemon = *fleet.daemons().front();
-    fleet.configure(*fleet.leader(), "c1", 0, "one");
-    BOOST_REQUIRE(fleet.timers.runUntil([&] { return daemon.session->version() == 1; }, 5s));
+    fleet.configure(*fleet.leader(), "c2", 1, "two");
+    BOOST_REQUIRE(fleet.timers.runUntil([&] { return daemon.session->version() == 2; }, 5s));
     for (auto* it : fleet.controls()) {
         if (it != &stale) {
             fleet.network.cut(it->settings.peerAddress, daemon.settings.peerAddress);
@@ -181,10 +183,11 @@
     fleet.crash(daemon);
     fleet.start(daemon);
     fleet.timers.run(10s);
+    BOOST_TEST(stale.log->status().version == 1U);
     BOOST_TEST(daemon.session->version() == 0); // Not in service: nothing at all rather than something old.
     BOOST_TEST(!daemon.session->keysValid(fleet.timers.now()));
     fleet.network.healAll();
-    BOOST_TEST(fleet.timers.runUntil([&] { return daemon.session->version() == 1; }, 5s));
+    BOOST_TEST(fleet.timers.runUntil([&] { return daemon.session->version() == 2; }, 5s));
 }
 
 BOOST_AUTO_TEST_CASE(plannedStopHandsOverAndDaemonsMove)
