--- /dev/null
+++ b/src/app/daemon_metrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "app/metrics.h"
+#include "app/request_record.h"
+#include "app/server_role.h"
+#include "ports/timers.h"
+
+namespace pw {
+
+/// Feeds a daemon's metrics: finished requests, and the load of the backend server beside it.
+class DaemonMetrics {
+public:
+    explicit DaemonMetrics(Timers& timers);
+    ~DaemonMetrics();
+    DaemonMetrics(const DaemonMetrics&) = delete;
+    DaemonMetrics& operator=(const DaemonMetrics&) = delete;
+
+    /// Counts one finished request of a caller.
+    void count(const RequestRecord& record);
+
+    /// Shows the load of \p server, which must outlive this object.
+    void watch(const ServerRole& server);
+
+    Metrics& metrics() { return m_metrics; }
+
+private:
+    void tick();
+
+    Timers& m_timers;
+    TimerId m_tickTimer = 0;
+    Metrics m_metrics;
+};
+
+} // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -89,12 +89,14 @@
 inline constexpr milliseconds standingQueueMemory { 500 };
 /// Waiting requests in a standing queue, for each one that may run, and at least.
 inline constexpr double standingQueueShare = 0.125;
-inline constexpr std::size_t minStandingQueue = 4;
+inline constexpr std::size_t minStandingQueue = 2;
 /// Interval over which the admission floor is judged.
 inline constexpr milliseconds admissionInterval { 100 };
 /// Bounds of the time after which a refused caller is told to ask again.
 inline constexpr milliseconds minRetryAfter { 50 };
 inline constexpr milliseconds maxRetryAfter { 5000 };
+/// Requests that a workspace can be behind its turn at most.
+inline constexpr double maxFairDebt = 4.0;
 /// Workspaces whose virtual time is remembered by one queue.
 inline constexpr std::size_t maxRememberedWorkspaces = 4096;
 
@@ -102,11 +104,17 @@
 inline constexpr milliseconds gateInterval { 100 };
 /// Part of the downstream gate's counts that is kept at the end of an interval.
 inline constexpr double gateDecay = 0.7;
-/// Requests let through for each one that the downstream service took, while it sheds and while it does not.
+/// Requests let through for each one that a shedding downstream service takes, and besides in each memory of the counts.
 inline constexpr double gateProbe = 1.05;
-inline constexpr double gateGrowth = 2.0;
-/// Share of shed requests below which a downstream service counts as not shedding.
+inline constexpr double gateProbeFloor = 0.5;
+/// Share of shed requests up to which nothing is held back.
 inline constexpr double gateQuietShare = 0.01;
+/// Answers or time without shedding after which a downstream service counts as recovered.
+inline constexpr std::uint32_t gateQuietAnswers = 40;
+inline constexpr milliseconds gateQuietTime { 400 };
+/// Growth of the share let through in each interval from then on, and the share from which it grows.
+inline constexpr double gateGrowth = 1.5;
+inline constexpr double gateLeastShare = 0.05;
 /// Time after which a route's downstream service that was not seen again is forgotten.
 inline constexpr milliseconds downstreamMemory { 60000 };
 /// Keys that one downstream gate counts at most.
@@ -125,8 +133,8 @@
 inline constexpr milliseconds maxAvoidTime { 1000 };
 /// Weight of a new sample in the picker's average latency of a backend server.
 inline constexpr double latencyWeight = 0.2;
-/// Time in which the picker's memory of a slow backend server halves.
-inline constexpr milliseconds slowHalfLife { 1000 };
+/// Time in which a slow backend server that is not used is forgiven.
+inline constexpr milliseconds slowMemory { 3000 };
 /// A server is slow from this many times the latency of the fastest one of its service plus the margin.
 inline constexpr int slowTolerance = 2;
 inline constexpr milliseconds slowMargin { 5 };
@@ -176,6 +184,7 @@
 inline constexpr milliseconds raftElectionTimeout { 400 };
 /// Time for which a leader acts after it sent what a quorum acknowledged.
 inline constexpr milliseconds raftLeaderLease { 300 };
+static_assert(raftLeaderLease < raftElectionTimeout, "a leader must step down before another can be elected");
 /// Time after which a snapshot that was not acknowledged is sent again.
 inline constexpr milliseconds raftSnapshotResend { 1000 };
 /// Entries applied after which a member stores a snapshot.
@@ -243,6 +252,47 @@
 /// Interval at which the owner of the rates serves the daemons that wait for tokens.
 inline constexpr milliseconds grantServeInterval { 5 };
 
-static_assert(raftLeaderLease < raftElectionTimeout, "a leader must step down before another can be elected");
+/// Time for which a claimed request id stays claimed, and its answer may be asked for again.
+inline constexpr milliseconds claimRetention { 300000 };
+/// Longest time from the first message of a round of claiming to its decision.
+inline constexpr milliseconds claimRoundLimit { 1000 };
+/// Time after which a claim is sent again to members that have not voted.
+inline constexpr milliseconds claimAskRetry { 150 };
+/// Rounds of claiming that one request may go through when votes are split.
+inline constexpr int claimRounds = 4;
+/// Longest pause before another round; the pause is random.
+inline constexpr milliseconds claimRoundPause { 40 };
+/// Longest time to wait for the claiming daemon's word on what became of a request id.
+inline constexpr milliseconds claimFetchTimeout { 400 };
+/// Interval at which a release is sent again to members that have not confirmed it, and how often.
+inline constexpr milliseconds claimReleaseRetry { 300 };
+inline constexpr int claimReleaseTries = 10;
+/// Control members that vote on one request id.
+inline constexpr std::size_t claimReplicas = 3;
+/// Claims in one page when a restarted member refills its replica.
+inline constexpr std::size_t claimRefillPage = 500;
+/// Interval at which a restarted member asks again for pages that did not come.
+inline constexpr milliseconds claimRefillRetry { 200 };
+/// Bytes of answers that a daemon keeps for re-sends.
+inline constexpr std::size_t keptAnswerBytes = 4 * 1024 * 1024;
+/// Request ids that a daemon remembers of its own claims.
+inline constexpr std::size_t keptClaims = 20000;
+
+/// Interval at which a daemon reports to the control member that it is attached to.
+inline constexpr milliseconds viewReportInterval { 1000 };
+/// Silence of that member after which the daemon attaches to another.
+inline constexpr milliseconds viewMemberSilence { 1600 };
+/// Shortest time between two attachments when links are lost.
+inline constexpr milliseconds viewLossPause { 300 };
+/// Time over which a control member gathers changes before it pushes them to its daemons.
+inline constexpr milliseconds viewPushDelay { 50 };
+/// Interval at which a control member looks for lapsed servers and compares digests with the others.
+inline constexpr milliseconds viewTickInterval { 500 };
+/// Time for which servers stay known after the control member that vouched for them fell silent.
+inline constexpr milliseconds viewMemberGrace { 6000 };
+/// Time for which a lapsed server is remembered, so that its removal reaches every daemon.
+inline constexpr milliseconds viewTombstone { 60000 };
+/// Shortest time between two whole views sent to one daemon.
+inline constexpr milliseconds viewWholeInterval { 3000 };
 
 } // namespace pw::config
