--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -115,6 +115,9 @@
         return false;
     }
     writeFrame(static_cast<std::uint16_t>(kind), message);
+    auto& counted = traffic(static_cast<std::uint16_t>(kind));
+    ++counted.sentFrames;
+    counted.sentBytes += sizeof(FrameHeader) + message.size();
     return true;
 }
 
@@ -200,6 +203,9 @@
     if (kind == LinkFrame::Probe) {
         writeFrame(LinkFrame::ProbeReply, {});
     } else if (kind < static_cast<std::uint16_t>(MessageKind::Count)) {
+        auto& counted = traffic(kind);
+        ++counted.receivedFrames;
+        counted.receivedBytes += sizeof(FrameHeader) + message.size();
         m_received.emit(static_cast<MessageKind>(kind), message);
     } else if (kind != LinkFrame::ProbeReply) {
         refuse("unknown frame kind");
@@ -267,6 +273,12 @@
     return "pistachiowheel link " + std::string(ofDialler ? "dialler" : "acceptor") + nonces + signer;
 }
 
+LinkTraffic& PeerLink::traffic(std::uint16_t kind) const
+{
+    static LinkTraffic uncounted;
+    return m_context.traffic ? m_context.traffic->at(kind) : uncounted;
+}
+
 void PeerLink::refuse(std::string_view why)
 {
     auto event = m_open ? Event::FrameRefused : Event::LinkRefused;
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -7,6 +7,7 @@
 
 #include <sigc++/sigc++.h>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,6 +15,15 @@
 
 namespace pw {
 
+/// Frames of one kind that a daemon sent and received on all its links, headers included.
+struct LinkTraffic {
+    std::uint64_t sentFrames = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t receivedFrames = 0;
+    std::uint64_t receivedBytes = 0;
+};
+using LinkTrafficTable = std::array<LinkTraffic, static_cast<std::size_t>(MessageKind::Count)>;
+
 /// What all links of a daemon share.
 struct LinkContext {
     event_base* base = nullptr;
@@ -21,6 +31,7 @@
     PeerAddress self;
     std::vector<std::string> fleetSecrets; ///< The first proves this daemon, every one is accepted as proof.
     PeerAddress listen {}; ///< Where to listen and whose IP to dial from, when it is not the daemon's own address.
+    LinkTrafficTable* traffic = nullptr; ///< Counted here when set.
 };
 
 /// One TCP connection between two daemons: framing, mutual proof of the fleet's secret, liveness.
@@ -74,6 +85,7 @@
     bool provesSecret(std::span<const std::byte> mac) const;
     void writeFrame(std::uint16_t kind, std::span<const std::byte> message);
     std::string proofText(bool ofDialler) const;
+    LinkTraffic& traffic(std::uint16_t kind) const;
     void refuse(std::string_view why);
     void close(std::string_view why);
 
--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -19,6 +19,7 @@
     : m_context(std::move(context))
     , m_timers(timers)
 {
+    m_context.traffic = &m_traffic;
 }
 
 PeerNetworkLibevent::~PeerNetworkLibevent()
--- a/src/adapters/peer_network_libevent.h
+++ b/src/adapters/peer_network_libevent.h
@@ -30,6 +30,9 @@
     void onUnsent(MessageKind kind, const UnsentHandler& handler) override;
     const PeerAddress& self() const override { return m_context.self; }
 
+    /// \returns what went over all links so far, by kind of message.
+    const LinkTrafficTable& traffic() const { return m_traffic; }
+
     /// \returns the number of links that are open or being opened.
     std::size_t linkCount() const { return m_links.size(); }
 
@@ -59,6 +62,7 @@
     void sweep();
     void reportLost(const PeerAddress& peer);
 
+    LinkTrafficTable m_traffic {};
     LinkContext m_context;
     Timers& m_timers;
     bool m_stopped = false;
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -106,6 +106,7 @@
     if (m_server) {
         m_metrics->watch(*m_server);
     }
+    m_metrics->watch(m_network.traffic());
     if (m_settings.operatorAddress.empty()) {
         return true;
     }
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -1,10 +1,18 @@
 #include "app/daemon_metrics.h"
 
+#include <array>
+
 namespace pw {
 namespace {
 
     constexpr std::chrono::seconds tickInterval { 1 };
 
+    /// Indexed by MessageKind.
+    constexpr std::array<const char*, static_cast<std::size_t>(MessageKind::Count)> kindNames {
+        "call", "answer", "cancel", "raft", "session-ask", "session-reply", "grant-ask", "grant-reply", "claim-ask", "claim-reply",
+        "claim-fetch", "claim-fetched", "server-report", "view-delta", "operator-ask", "operator-reply"
+    };
+
 } // namespace
 
 DaemonMetrics::DaemonMetrics(Timers& timers)
@@ -47,4 +55,17 @@
     gauge("pistachiowheel_backend_limit", "Concurrency limit of the backend server.", &LoadHint::limit);
 }
 
+void DaemonMetrics::watch(const LinkTrafficTable& traffic)
+{
+    auto gauge = [&](std::string_view name, std::string_view help, std::uint64_t LinkTraffic::*member) {
+        for (std::size_t n = 0; n < traffic.size(); ++n) {
+            m_metrics.gauge(name, help, { { "kind", kindNames.at(n) } }, [&traffic, n, member] { return static_cast<double>(traffic.at(n).*member); });
+        }
+    };
+    gauge("pistachiowheel_link_sent_bytes", "Bytes sent to other daemons.", &LinkTraffic::sentBytes);
+    gauge("pistachiowheel_link_received_bytes", "Bytes received from other daemons.", &LinkTraffic::receivedBytes);
+    gauge("pistachiowheel_link_sent_frames", "Messages sent to other daemons.", &LinkTraffic::sentFrames);
+    gauge("pistachiowheel_link_received_frames", "Messages received from other daemons.", &LinkTraffic::receivedFrames);
+}
+
 } // namespace pw
--- a/src/app/daemon_metrics.h
+++ b/src/app/daemon_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/peer_link.h"
 #include "app/metrics.h"
 #include "app/request_record.h"
 #include "app/server_role.h"
@@ -21,6 +22,9 @@
     /// Shows the load of \p server, which must outlive this object.
     void watch(const ServerRole& server);
 
+    /// Shows what goes over the links to other daemons; \p traffic must outlive this object.
+    void watch(const LinkTrafficTable& traffic);
+
     Metrics& metrics() { return m_metrics; }
 
 private:
--- a/tests/process/support/process.cpp
+++ b/tests/process/support/process.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstring>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -48,7 +49,7 @@
     posix_spawn_file_actions_destroy(&actions);
     if (ec != 0) {
         m_id = -1;
-        throw std::runtime_error("cannot start " + path);
+        throw std::runtime_error("cannot start " + path + ": " + std::strerror(ec));
     }
 }
 
--- a/tools/measure-overhead/process_usage.cpp
+++ b/tools/support/process_usage.cpp
@@ -1,4 +1,4 @@
-#include "process_usage.h"
+#include "support/process_usage.h"
 
 #include <unistd.h>
 
