--- a/src/app/operator_http.cpp
+++ b/src/app/operator_http.cpp
@@ -105,10 +105,35 @@
     , m_http(m_parts.base, [this](const std::shared_ptr<HttpExchange>& exchange) { onRequest(exchange); })
     , m_alive(std::make_shared<bool>(true))
 {
+    addGauges();
 }
 
 OperatorHttp::~OperatorHttp() = default;
 
+void OperatorHttp::addGauges()
+{
+    auto daemonGauge = [this](std::string_view name, std::string_view help, auto read) {
+        m_parts.metrics.gauge(name, help, {}, [daemon = &m_parts.daemon, read] { return static_cast<double>(read(daemon->report())); });
+    };
+    daemonGauge("pistachiowheel_configuration_version", "Version of the configuration in force here.",
+        [](const DaemonReport& report) { return report.version; });
+    daemonGauge("pistachiowheel_applied_index", "Log index up to which the replicated state is applied here.",
+        [](const DaemonReport& report) { return report.appliedIndex; });
+    daemonGauge("pistachiowheel_keys_valid", "Whether the validity lease holds: 1 or 0.",
+        [](const DaemonReport& report) { return report.keysValid; });
+    if (!m_parts.control) {
+        return;
+    }
+    auto controlGauge = [this](std::string_view name, std::string_view help, auto read) {
+        m_parts.metrics.gauge(name, help, {}, [control = m_parts.control, read] { return static_cast<double>(read(control->report())); });
+    };
+    controlGauge("pistachiowheel_control_epoch", "Epoch of the replicated log.", [](const ControlReport& report) { return report.epoch; });
+    controlGauge("pistachiowheel_control_commit_index", "Log index that a majority has synced.",
+        [](const ControlReport& report) { return report.commitIndex; });
+    controlGauge("pistachiowheel_control_daemons", "Daemons attached to this control member.",
+        [](const ControlReport& report) { return report.daemons.size(); });
+}
+
 bool OperatorHttp::init(const std::string& address, std::string& reason)
 {
     return m_http.init(address, reason);
--- a/src/app/operator_http.h
+++ b/src/app/operator_http.h
@@ -17,7 +17,7 @@
 /// docs/OPERATOR-API.md lists the requests.
 class OperatorHttp {
 public:
-    /// What the port serves. All but secrets must outlive this object.
+    /// What the port serves. All but secrets must outlive this object, and the metrics may not be rendered after it.
     struct Parts {
         event_base* base;
         Timers& timers;
@@ -54,6 +54,7 @@
     };
     static const std::vector<Endpoint>& endpoints();
 
+    void addGauges();
     void onRequest(const std::shared_ptr<HttpExchange>& exchange);
     ProvenPtr prove(const std::shared_ptr<HttpExchange>& exchange);
 
