Cut off callers that send a request byte by byte

The HTTP library bounds only the silence between two bytes: a caller that sent one byte each 200 ms held its connection for ever (seen for 35 s in MalformedInput/slowHeadersDoNotHoldAConnectionForEver). A request must now arrive within callerIdleTimeout of its first byte.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -71,6 +71,7 @@
     m_server->m_pending.erase(this);
     auto* buffer = evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw));
     bufferevent_setwatermark(buffer, EV_READ, 0, 0);
+    m_server->endReading(buffer);
     auto* headers = evhttp_request_get_output_headers(raw);
     std::ranges::for_each(response.headers, [&](const HeaderLine& it) { evhttp_add_header(headers, it.name.c_str(), it.value.c_str()); });
     if (m_server->m_leaving) {
@@ -120,6 +121,7 @@
     evhttp_set_timeout_tv(m_http.get(), &timeout);
     evhttp_set_default_content_type(m_http.get(), nullptr);
     evhttp_set_gencb(m_http.get(), onRequest, this);
+    evhttp_set_bevcb(m_http.get(), onConnection, this);
     m_socket = evhttp_bind_socket_with_handle(m_http.get(), host.c_str(), port);
     if (!m_socket) {
         reason = "cannot listen on " + address + ": " + std::strerror(errno);
@@ -143,9 +145,43 @@
     m_socket = nullptr;
 }
 
+bufferevent* HttpServer::onConnection(event_base* base, void* argument)
+{
+    auto* connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    auto* input = bufferevent_get_input(connection);
+    static_cast<HttpServer*>(argument)->m_readings.insert_or_assign(input, Reading { connection, std::nullopt });
+    evbuffer_add_cb(input, onBytes, argument);
+    return connection;
+}
+
+void HttpServer::onBytes(evbuffer* input, const evbuffer_cb_info* info, void* argument)
+{
+    if (!info->n_added) {
+        return;
+    }
+    auto& reading = static_cast<HttpServer*>(argument)->m_readings.at(input);
+    auto now = MonotonicClock::now();
+    if (!reading.since) {
+        reading.since = now;
+    }
+    // The library bounds silence only; a sender of a byte now and then is cut off here.
+    if (now - *reading.since > config::callerIdleTimeout) {
+        ::shutdown(bufferevent_getfd(reading.connection), SHUT_RDWR);
+    }
+}
+
+void HttpServer::endReading(bufferevent* connection)
+{
+    auto it = m_readings.find(bufferevent_get_input(connection));
+    if (it != m_readings.end()) {
+        it->second.since.reset();
+    }
+}
+
 void HttpServer::onRequest(evhttp_request* raw, void* argument)
 {
     auto* server = static_cast<HttpServer*>(argument);
+    server->endReading(evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw)));
     auto exchange = std::make_shared<HttpExchange>(*server, raw, readRequest(raw));
     if (const auto* fault = framingFault(exchange->request())) {
         const auto& info = reasonInfo(Reason::Malformed);
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -2,10 +2,13 @@
 
 #include "adapters/libevent_util.h"
 #include "core/call.h"
+#include "core/types.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -80,7 +83,17 @@
 private:
     friend class HttpExchange;
 
+    /// A connection on which a request is being received.
+    struct Reading {
+        bufferevent* connection = nullptr;
+        std::optional<TimePoint> since; ///< Arrival of the first byte of the request.
+    };
+
     static void onRequest(evhttp_request* raw, void* argument);
+    static bufferevent* onConnection(event_base* base, void* argument);
+    static void onBytes(evbuffer* input, const evbuffer_cb_info* info, void* argument);
+
+    void endReading(bufferevent* connection);
 
     event_base* m_base;
     Handler m_handler;
@@ -88,6 +101,8 @@
     evhttp_bound_socket* m_socket = nullptr;
     bool m_leaving = false;
     std::unordered_set<HttpExchange*> m_pending;
+    /// By input buffer. The entry of a closed connection is taken over by the next one at the same address.
+    std::unordered_map<evbuffer*, Reading> m_readings;
 };
 
 } // namespace pw
