Test deaf followers and entries of earlier terms

Cause: neither pre-vote's protection of a healthy leader nor the rule that only an entry of the own term commits was caught by a test when taken away.

--- a/tests/unit/raft_test.cpp
+++ b/tests/unit/raft_test.cpp
@@ -48,6 +48,53 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(followerThatHearsNobodyUnseatsNoHealthyLeader)
+{
+    for (const auto oneWay : { true, false }) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            RaftCluster cluster(3, seed);
+            BOOST_REQUIRE(cluster.form());
+            auto* lead = cluster.leader();
+            const auto epoch = lead->raft->term();
+            auto& deaf = cluster.other(*lead);
+            for (const auto& it : cluster.nodes) {
+                cluster.network.cutOneWay(it->name, deaf.name);
+                if (!oneWay) {
+                    cluster.network.cutOneWay(deaf.name, it->name);
+                }
+            }
+            cluster.run(std::chrono::milliseconds(3000 + 37 * seed));
+            cluster.network.healAll();
+            cluster.run(2s);
+            BOOST_TEST(cluster.leader() == lead);
+            BOOST_TEST(lead->raft->term() == epoch);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(entriesOfEarlierTermsCommitOnlyWithOneOfTheOwn)
+{
+    pw::test::FakeDisk disk;
+    const std::vector<pw::ControlMemberRecord> members { { 1, "a", "a", true }, { 2, "b", "b", true }, { 3, "c", "c", true } };
+    disk.held.vote = { 1, 9, 3, 0 };
+    disk.held.entries = { { 1, 1, pw::EntryKind::Members, {}, members }, { 2, 2, pw::EntryKind::Change, "old", {} } };
+    pw::test::FakeLogStorage storage(disk);
+    pw::Random random(1);
+    auto now = pw::TimePoint(1h);
+    pw::Raft raft({}, storage, *storage.open(random), "a", "a", 1, now);
+    now += 1s;
+    raft.tick(now);
+    raft.receive("b", { 9, 2, 1, 3, pw::VoteReply { 1, true, true, false } }, now);
+    raft.receive("b", { 9, 2, 1, 4, pw::VoteReply { 2, false, true, false } }, now);
+    BOOST_REQUIRE((raft.role() == pw::RaftRole::Leader));
+    raft.receive("b", { 9, 2, 1, 4, pw::AppendReply { true, 2, now.time_since_epoch() } }, now);
+    BOOST_TEST(raft.commitIndex() == 0U);
+    BOOST_TEST(!raft.leading(now));
+    raft.receive("b", { 9, 2, 1, 4, pw::AppendReply { true, 3, now.time_since_epoch() } }, now);
+    BOOST_TEST(raft.commitIndex() == 3U);
+    BOOST_TEST(raft.leading(now));
+}
+
 BOOST_AUTO_TEST_CASE(minorityNeverAccepts)
 {
     RaftCluster cluster(3, 3);
