Let one of two equal pre-votes go on

Cause: with one member gone the other two sometimes began in the same tick, both won their pre-vote, and their votes split until another election timeout.

--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -125,10 +125,13 @@
 
     // raft_election.cpp
     void resetElectionTimer(TimePoint now);
+    void startElectionTimer(Duration shortest, TimePoint now);
     bool protectsLeader(TimePoint now) const;
     void startElection(bool preVote, bool handOver, TimePoint now);
     void becomeLeader(TimePoint now);
     bool logIsCurrent(const VoteAsk& ask) const;
+    /// \returns whether this member's pre-vote, begun at the same time as the rival's, is the one to go on.
+    bool goesBefore(MemberId rival, const VoteAsk& ask, TimePoint now) const;
     void handle(const PeerAddress& from, const RaftMessage& message, const VoteAsk& ask, TimePoint now);
     void handle(const PeerAddress& from, const RaftMessage& message, const VoteReply& reply, TimePoint now);
     void handle(const PeerAddress& from, const RaftMessage& message, const HandOver& order, TimePoint now);
@@ -188,6 +191,7 @@
     TimePoint m_leaderHeard; ///< Also the start: promises given before it are unknown.
     TimePoint m_electionDue;
     std::uint64_t m_round = 0;
+    TimePoint m_roundStarted {};
     std::set<MemberId> m_granted;
     std::set<MemberId> m_disowned; ///< By these members, in this round.
 
--- a/src/core/raft_election.cpp
+++ b/src/core/raft_election.cpp
@@ -6,8 +6,13 @@
 
 void Raft::resetElectionTimer(TimePoint now)
 {
-    const auto spread = uniform(m_random) * static_cast<double>(m_options.electionTimeout.count());
-    m_electionDue = now + m_options.electionTimeout + Duration(static_cast<Duration::rep>(spread));
+    startElectionTimer(m_options.electionTimeout, now);
+}
+
+void Raft::startElectionTimer(Duration shortest, TimePoint now)
+{
+    const auto spread = uniform(m_random) * static_cast<double>(shortest.count());
+    m_electionDue = now + shortest + Duration(static_cast<Duration::rep>(spread));
 }
 
 bool Raft::protectsLeader(TimePoint now) const
@@ -17,11 +22,13 @@
 
 void Raft::startElection(bool preVote, bool handOver, TimePoint now)
 {
-    resetElectionTimer(now);
+    // A pre-vote disturbs nobody: it may be repeated soon after a voter that still heard the leader refused it.
+    startElectionTimer(preVote ? m_options.heartbeat : m_options.electionTimeout, now);
     m_leader = 0;
     m_role = preVote ? RaftRole::PreCandidate : RaftRole::Candidate;
     m_granted = { identity() };
     m_disowned.clear();
+    m_roundStarted = now;
     ++m_round;
     if (!preVote) {
         ++m_vote.term;
@@ -67,6 +74,13 @@
     return std::pair { ask.lastTerm, ask.lastIndex } >= std::pair { m_log.lastTerm(), m_log.lastIndex() };
 }
 
+bool Raft::goesBefore(MemberId rival, const VoteAsk& ask, TimePoint now) const
+{
+    const auto equalLogs = ask.lastTerm == m_log.lastTerm() && ask.lastIndex == m_log.lastIndex();
+    const auto justAsked = m_role == RaftRole::PreCandidate && now < m_roundStarted + m_options.heartbeat / 2;
+    return justAsked && equalLogs && identity() > rival;
+}
+
 void Raft::handle(const PeerAddress& from, const RaftMessage& message, const VoteAsk& ask, TimePoint now)
 {
     if (m_members.empty()) {
@@ -76,7 +90,7 @@
     const auto guarded = protectsLeader(now) && !ask.handOver;
     if (ask.preVote) {
         reply.notMember = guarded && !member(message.from);
-        reply.granted = !guarded && ask.proposedTerm > term() && logIsCurrent(ask);
+        reply.granted = !guarded && ask.proposedTerm > term() && logIsCurrent(ask) && !goesBefore(message.from, ask, now);
         send(from, message.from, reply);
         return;
     }
