--- a/src/app/control_claims.cpp
+++ b/src/app/control_claims.cpp
@@ -1,26 +1,19 @@
 #include "app/control_claims.h"
 
 #include "adapters/codec_claims.h"
+#include "adapters/crypto.h"
 #include "adapters/file_marker.h"
 #include "config.h"
 #include "core/claim_replica.h"
 #include "core/claim_replicas.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 #include <variant>
 
 namespace pw {
 namespace {
 
-    std::uint64_t randomSeed()
-    {
-        std::random_device device;
-        constexpr unsigned halfBits = 32;
-        return (static_cast<std::uint64_t>(device()) << halfBits) | device();
-    }
-
     std::vector<std::string> memberAddresses(const Settings& settings)
     {
         std::vector<std::string> result;
@@ -70,7 +63,7 @@
         if (openIfComplete()) {
             return;
         }
-        for (const auto& [address, ask] : m_replica.refillAsks()) {
+        for (const auto& [address, ask] : m_replica.refillAsks(m_timers.now())) {
             m_network.send(address, MessageKind::ClaimAsk, encodeClaimMessage(ask));
         }
         m_timer = m_timers.after(config::claimRefillRetry, [this] { advance(); });
@@ -129,7 +122,7 @@
         if (openIfComplete() || !more) {
             return;
         }
-        for (const auto& [address, ask] : m_replica.refillAsks()) {
+        for (const auto& [address, ask] : m_replica.refillAsks(m_timers.now())) {
             if (address == from) {
                 m_network.send(address, MessageKind::ClaimAsk, encodeClaimMessage(ask));
             }
@@ -147,7 +140,7 @@
 
 ControlClaims::ControlClaims(const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& events)
     : m_ownMarker(std::make_unique<FileMarker>(settings.dataFolder, "claims-served"))
-    , m_impl(std::make_unique<Impl>(settings, network, timers, events, *m_ownMarker, randomSeed()))
+    , m_impl(std::make_unique<Impl>(settings, network, timers, events, *m_ownMarker, crypto::randomNumber()))
 {
 }
 
--- a/src/core/claim_replica.cpp
+++ b/src/core/claim_replica.cpp
@@ -40,12 +40,15 @@
     return !m_sources.empty() && std::ranges::all_of(m_sources, [](const auto& entry) { return entry.second.done; });
 }
 
-std::vector<std::pair<std::string, ClaimRefillAsk>> ClaimReplica::refillAsks() const
+std::vector<std::pair<std::string, ClaimRefillAsk>> ClaimReplica::refillAsks(TimePoint now) const
 {
+    // A round in which this member's earlier process voted may still be waiting for another member's vote; only what
+    // that member holds after the round limit shows it.
+    const bool settled = now - m_start >= m_times.roundLimit;
     std::vector<std::pair<std::string, ClaimRefillAsk>> asks;
     for (const auto& [address, source] : m_sources) {
         if (!source.done) {
-            asks.emplace_back(address, ClaimRefillAsk { m_incarnation, source.cursor });
+            asks.emplace_back(address, ClaimRefillAsk { m_incarnation, source.cursor, settled });
         }
     }
     return asks;
@@ -55,12 +58,13 @@
 {
     ClaimRefillPage page;
     page.asker = ask.incarnation;
+    page.settled = ask.settled;
     page.incarnation = m_incarnation;
     page.ready = m_ready;
     page.firstStart = m_firstStart && !m_ready;
     page.founders = m_founders;
     page.cursor = ask.cursor;
-    if (m_ready) {
+    if (m_ready && ask.settled) {
         m_table.fillPage(page, most, wanted, now);
     }
     return page;
@@ -78,10 +82,7 @@
     }
     source.firstStartSeen = page.firstStart ? now : TimePoint();
     noteFounders(page, now);
-    // A round in which this member's earlier process voted may still be waiting for the other member's vote; only
-    // what that member holds after the round limit shows it.
-    const bool settled = now - m_start >= m_times.roundLimit;
-    if (!page.ready || !settled || page.cursor != source.cursor) {
+    if (!page.ready || !page.settled || page.cursor != source.cursor) {
         return false;
     }
     std::ranges::for_each(page.records, [this, now](const ClaimRecord& record) { m_table.restore(record, now); });
--- a/src/core/claim_replica.h
+++ b/src/core/claim_replica.h
@@ -36,7 +36,7 @@
     bool ready() const { return m_ready; }
 
     /// \returns the asks to send now, with the addresses; repeated by the caller while not complete.
-    std::vector<std::pair<std::string, ClaimRefillAsk>> refillAsks() const;
+    std::vector<std::pair<std::string, ClaimRefillAsk>> refillAsks(TimePoint now) const;
 
     /// \returns the page that answers \p ask.
     /// \param wanted tells which keys the asking member votes on.
--- a/tests/unit/claims_test.cpp
+++ b/tests/unit/claims_test.cpp
@@ -285,14 +285,17 @@
     page.incarnation = 8;
     page.ready = true;
     page.done = true;
-    replica.refill("c1", page, start + config::claimRoundLimit - 1ms);
-    BOOST_TEST(!replica.complete(start + config::claimRoundLimit));
+    const auto settled = start + config::claimRoundLimit;
+    page.settled = replica.refillAsks(settled - 1ms).front().second.settled;
+    replica.refill("c1", page, settled); // Written before the limit, arrived after it.
+    BOOST_TEST(!replica.complete(settled));
+    page.settled = replica.refillAsks(settled).front().second.settled;
     page.ready = false;
-    replica.refill("c1", page, start + config::claimRoundLimit);
-    BOOST_TEST(!replica.complete(start + config::claimRoundLimit));
+    replica.refill("c1", page, settled);
+    BOOST_TEST(!replica.complete(settled));
     page.ready = true;
-    replica.refill("c1", page, start + config::claimRoundLimit);
-    BOOST_TEST(replica.complete(start + config::claimRoundLimit));
+    replica.refill("c1", page, settled);
+    BOOST_TEST(replica.complete(settled));
 }
 
 BOOST_AUTO_TEST_CASE(membersFoundTheReplicasOnlyWhenAllAreAtTheirFirstStart)
