--- a/src/adapters/codec_claims.cpp
+++ b/src/adapters/codec_claims.cpp
@@ -67,12 +67,14 @@
         auto ask = builder.initRefillAsk();
         ask.setIncarnation(message.incarnation);
         ask.setCursor(message.cursor);
+        ask.setSettled(message.settled);
     }
 
     void write(proto::ClaimMemberMessage::Builder builder, const ClaimRefillPage& message)
     {
         auto page = builder.initRefillPage();
         page.setAsker(message.asker);
+        page.setSettled(message.settled);
         page.setIncarnation(message.incarnation);
         page.setReady(message.ready);
         page.setFirstStart(message.firstStart);
@@ -86,10 +88,16 @@
         writeRecords(page, message.records);
     }
 
+    ClaimRefillAsk readAsk(proto::ClaimRefillAsk::Reader reader)
+    {
+        return { reader.getIncarnation(), reader.getCursor(), reader.getSettled() };
+    }
+
     ClaimRefillPage readPage(proto::ClaimRefillPage::Reader reader)
     {
         ClaimRefillPage page;
         page.asker = reader.getAsker();
+        page.settled = reader.getSettled();
         page.incarnation = reader.getIncarnation();
         page.ready = reader.getReady();
         page.firstStart = reader.getFirstStart();
@@ -115,7 +123,7 @@
         case proto::ClaimMemberMessage::RELEASE:
             return ClaimRelease { readKey(reader.getRelease()), reader.getRelease().getToken() };
         case proto::ClaimMemberMessage::REFILL_ASK:
-            return ClaimRefillAsk { reader.getRefillAsk().getIncarnation(), reader.getRefillAsk().getCursor() };
+            return readAsk(reader.getRefillAsk());
         case proto::ClaimMemberMessage::REFILL_PAGE:
             return readPage(reader.getRefillPage());
         }
--- a/src/proto/claims.capnp
+++ b/src/proto/claims.capnp
@@ -20,6 +20,7 @@
 struct ClaimRefillAsk {
   incarnation @0 :UInt64;
   cursor @1 :UInt64;
+  settled @2 :Bool;
 }
 
 struct ClaimRefillPage {
@@ -33,6 +34,7 @@
   done @7 :Bool;
   holders @8 :List(Text);
   records @9 :List(ClaimRecord);
+  settled @10 :Bool;
 }
 
 struct ClaimMemberMessage {
