--- a/src/config.h
+++ b/src/config.h
@@ -303,6 +303,4 @@
 /// Shortest time between two whole views sent to one daemon.
 inline constexpr milliseconds viewWholeInterval { 3000 };
 
-static_assert(raftLeaderLease < raftElectionTimeout, "a leader must step down before another can be elected");
-
 } // namespace pw::config
