--- a/tools/measure-overload/cases.cpp
+++ b/tools/measure-overload/cases.cpp
@@ -154,10 +154,11 @@
     return runWorld(world, demand, idealOf(deployment, costs, demand), times);
 }
 
-Figures runMisled(const DeploymentModel& deployment, const StrategyModel& strategy, const Costs& costs, CaseTimes times)
+Figures runMisled(
+    const DeploymentModel& deployment, const StrategyModel& strategy, const Costs& costs, Misled misled, CaseTimes times)
 {
     World world(deployment, strategy, seed);
-    world.misled = true;
+    world.misled = misled;
     auto trueCosts = costs;
     for (auto& row : trueCosts) {
         row[deployment.misledService] *= 2;
--- a/tools/measure-overload/cases.h
+++ b/tools/measure-overload/cases.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ideal.h"
+#include "node.h"
 
 #include <chrono>
 #include <optional>
@@ -35,6 +36,7 @@
 Figures runSlow(const DeploymentModel& deployment, const StrategyModel& strategy, const Costs& costs);
 
 /// Runs steady demand at twice the capacity while a service announces twice the slots that it has.
-Figures runMisled(const DeploymentModel& deployment, const StrategyModel& strategy, const Costs& costs, CaseTimes times);
+Figures runMisled(
+    const DeploymentModel& deployment, const StrategyModel& strategy, const Costs& costs, Misled misled, CaseTimes times);
 
 } // namespace pw::measure
--- a/tools/measure-overload/main.cpp
+++ b/tools/measure-overload/main.cpp
@@ -117,8 +117,10 @@
             reportSteady(Report(out, nameOf(deployment, strategy, textOf(factor) + "x")), figures, factor);
         }
         reportSlow(Report(out, nameOf(deployment, strategy, "slow5x")), runSlow(deployment, strategy, costs));
-        auto misled = runMisled(deployment, strategy, costs, plan.times);
-        reportSteady(Report(out, nameOf(deployment, strategy, "misled")), misled, 2);
+        auto slows = runMisled(deployment, strategy, costs, Misled::Slows, plan.times);
+        reportSteady(Report(out, nameOf(deployment, strategy, "misled-slows")), slows, 2);
+        auto refuses = runMisled(deployment, strategy, costs, Misled::Refuses, plan.times);
+        reportSteady(Report(out, nameOf(deployment, strategy, "misled-refuses")), refuses, 2);
         output = out.str();
     }
 };
@@ -164,7 +166,8 @@
         costs.push_back(calibrate(deployment, { milliseconds(2000), milliseconds(20000) }));
         std::cerr << deployment.name << ": capacity " << capacityOf(deployment, costs.back()) << " requests a second\n";
         for (const auto& strategy : strategies()) {
-            if (wanted("strategy", strategy.name) && (strategy.quick || !quick)) {
+            auto named = strategy.name == parsed["strategy"].as<std::string>();
+            if (wanted("strategy", strategy.name) && (strategy.quick || named || !quick)) {
                 jobs.push_back({ deployment, strategy, costs.back(), {} });
             }
         }
--- a/tools/measure-overload/node.cpp
+++ b/tools/measure-overload/node.cpp
@@ -57,7 +57,7 @@
     auto factor = 0.5 + std::exponential_distribution<double>(2.0)(random);
     factor *= model.service == deployment.slowService ? slowFactor : 1;
     auto crowding = 2 * busy / deployment.services[model.service].slots;
-    if (misled && model.service == deployment.misledService && crowding > 1) {
+    if (misled == Misled::Slows && model.service == deployment.misledService && crowding > 1) {
         factor *= std::pow(crowding, misledExponent);
     }
     return std::chrono::duration_cast<Duration>(model.work * factor);
@@ -165,6 +165,10 @@
     if (it == m_runs.end()) {
         return;
     }
+    if (m_world.misled == Misled::Refuses && m_service == m_world.deployment.misledService && 2 * m_busy >= m_entry.slots) {
+        finish(id, it->second, RunOutcome::Refused, { Verdict::NotRun, Reason::BackendRefused, config::minRetryAfter });
+        return;
+    }
     if (m_busy >= m_entry.slots) {
         m_backlog.push_back(id);
         return;
--- a/tools/measure-overload/node.h
+++ b/tools/measure-overload/node.h
@@ -53,6 +53,14 @@
 
 class Node;
 
+/// What the misled service does with more requests than the half of its announced slots that it really has.
+enum class Misled : std::uint8_t {
+    No, ///< It has the slots that it announces.
+    Slows, ///< Runs them all, with less throughput the more there are.
+    Refuses, ///< Says that it did not run them.
+    Count
+};
+
 /// Everything that one case runs on.
 struct World {
     World(const DeploymentModel& deploymentModel, const StrategyModel& strategyModel, std::uint64_t seed);
@@ -71,7 +79,7 @@
     std::vector<std::unique_ptr<Node>> nodes;
     std::unordered_map<std::string, Node*> byName;
     double slowFactor = 1; ///< Of the slow service.
-    bool misled = false; ///< The misled service has half the slots that it announces.
+    Misled misled = Misled::No;
     Totals totals;
     std::uint64_t nextId = 1;
 };
