--- a/src/config.h
+++ b/src/config.h
@@ -208,10 +208,13 @@
 inline constexpr std::size_t maxConfigurationBytes = 1024 * 1024;
 /// Longest id, name or label in a change, in bytes.
 inline constexpr std::size_t maxChangeFieldBytes = 256;
-/// Keys kept, withdrawn ones included.
-inline constexpr std::size_t maxKeys = 10000;
+/// Size of all keys in the replicated state, withdrawn ones included, in bytes. With the configuration and the kept
+/// answers it stays below maxFrameBytes, so that the state goes in one message.
+inline constexpr std::size_t maxKeyBytes = 1536 * 1024;
+/// Size of a key in the replicated state besides its id, workspace and label, in bytes.
+inline constexpr std::size_t keyOverheadBytes = 128;
 /// Answers to changes kept for re-sends.
-inline constexpr std::size_t keptAnswers = 4096;
+inline constexpr std::size_t keptAnswers = 2048;
 /// Configuration versions kept in the history.
 inline constexpr std::size_t keptConfigurationSteps = 100;
 /// State changes kept by a control member for daemons that lag.
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/crc.hpp>
+#include <numeric>
 
 namespace pw {
 namespace {
@@ -55,6 +56,15 @@
         return !text.empty() && text.size() <= config::maxChangeFieldBytes;
     }
 
+    std::size_t keyBytes(const FleetImage& image)
+    {
+        const auto sizeOf = [](std::size_t sum, const auto& entry) {
+            const KeyRecord& key = entry.second;
+            return sum + key.keyId.size() + key.workspace.size() + key.label.size() + config::keyOverheadBytes;
+        };
+        return std::accumulate(image.keys().begin(), image.keys().end(), std::size_t { 0 }, sizeOf);
+    }
+
     constexpr std::array<std::string_view, static_cast<std::size_t>(ChangeOutcome::Count)> outcomeNames {
         "accepted", "conflict", "invalid", "unknown", "unavailable"
     };
@@ -146,7 +156,8 @@
     if (std::ranges::any_of(m_image.keys(), sameKey)) {
         return invalid("the key was issued already");
     }
-    if (m_image.keys().size() >= config::maxKeys) {
+    const auto added = change.keyId.size() + change.workspace.size() + change.label.size() + config::keyOverheadBytes;
+    if (keyBytes(m_image) + added > config::maxKeyBytes) {
         return invalid("there are too many keys");
     }
     return accept({ index, KeyRecord { change.keyId, change.workspace, change.label, change.digest, false } });
