Test votes after a restart and one change of members at a time

Cause: no test failed when the promise given before a restart was forgotten, or when a second change of members was allowed while one was pending.

--- a/tests/unit/raft_test.cpp
+++ b/tests/unit/raft_test.cpp
@@ -95,6 +95,43 @@
     BOOST_TEST(raft.leading(now));
 }
 
+BOOST_AUTO_TEST_CASE(votesOnlyAsAMemberAndNeverRightAfterARestart)
+{
+    const std::vector<pw::ControlMemberRecord> members { { 1, "a", "a", true }, { 2, "b", "b", true }, { 3, "c", "c", true } };
+    const pw::RaftMessage ask { 9, 2, 1, 4, pw::VoteAsk { 1, 4, 5, 3, false, false } };
+    for (const auto isMember : { true, false }) {
+        pw::test::FakeDisk disk;
+        disk.held.vote = { 1, isMember ? 9U : 0U, 3, 0 };
+        if (isMember) {
+            disk.held.entries = { { 1, 1, pw::EntryKind::Members, {}, members } };
+        }
+        pw::test::FakeLogStorage storage(disk);
+        pw::Random random(1);
+        const auto start = pw::TimePoint(1h);
+        pw::Raft raft({}, storage, *storage.open(random), "a", "a", 1, start);
+        raft.receive("b", ask, start + 399ms); // It may have heard a leader just before it went down.
+        BOOST_TEST(raft.takeMessages().empty());
+        raft.receive("b", ask, start + 401ms);
+        BOOST_TEST(raft.takeMessages().size() == (isMember ? 1U : 0U));
+        BOOST_TEST(disk.held.vote.votedFor == (isMember ? 2U : 0U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(membersChangeOneAtATime)
+{
+    RaftCluster cluster(5, 9);
+    BOOST_REQUIRE(cluster.form());
+    auto* lead = cluster.leader();
+    const auto now = cluster.localNow(*lead);
+    const auto isOther = [&](const auto& it) { return it.get() != lead; };
+    const auto first = std::ranges::find_if(cluster.nodes, isOther);
+    const auto second = std::find_if(std::next(first), cluster.nodes.end(), isOther);
+    BOOST_TEST(lead->raft->removeMember((*first)->name, now));
+    BOOST_TEST(!lead->raft->removeMember((*second)->name, now)); // The first is not committed yet.
+    cluster.run(100ms);
+    BOOST_TEST(lead->raft->removeMember((*second)->name, cluster.localNow(*lead)));
+}
+
 BOOST_AUTO_TEST_CASE(minorityNeverAccepts)
 {
     RaftCluster cluster(3, 3);
