--- a/src/core/membership_view.cpp
+++ b/src/core/membership_view.cpp
@@ -189,6 +189,9 @@
 std::vector<ViewChange> MembershipView::changesAfter(std::uint64_t position) const
 {
     std::vector<ViewChange> result;
+    if (position >= m_position) {
+        return result;
+    }
     for (const auto& [name, item] : m_items) {
         if (item.position > position) {
             result.push_back({ item.record.entry, !item.visible() });
