Test that old records and a member's restart change no view

Cause: with the guard of versions between members, or the new attachment after a member's restart, taken out, no test failed. Taken out one at a time, each of these made a test fail already: majority, settling, grace, lease, digest, healing of lost deltas, gaps, silence of a member.

--- a/tests/unit/view_test.cpp
+++ b/tests/unit/view_test.cpp
@@ -1,6 +1,7 @@
 #include "app/control_view.h"
 #include "app/daemon_view.h"
 #include "config.h"
+#include "core/membership_view.h"
 #include "support/fake_network.h"
 #include "support/fleet_fakes.h"
 
@@ -266,6 +267,34 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(restartOfOneMemberHidesNoServer)
+{
+    ViewFleet fleet(9, daemons);
+    fleet.timers.run(10s);
+    fleet.startMember(1);
+    for (int n = 0; n < 200; ++n) {
+        fleet.timers.run(100ms);
+        BOOST_TEST(fleet.converged());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lateRecordOfAnEarlierVersionChangesNothing)
+{
+    const TimePoint now { 1h };
+    MembershipView view("c0", { "c1", "c2" }, { config::announcementLease, config::viewMemberGrace, config::viewTombstone }, now);
+    ViewRecord record { { "d1", service, "d1", "fd1", "r1", 1, 1, 1, 1, false }, "c1", 1, 0, false };
+    auto leaving = record;
+    leaving.entry.sequence = 2;
+    leaving.entry.leaving = true;
+    view.merge("c1", { false, { leaving } }, now);
+    view.merge("c1", { false, { record } }, now);
+    BOOST_TEST(view.find("d1")->entry.leaving);
+    record.attachment = 9; // Of another member, which has not heard of the leave.
+    record.home = "c2";
+    view.merge("c2", { false, { record } }, now);
+    BOOST_TEST(view.find("d1")->entry.leaving);
+}
+
 BOOST_AUTO_TEST_CASE(lossOfAllMembersLeavesTheLastView)
 {
     ViewFleet fleet(6, daemons);
