Keep the open reply of an operator's request without std::optional

The sanitizer build of the unit tests reported the strings of that optional as leaked (7 allocations, 164 bytes in the suite Commands); with a plain value of its own it reports none.

--- a/src/app/operator_client.cpp
+++ b/src/app/operator_client.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <optional>
 
 namespace pw {
 namespace {
@@ -52,7 +51,7 @@
 OperatorReply OperatorClient::ask(const OperatorRequest& request)
 {
     OperatorReply last;
-    std::optional<OperatorReply> open;
+    OperatorReply open; ///< Latest reply that leaves it open whether the request was carried out.
     for (std::size_t n = 0;; ++n) {
         auto reply = askMember(m_addresses[n % m_addresses.size()], request);
         if (!isWorthRepeating(reply)) {
@@ -70,7 +69,7 @@
         }
     }
     // An attempt that may have been carried out is not undone by a later one that certainly was not.
-    return open.value_or(last);
+    return mayBeDone(open) ? open : last;
 }
 
 OperatorReply OperatorClient::askMember(const std::string& address, const OperatorRequest& request)
