Let operators learn from another member what a cut-off one cannot know

With its first member cut off, the command-line tool said of an accepted change that it was not in force: the cut-off member's "not known" was taken as the answer. It is now 503, upon which the tool asks the next member. Seen in Control/aSilentlyPartitionedLeaderIsReplacedAndNothingReverts.

--- a/src/app/operator_http.cpp
+++ b/src/app/operator_http.cpp
@@ -257,7 +257,8 @@
     }
     m_parts.control->inForce(*index, [this, proven, alive = std::weak_ptr(m_alive)](bool inForce) {
         if (!alive.expired()) {
-            answer(proven, ok, JsonWriter().object().field("inForce", inForce).endObject().text() + "\n");
+            // A member that is cut off cannot know; another one may.
+            answer(proven, inForce ? ok : unavailable, JsonWriter().object().field("inForce", inForce).endObject().text() + "\n");
         }
     });
 }
--- a/tests/process/support/operator_cli.cpp
+++ b/tests/process/support/operator_cli.cpp
@@ -2,6 +2,7 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace pw::test {
@@ -91,8 +92,13 @@
 
 std::uint64_t OperatorCli::version() const
 {
-    const auto json = jsonOf(run({ "config", "show" }));
-    return json.IsMap() ? json["version"].as<std::uint64_t>(0) : 0;
+    // A member that is cut off shows an older one.
+    std::uint64_t version = 0;
+    for (const auto& it : m_memberAddresses) {
+        const auto json = jsonOf(runAt(it, { "config", "show", "--timeout", "1" }));
+        version = std::max(version, json.IsMap() ? json["version"].as<std::uint64_t>(0) : 0);
+    }
+    return version;
 }
 
 } // namespace pw::test
--- a/tests/process/support/operator_cli.h
+++ b/tests/process/support/operator_cli.h
@@ -40,7 +40,7 @@
     Ran withdrawKey(const std::string& keyId) const;
     /// \returns the name of the leader, empty when none is known.
     std::string leader() const;
-    /// \returns the version of the configuration, zero before the first one.
+    /// \returns the latest version of the configuration that any member shows, zero before the first one.
     std::uint64_t version() const;
 
 private:
