--- a/src/app/operator_client.cpp
+++ b/src/app/operator_client.cpp
@@ -54,8 +54,10 @@
     OperatorReply last;
     std::optional<OperatorReply> open;
     for (std::size_t n = 0;; ++n) {
-        auto reply = askMember(m_addresses[n % m_addresses.size()], request);
+        const auto member = (m_preferred + n) % m_addresses.size();
+        auto reply = askMember(m_addresses[member], request);
         if (!isWorthRepeating(reply)) {
+            m_preferred = member;
             return reply;
         }
         if (mayBeDone(reply)) {
--- a/src/app/operator_client.h
+++ b/src/app/operator_client.h
@@ -73,6 +73,7 @@
     std::vector<std::string> m_addresses;
     std::string m_secret;
     TimePoint m_deadline;
+    std::size_t m_preferred = 0; ///< Member that gave the latest answer that settled a request.
 };
 
 } // namespace pw
