--- a/src/core/claims.h
+++ b/src/core/claims.h
@@ -37,6 +37,7 @@
 struct ClaimRefillAsk {
     std::uint64_t incarnation = 0; ///< The sender's; differs at every start.
     std::uint64_t cursor = 0;
+    bool settled = false; ///< Rounds in which the sender's earlier process voted are decided.
 };
 
 /// One claim as a replica holds it.
@@ -51,6 +52,7 @@
 struct ClaimRefillPage {
     std::uint64_t asker = 0; ///< Incarnation that asked.
     std::uint64_t incarnation = 0; ///< The sender's.
+    bool settled = false; ///< The ask's; without it the page has no records.
     bool ready = false; ///< The sender's replica is complete.
     bool firstStart = false; ///< The sender has never granted a claim from its data folder.
     std::vector<std::uint64_t> founders; ///< Incarnations that were all at their first start together.
--- a/src/proto/claims.capnp.h
+++ b/src/proto/claims.capnp.h
@@ -69,7 +69,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c82ccab40a3a5916, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c82ccab40a3a5916, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -362,6 +362,8 @@
 
   inline  ::uint64_t getCursor() const;
 
+  inline bool getSettled() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -396,6 +398,9 @@
   inline  ::uint64_t getCursor();
   inline void setCursor( ::uint64_t value);
 
+  inline bool getSettled();
+  inline void setSettled(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -462,6 +467,8 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::pw::proto::ClaimRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline bool getSettled() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -534,6 +541,9 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::pw::proto::ClaimRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pw::proto::ClaimRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline bool getSettled();
+  inline void setSettled(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1151,6 +1161,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ClaimRefillAsk::Reader::getSettled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool ClaimRefillAsk::Builder::getSettled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void ClaimRefillAsk::Builder::setSettled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ClaimRefillPage::Reader::getAsker() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1359,6 +1383,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool ClaimRefillPage::Reader::getSettled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool ClaimRefillPage::Builder::getSettled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void ClaimRefillPage::Builder::setSettled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::pw::proto::ClaimMemberMessage::Which ClaimMemberMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
