--- a/tools/demo/main.cpp
+++ b/tools/demo/main.cpp
@@ -120,6 +120,7 @@
 std::vector<std::string> Demo::mixes() const
 {
     std::vector<std::string> result;
+    result.reserve(demands.size() + 1);
     const auto mixOf = [this](const Demand& it) {
         return "name=" + std::string(it.route) + "." + it.workspace + ";workspace=" + it.workspace + ";" + it.request + ";key=" + m_keys.at(it.workspace).key;
     };
@@ -214,6 +215,7 @@
     startFleet();
     configure();
     std::vector<std::string> targets;
+    targets.reserve(m_servers.size());
     for (const auto& [name, servers] : m_servers) {
         targets.push_back(servers.front()->daemon.spec().caller);
     }
