--- a/src/app/cli_support.cpp
+++ b/src/app/cli_support.cpp
@@ -37,7 +37,7 @@
         return report;
     }
 
-    ChangeReport reportOf(const OperatorReply& reply)
+    ChangeReport reportOf(const OperatorPortReply& reply)
     {
         if (reply.state == AskState::Lost || reply.state == AskState::NotSent) {
             auto report = named(reply.state == AskState::Lost ? "unknown" : "unavailable");
@@ -177,7 +177,7 @@
     return report.code;
 }
 
-ExitCode explain(const CliContext& context, const OperatorReply& reply)
+ExitCode explain(const CliContext& context, const OperatorPortReply& reply)
 {
     if (reply.state == AskState::Answered) {
         context.err << reply.address << ": status " << reply.status << ": " << textOf(readJson(reply.body), "error") << '\n';
--- a/src/app/cli_support.h
+++ b/src/app/cli_support.h
@@ -53,7 +53,7 @@
 std::string jsonFields(const ChangeReport& report);
 
 /// Explains why there is no good answer. \returns the code that goes with it.
-ExitCode explain(const CliContext& context, const OperatorReply& reply);
+ExitCode explain(const CliContext& context, const OperatorPortReply& reply);
 
 ExitCode configCheck(const CliContext& context);
 ExitCode configDiff(const CliContext& context);
--- a/src/app/daemon_reporter.cpp
+++ b/src/app/daemon_reporter.cpp
@@ -12,9 +12,9 @@
 {
 }
 
-DaemonReport DaemonReporter::report() const
+DaemonStatus DaemonReporter::report() const
 {
-    DaemonReport report;
+    DaemonStatus report;
     report.name = m_settings.name;
     report.region = m_settings.region;
     report.failureDomain = m_settings.failureDomain;
--- a/src/app/daemon_reporter.h
+++ b/src/app/daemon_reporter.h
@@ -15,7 +15,7 @@
     DaemonReporter(const Settings& settings, const ControlSession& session, const ServerDirectory& directory, const Timers& timers,
         ServerRole* server);
 
-    DaemonReport report() const override;
+    DaemonStatus report() const override;
     std::vector<ServerEntry> servers() const override;
     bool drain(std::string& reason) override;
 
--- a/src/app/operator_client.cpp
+++ b/src/app/operator_client.cpp
@@ -22,7 +22,7 @@
     constexpr milliseconds leastTimeout { 100 };
 
     /// \returns whether another member, or the same one later, may know better.
-    bool isWorthRepeating(const OperatorReply& reply)
+    bool isWorthRepeating(const OperatorPortReply& reply)
     {
         if (reply.state == AskState::Answered) {
             return reply.status == unavailableStatus || reply.status == unknownStatus || reply.status == noControlRoleStatus;
@@ -31,7 +31,7 @@
     }
 
     /// \returns whether \p reply leaves it open whether the request was carried out.
-    bool mayBeDone(const OperatorReply& reply)
+    bool mayBeDone(const OperatorPortReply& reply)
     {
         return reply.state == AskState::Lost || (reply.state == AskState::Answered && reply.status == unknownStatus);
     }
@@ -48,10 +48,10 @@
     assert(!m_addresses.empty());
 }
 
-OperatorReply OperatorClient::ask(const OperatorRequest& request)
+OperatorPortReply OperatorClient::ask(const OperatorRequest& request)
 {
-    OperatorReply last;
-    OperatorReply open; ///< Latest reply that leaves it open whether the request was carried out.
+    OperatorPortReply last;
+    OperatorPortReply open; ///< Latest reply that leaves it open whether the request was carried out.
     for (std::size_t n = 0;; ++n) {
         const auto member = (m_preferred + n) % m_addresses.size();
         auto reply = askMember(m_addresses[member], request);
@@ -74,7 +74,7 @@
     return mayBeDone(open) ? open : last;
 }
 
-OperatorReply OperatorClient::askMember(const std::string& address, const OperatorRequest& request)
+OperatorPortReply OperatorClient::askMember(const std::string& address, const OperatorRequest& request)
 {
     const auto asked
         = m_transport.send(address, "GET", "/v1/challenge", "", "", std::clamp(timeLeft(), leastTimeout, challengeTimeout));
--- a/src/app/operator_client.h
+++ b/src/app/operator_client.h
@@ -47,7 +47,7 @@
 };
 
 /// Answer to a request of an operator.
-struct OperatorReply {
+struct OperatorPortReply {
     AskState state = AskState::NotSent;
     int status = 0;
     std::string body;
@@ -63,10 +63,10 @@
     OperatorClient(OperatorTransport& transport, std::vector<std::string> addresses, std::string secret, std::chrono::milliseconds timeout);
 
     /// Asks until a member gives an answer that settles the request, or the time is up.
-    OperatorReply ask(const OperatorRequest& request);
+    OperatorPortReply ask(const OperatorRequest& request);
 
 private:
-    OperatorReply askMember(const std::string& address, const OperatorRequest& request);
+    OperatorPortReply askMember(const std::string& address, const OperatorRequest& request);
     std::chrono::milliseconds timeLeft();
 
     OperatorTransport& m_transport;
--- a/src/app/operator_http.cpp
+++ b/src/app/operator_http.cpp
@@ -116,11 +116,11 @@
         m_parts.metrics.gauge(name, help, {}, [daemon = &m_parts.daemon, read] { return static_cast<double>(read(daemon->report())); });
     };
     daemonGauge("pistachiowheel_configuration_version", "Version of the configuration in force here.",
-        [](const DaemonReport& report) { return report.version; });
+        [](const DaemonStatus& report) { return report.version; });
     daemonGauge("pistachiowheel_applied_index", "Log index up to which the replicated state is applied here.",
-        [](const DaemonReport& report) { return report.appliedIndex; });
+        [](const DaemonStatus& report) { return report.appliedIndex; });
     daemonGauge("pistachiowheel_keys_valid", "Whether the validity lease holds: 1 or 0.",
-        [](const DaemonReport& report) { return report.keysValid; });
+        [](const DaemonStatus& report) { return report.keysValid; });
     if (!m_parts.control) {
         return;
     }
--- a/src/app/operator_status.cpp
+++ b/src/app/operator_status.cpp
@@ -13,7 +13,7 @@
         json.field("slots", entry.slots).field("connections", entry.connections).field("leaving", entry.leaving);
     }
 
-    void writeDaemon(JsonWriter& json, const DaemonReport& report)
+    void writeDaemon(JsonWriter& json, const DaemonStatus& report)
     {
         json.object("daemon");
         json.field("name", report.name).field("region", report.region).field("failureDomain", report.failureDomain);
--- a/src/ports/operator_backend.h
+++ b/src/ports/operator_backend.h
@@ -80,7 +80,7 @@
 };
 
 /// What a daemon knows of itself.
-struct DaemonReport {
+struct DaemonStatus {
     std::string name;
     std::string region;
     std::string failureDomain;
@@ -97,7 +97,7 @@
 public:
     virtual ~LocalDaemon() = default;
 
-    virtual DaemonReport report() const = 0;
+    virtual DaemonStatus report() const = 0;
     /// \returns the backend servers of every configured service that are known here.
     virtual std::vector<ServerEntry> servers() const = 0;
     /// Lets the backend server beside this daemon leave. \returns false with \p reason when there is none.
