Mend what the linter finds in the two measuring programs

The lint of the whole tree named an unchecked socket call, a needless temporary string and a header order; the figures of both programs are not touched.

--- a/tools/measure-fleet/main.cpp
+++ b/tools/measure-fleet/main.cpp
@@ -3,6 +3,7 @@
 #include "support/process_usage.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstdio>
 #include <iostream>
@@ -190,7 +191,9 @@
     void grow(std::size_t daemons)
     {
         while (m_servers.size() < daemons) {
-            m_servers.push_back(&m_fleet.addServer("echo", {}, "d" + std::to_string(m_servers.size() % 3 + 1)).daemon);
+            constexpr std::array<const char*, 3> failureDomains { "d1", "d2", "d3" };
+            const auto* domain = failureDomains.at(m_servers.size() % failureDomains.size());
+            m_servers.push_back(&m_fleet.addServer("echo", {}, domain).daemon);
         }
     }
 
--- a/tools/measure-transport/main.cpp
+++ b/tools/measure-transport/main.cpp
@@ -1,6 +1,7 @@
 // Compares Cap'n Proto RPC with plain Cap'n Proto messages for the request path: both over loopback TCP on one
 // libevent loop, both ends in this process, so that the difference is the processor time of the two ways.
 
+#include "adapters/capnp_compat.h"
 #include "adapters/codec_call.h"
 #include "adapters/peer_network_libevent.h"
 #include "adapters/timers_libevent.h"
@@ -13,6 +14,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <iostream>
 #include <numeric>
 #include <string_view>
@@ -149,10 +151,13 @@
     pw::detail::parseAddress("127.0.0.1:47313", address);
     auto listener = socket(AF_INET, SOCK_STREAM, 0);
     evutil_make_listen_socket_reuseable(listener);
-    bind(listener, address.get(), address.length);
-    listen(listener, 1);
     sockets[0] = socket(AF_INET, SOCK_STREAM, 0);
-    connect(sockets[0], address.get(), address.length);
+    auto connected = bind(listener, address.get(), address.length) == 0 && listen(listener, 1) == 0
+        && connect(sockets[0], address.get(), address.length) == 0;
+    if (!connected) {
+        std::cerr << "measure-transport: no connection on loopback\n";
+        std::exit(1);
+    }
     sockets[1] = accept(listener, nullptr, nullptr);
     evutil_closesocket(listener);
     std::ranges::for_each(sockets, [](evutil_socket_t fd) {
