Let requests wait for the next owner of the rates during an election

Cause: a request without a token waited 250 ms and was then refused as over its rate, although nobody who could tell was there; an election takes up to 0.8 s. Now a request that has heard no owner for 250 ms waits on, up to 1 s and never longer than half of the time it has left; it is refused at once after that.

--- a/src/app/daemon_grants.cpp
+++ b/src/app/daemon_grants.cpp
@@ -90,7 +90,9 @@
             refuse(workspace, share, done);
             return;
         }
-        share.waiters.push_back({ std::min(deadline, now + config::rateWait), std::move(done) });
+        // Half of the time left is kept for the request itself.
+        const auto latest = now + std::min<Duration>(config::rateWaitOwnerless, (deadline - now) / 2);
+        share.waiters.push_back({ std::min(deadline, now + config::rateWait), latest, std::move(done) });
         scheduleAt(share.waiters.back().end);
         plan(share, now);
     }
@@ -111,7 +113,8 @@
 
 private:
     struct Waiter {
-        TimePoint end;
+        TimePoint end; ///< When it is refused.
+        TimePoint latest; ///< End at the latest while no owner of the rates is heard.
         Done done;
     };
 
@@ -229,6 +232,7 @@
             return;
         }
         const auto now = m_timers.now();
+        m_ownerHeard = now;
         for (const auto& reply : batch->replies) {
             const auto it = m_shares.find(reply.workspace);
             if (it != m_shares.end()) {
@@ -260,8 +264,23 @@
         std::ranges::for_each(admitted, [](const Done& done) { done(std::nullopt); });
     }
 
+    /// While a new owner is being elected, silence says nothing of the rate: requests wait for the new one.
+    void extendWithoutOwner(TimePoint now)
+    {
+        if (now - m_ownerHeard < config::rateWait) {
+            return;
+        }
+        for (auto& [workspace, share] : m_shares) {
+            for (auto& waiter : share.waiters) {
+                const auto longer = std::min(waiter.latest, now + config::grantAskRetry);
+                waiter.end = waiter.end <= now ? std::max(waiter.end, longer) : waiter.end;
+            }
+        }
+    }
+
     void refuseExpired(TimePoint now)
     {
+        extendWithoutOwner(now);
         std::vector<std::pair<std::string, Done>> refused;
         for (auto& [workspace, share] : m_shares) {
             for (auto& waiter : share.waiters) {
@@ -292,6 +311,7 @@
     EventLog& m_events;
     FleetView& m_fleet;
     std::uint64_t m_incarnation;
+    TimePoint m_ownerHeard {}; ///< Last reply of an owner of the rates.
     MemberChoice m_owner; ///< The member that is believed to own the rates.
     std::map<std::string, Workspace> m_workspaces;
     std::map<std::string, Share> m_shares; ///< Only workspaces that are in use here.
--- a/src/config.h
+++ b/src/config.h
@@ -256,6 +256,8 @@
 inline constexpr milliseconds grantReportInterval { 400 };
 /// Longest time that a request waits for a token.
 inline constexpr milliseconds rateWait { 250 };
+/// Longest time that a request waits for a token while no owner of the rates is heard, as in an election.
+inline constexpr milliseconds rateWaitOwnerless { 1000 };
 /// Requests of one workspace that wait for a token in one daemon, at most.
 inline constexpr std::size_t maxRateWaiters = 256;
 /// Time to retry that is named when no owner of the rates can be reached.
--- a/tests/unit/rates_test.cpp
+++ b/tests/unit/rates_test.cpp
@@ -342,4 +342,31 @@
     BOOST_TEST(fleet.admitted == 20U);
 }
 
+BOOST_AUTO_TEST_CASE(aRequestWithoutATokenWaitsForTheNextOwner)
+{
+    RatesFleet fleet(5, 1);
+    fleet.configure(100, 100);
+    fleet.election.elect("c1");
+    fleet.run(2s);
+    fleet.election.depose();
+    fleet.request(0, 2s);
+    fleet.run(700ms);
+    BOOST_TEST(fleet.refused == 0U);
+    fleet.election.elect("c2");
+    fleet.run(300ms);
+    BOOST_TEST(fleet.admitted == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(withoutAnyOwnerARequestIsRefusedWithHalfOfItsTimeLeft)
+{
+    RatesFleet fleet(6, 1);
+    fleet.configure(100, 100);
+    fleet.request(0, 1s);
+    fleet.run(450ms);
+    BOOST_TEST(fleet.refused == 0U);
+    fleet.run(60ms);
+    BOOST_TEST(fleet.refused == 1U);
+    BOOST_TEST((fleet.lastRefusal.verdict == Verdict::NotRun));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tools/measure-fleet/main.cpp
+++ b/tools/measure-fleet/main.cpp
@@ -165,9 +165,9 @@
         const Window servers(m_servers);
         const Window controls(controlDaemons());
         std::this_thread::sleep_for(m_window);
-        const auto prefix = std::to_string(daemons) + "-daemons/";
-        report(prefix + "daemon", servers.end(), true);
-        report(prefix + "control", controls.end(), false);
+        const auto size = std::to_string(daemons) + "-daemons";
+        report(size + "/daemon", servers.end(), true);
+        report(size + "/control", controls.end(), false);
     }
 
     /// Changes keys all the while: one key a second is issued, which every daemon learns.
