Use a connection again only after an answer that echoed its exchange id

Cause: a backend server that answers one request twice, and does not echo the exchange id, could hand its second answer to the next request on the connection. Ruled out along the way: the stand-in itself wrote late answers to a new connection that had the address of the closed one; it numbers them now. Test: lateAndRepeatedAnswersNeverReachAnotherRequest, now with and without echo. Conclusion: a server without the echo pays a new connection for each request.

--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -182,7 +182,9 @@
     }
     auto node = m_running.extract(id);
     m_timers.cancel(node.mapped()->timer);
-    keep(std::move(node.mapped()->connection));
+    // Without the echo, a second answer to this request could pass for the answer to the next one.
+    auto echoed = countHeader(result.headers, header::exchange) > 0;
+    echoed ? keep(std::move(node.mapped()->connection)) : discard(std::move(node.mapped()->connection));
     node.mapped()->done(std::move(result));
 }
 
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -33,7 +33,7 @@
 /// Connections to the one backend server beside this daemon.
 ///
 /// An exchange that timed out, was cancelled or failed takes its connection with it: a late answer then has no
-/// connection to arrive on.
+/// connection to arrive on. A connection is used again only after an answer that echoed its exchange id.
 class BackendClient {
 public:
     using Done = std::function<void(BackendResult)>;
--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -3,6 +3,8 @@
 #include "support/http_names.h"
 #include "support/mesh.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -131,9 +133,12 @@
     BOOST_TEST(runs == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(lateAndRepeatedAnswersNeverReachAnotherRequest)
+BOOST_DATA_TEST_CASE(lateAndRepeatedAnswersNeverReachAnotherRequest, boost::unit_test::data::make({ true, false }), echo)
 {
     Mesh mesh;
+    for (const Server* it : mesh.tides) {
+        it->standin.command(echo ? "/echo?on=1" : "/echo?on=0");
+    }
     mesh.tides[0]->standin.mode("mode=duplicate");
     mesh.tides[1]->standin.mode("mode=late&delay-ms=2100");
     LoadRun run(mesh.fleet.folder(), "crossed", { mesh.entry.spec().caller }, { mix(mesh, "name=tides;path=/tides;rate=100;timeout-ms=4000") },
--- a/tools/standin-backend/backend.cpp
+++ b/tools/standin-backend/backend.cpp
@@ -62,8 +62,8 @@
 
     std::string rawAnswer(const std::string& exchangeId, const std::string& body, std::size_t bytesSent)
     {
-        return "HTTP/1.1 200 OK\r\n" + std::string(support::http::exchangeHeader) + ": " + exchangeId
-            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, bytesSent);
+        const auto echo = exchangeId.empty() ? std::string() : std::string(support::http::exchangeHeader) + ": " + exchangeId + "\r\n";
+        return "HTTP/1.1 200 OK\r\n" + echo + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, bytesSent);
     }
 
 } // namespace
@@ -144,7 +144,7 @@
     exchange.mode = m_behaviour.take(target.path);
     exchange.marker = target.text("marker");
     exchange.context = headerOf(request, support::http::contextHeader);
-    exchange.exchangeId = headerOf(request, support::http::exchangeHeader);
+    exchange.exchangeId = m_echo ? headerOf(request, support::http::exchangeHeader) : std::string();
     const auto chain = std::ranges::find_if(m_options.chains, [&](const Chain& it) { return target.path.starts_with(it.prefix); });
     if (chain != m_options.chains.end()) {
         exchange.calls = chain->paths;
@@ -161,9 +161,10 @@
 
 void Backend::countConnection(evhttp_connection* connection)
 {
-    if (!m_connections.insert(connection).second) {
+    if (!m_connections.try_emplace(connection, m_lastConnection + 1).second) {
         return;
     }
+    ++m_lastConnection;
     if (m_connections.size() > m_options.connections) {
         ++m_connectionViolations;
     }
@@ -285,7 +286,9 @@
     evhttp_request* request = exchange.request;
     const std::string body = bodyOf(exchange);
     const bool failed = exchange.nestedFailed;
-    evhttp_add_header(evhttp_request_get_output_headers(request), support::http::exchangeHeader, exchange.exchangeId.c_str());
+    if (!exchange.exchangeId.empty()) {
+        evhttp_add_header(evhttp_request_get_output_headers(request), support::http::exchangeHeader, exchange.exchangeId.c_str());
+    }
     finish(exchange, failed ? Outcome::Failed : Outcome::Answered);
     reply(request, failed ? badGateway : HTTP_OK, body);
 }
@@ -332,17 +335,25 @@
     const std::string body = bodyOf(exchange);
     const std::string again = rawAnswer(exchange.exchangeId, body, body.size());
     answerWhole(exchange);
-    support::after(m_base, duplicateDelay, [this, connection, again] {
-        if (m_connections.contains(connection)) {
+    const auto number = m_connections.at(connection);
+    support::after(m_base, duplicateDelay, [this, connection, number, again] {
+        if (isOpen(connection, number)) {
             sendRaw(connection, again);
         }
     });
 }
 
+bool Backend::isOpen(evhttp_connection* connection, std::uint64_t number) const
+{
+    const auto it = m_connections.find(connection);
+    return it != m_connections.end() && it->second == number;
+}
+
 void Backend::closeConnection(Exchange& exchange, std::chrono::milliseconds delay)
 {
-    support::after(m_base, delay, [this, connection = connectionOf(exchange)] {
-        if (m_connections.contains(connection)) {
+    evhttp_connection* connection = connectionOf(exchange);
+    support::after(m_base, delay, [this, connection, number = m_connections.at(connection)] {
+        if (isOpen(connection, number)) {
             evhttp_connection_free(connection);
         }
     });
--- a/tools/standin-backend/backend.h
+++ b/tools/standin-backend/backend.h
@@ -37,6 +37,9 @@
     /// Switches the failure mode.
     void setBehaviour(const Behaviour& behaviour) { m_behaviour = behaviour; }
 
+    /// Switches whether answers echo the exchange id of their request.
+    void setEcho(bool echo) { m_echo = echo; }
+
     const Journal& journal() const { return m_journal; }
 
     /// \returns counts as one JSON object.
@@ -67,6 +70,7 @@
     void answerClosed(Exchange& exchange);
     void answerTwice(Exchange& exchange);
 
+    bool isOpen(evhttp_connection* connection, std::uint64_t number) const;
     void closeConnection(Exchange& exchange, std::chrono::milliseconds delay);
     void finish(Exchange& exchange, Outcome outcome);
     static evhttp_connection* connectionOf(const Exchange& exchange);
@@ -77,10 +81,12 @@
     Options m_options;
     Journal m_journal;
     Behaviour m_behaviour;
+    bool m_echo = true; ///< Answers carry the exchange id of their request.
     std::mt19937_64 m_random;
     std::unique_ptr<support::HttpClient> m_daemon;
     std::map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
-    std::set<evhttp_connection*> m_connections;
+    std::map<evhttp_connection*, std::uint64_t> m_connections; ///< With a number each: an address is used again.
+    std::uint64_t m_lastConnection = 0;
     std::uint64_t m_nextId = 1;
     std::uint32_t m_running = 0;
     std::uint32_t m_maxRunning = 0;
--- a/tools/standin-backend/main.cpp
+++ b/tools/standin-backend/main.cpp
@@ -39,6 +39,9 @@
         if (request.path == "/announced") {
             return { 200, std::to_string(m_announcer ? m_announcer->accepted() : 0) };
         }
+        if (request.path == "/echo") {
+            return switchEcho(request);
+        }
         return switchAnnouncer(request);
     }
 
@@ -53,6 +56,12 @@
         return {};
     }
 
+    support::ControlAnswer switchEcho(const support::ControlRequest& request)
+    {
+        m_backend.setEcho(request.text("on", "1") == "1");
+        return {};
+    }
+
     support::ControlAnswer switchAnnouncer(const support::ControlRequest& request)
     {
         if (!m_announcer) {
