Build calls from requests in one place

The caller edge and the backend edge filled the same seven fields of a call, and the backend edge had its own copy of the query parser.

--- a/src/app/backend_edge.cpp
+++ b/src/app/backend_edge.cpp
@@ -1,13 +1,13 @@
 #include "app/backend_edge.h"
 
 #include "app/http_answer.h"
+#include "app/http_query.h"
+#include "app/request_call.h"
 #include "config.h"
 #include "core/header_rules.h"
 
-#include <event2/keyvalq_struct.h>
-
 #include <algorithm>
-#include <charconv>
+#include <limits>
 #include <memory>
 #include <vector>
 
@@ -17,40 +17,11 @@
     constexpr std::string_view announcePath = "/v1/announce";
     constexpr std::string_view leavePath = "/v1/leave";
 
-    /// Parameters of a query string.
-    class Query {
-    public:
-        explicit Query(const std::string& target)
-        {
-            auto mark = target.find('?');
-            evhttp_parse_query_str(mark == std::string::npos ? "" : target.c_str() + mark + 1, &m_values);
-        }
-        ~Query() { evhttp_clear_headers(&m_values); }
-        Query(const Query&) = delete;
-        Query& operator=(const Query&) = delete;
-
-        std::string text(const char* name) const
-        {
-            const auto* value = evhttp_find_header(&m_values, name);
-            return value ? value : "";
-        }
-
-        /// \returns zero when the value is no number.
-        std::uint32_t number(const char* name) const
-        {
-            auto value = text(name);
-            std::uint32_t result = 0;
-            auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), result);
-            return ec == std::errc() && end == value.data() + value.size() ? result : 0;
-        }
-
-    private:
-        evkeyvalq m_values {};
-    };
-
-    bool isPath(const std::string& target, std::string_view path)
+    /// \returns zero when the value is missing, no number or too large: the announcement is refused then.
+    std::uint32_t countOf(const HttpQuery& query, const char* name)
     {
-        return std::string_view(target).substr(0, target.find('?')) == path;
+        auto value = query.number(name).value_or(0);
+        return value > std::numeric_limits<std::uint32_t>::max() ? 0 : static_cast<std::uint32_t>(value);
     }
 
 } // namespace
@@ -76,9 +47,9 @@
 void BackendEdge::onRequest(const std::shared_ptr<HttpExchange>& exchange)
 {
     const auto& request = exchange->request();
-    if (request.method == "POST" && isPath(request.target, announcePath)) {
+    if (request.method == "POST" && pathOf(request.target) == announcePath) {
         announce(*exchange);
-    } else if (request.method == "POST" && isPath(request.target, leavePath)) {
+    } else if (request.method == "POST" && pathOf(request.target) == leavePath) {
         leave(*exchange);
     } else {
         nested(exchange);
@@ -87,8 +58,8 @@
 
 void BackendEdge::announce(HttpExchange& exchange)
 {
-    Query query(exchange.request().target);
-    Announcement announcement { query.text("service"), query.text("address"), query.number("slots"), query.number("connections") };
+    HttpQuery query(exchange.request().target);
+    Announcement announcement { query.text("service"), query.text("address"), countOf(query, "slots"), countOf(query, "connections") };
     std::string reason;
     if (m_server.announce(announcement, reason)) {
         exchange.reply({ 204, {}, {} });
@@ -134,15 +105,9 @@
     DispatchRequest job;
     job.deadline = std::min<TimePoint>(grant.deadline, m_timers.now() + route.deadline);
     job.attempts = grant.attempts;
-    job.call.route = route.name;
-    job.call.service = route.service;
-    job.call.method = request.method;
-    job.call.target = request.target;
-    job.call.headers = forwardedHeaders(request.headers);
-    job.call.body = request.body;
+    job.call = callFor(request, route);
     job.call.workspace = grant.workspace;
     job.call.importance = grant.importance;
-    job.call.idempotent = route.idempotent;
     job.call.nested = true;
     job.call.depth = grant.depth;
     return job;
--- a/src/app/caller_edge.cpp
+++ b/src/app/caller_edge.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/crypto.h"
 #include "app/http_answer.h"
+#include "app/request_call.h"
 #include "config.h"
 #include "core/header_rules.h"
 
@@ -196,16 +197,9 @@
     DispatchRequest job;
     job.deadline = incoming->deadline;
     job.attempts = route.attempts;
-    job.call.route = route.name;
-    job.call.service = route.service;
-    job.call.method = request.method;
-    job.call.target = request.target;
-    job.call.headers = forwardedHeaders(request.headers);
-    job.call.body = request.body;
+    job.call = callFor(request, route);
     job.call.workspace = incoming->workspace;
     job.call.requestId = incoming->requestId;
-    job.call.importance = route.importance;
-    job.call.idempotent = route.idempotent;
     auto answeredAtOnce = std::make_shared<bool>(false);
     auto id = m_dispatcher.start(std::move(job), [this, incoming, answeredAtOnce](const Answer& answer) {
         *answeredAtOnce = true;
