Do not read the first violation of a list that is empty

Cause: the message of a check is built even when the check holds, so the raft tests read the front of an empty list; the undefined-behaviour sanitizer stopped there. The checks themselves are as strict as before. Also mends the last finding of the linter in measure-fleet.

--- a/tests/unit/raft_schedule_test.cpp
+++ b/tests/unit/raft_schedule_test.cpp
@@ -150,7 +150,7 @@
             auto& cluster = schedule.cluster();
             BOOST_TEST_CONTEXT("members " << members << " seed " << seed)
             {
-                BOOST_TEST(cluster.violations.empty(), cluster.violations.front());
+                BOOST_TEST(cluster.violations.empty(), cluster.firstViolation());
                 BOOST_TEST(cluster.allVote()); // Everybody comes back once the faults end.
                 std::set<std::string> kept;
                 for (const auto& [index, entry] : cluster.committed) {
--- a/tests/unit/raft_test.cpp
+++ b/tests/unit/raft_test.cpp
@@ -9,7 +9,7 @@
 
 void checkInvariants(const RaftCluster& cluster)
 {
-    BOOST_TEST(cluster.violations.empty(), cluster.violations.front() << " (" << cluster.violations.size() << " in all)");
+    BOOST_TEST(cluster.violations.empty(), cluster.firstViolation() << " (" << cluster.violations.size() << " in all)");
 }
 
 } // namespace
--- a/tests/unit/support/raft_cluster.h
+++ b/tests/unit/support/raft_cluster.h
@@ -31,6 +31,9 @@
     std::vector<std::unique_ptr<Node>> nodes;
     std::map<std::uint64_t, LogEntry> committed; ///< As the first member to apply it saw it.
     std::set<std::string> accepted; ///< Proposals that a leader applied and so would have answered.
+    /// \returns the first violation, empty when there is none.
+    std::string firstViolation() const { return violations.empty() ? std::string() : violations.front(); }
+
     std::vector<std::string> violations;
 
     RaftCluster(std::size_t count, std::uint64_t seed, bool drift = false)
--- a/tools/measure-fleet/main.cpp
+++ b/tools/measure-fleet/main.cpp
@@ -143,7 +143,9 @@
     print(prefix + "/link-bytes", cost.bytesPerSecond, "B/s", target(targetBytesPerSecond));
     for (const auto& [kind, bytes] : cost.byKind) {
         if (bytes > 0) {
-            print(prefix + "/link-bytes/" + kind, bytes, "B/s");
+            auto name = prefix;
+            name.append("/link-bytes/").append(kind);
+            print(name, bytes, "B/s");
         }
     }
 }
