--- a/include/pistachiowheel/pistachiowheel.h
+++ b/include/pistachiowheel/pistachiowheel.h
@@ -26,18 +26,30 @@
     std::uint32_t connectionsPerServer = 256; ///< Connections that one backend server takes, at most.
 };
 
+/// Part of a route's requests that goes to one service.
+struct WeightedService {
+    std::string service;
+    std::uint32_t weight = 1; ///< In proportion to the other parts of the route.
+
+    bool operator==(const WeightedService&) const = default;
+};
+
 /// Maps requests to a service. The longest matching path prefix wins.
 struct Route {
     std::string name;
-    std::string method = "GET"; ///< HTTP method, matched whole.
+    std::string method = "GET"; ///< HTTP method, matched whole; empty: every method.
+    std::string host; ///< Host that requests name, without a port; empty: every host.
     std::string pathPrefix; ///< Begins with "/"; matched at segment borders.
-    std::string service; ///< Name of the service that answers.
+    std::string service; ///< Name of the service that answers; empty when services are given.
+    std::vector<WeightedService> services; ///< Services among which the requests are divided.
     Importance importance = Importance::Normal;
     bool idempotent = true; ///< False: runs at most once, never re-sent once it may have run.
     bool open = false; ///< True: served without a key.
     bool nestedOnly = false; ///< True: only for calls of backend servers, never for callers.
     std::chrono::milliseconds deadline { 2000 };
+    std::chrono::milliseconds targetLatency { 0 }; ///< Time within which an answer is worth most; zero: the deadline.
     std::uint32_t attempts = 16; ///< Attempt budget of a root request, its nested calls included.
+    std::uint32_t maxServers = 3; ///< Backend servers that one request may be sent to.
 };
 
 /// A tenant whose requests are counted together over the whole fleet.
@@ -45,6 +57,16 @@
     std::string name;
     double rate = 100; ///< Requests a second.
     double burst = 100; ///< Requests above the rate that may come at once.
+    bool limited = true; ///< False: rate and burst do not bound it.
+    std::vector<std::string> keyDigests; ///< SHA-256 of keys that are valid beside the issued ones, in hexadecimal.
+};
+
+/// What callers may send, and how long they may take.
+struct CallerLimits {
+    std::size_t headerBytes = 16 * 1024;
+    std::size_t bodyBytes = 1024 * 1024;
+    std::chrono::milliseconds headerTimeout { 30000 }; ///< From the first byte of a request to the end of its header.
+    std::chrono::milliseconds idleTimeout { 30000 }; ///< Between requests of one connection.
 };
 
 /// Everything that operators configure.
@@ -52,6 +74,7 @@
     std::vector<Service> services;
     std::vector<Route> routes;
     std::vector<Workspace> workspaces;
+    CallerLimits limits;
 };
 
 /// \returns the name of \p importance in the configuration.
--- /dev/null
+++ b/src/adapters/backend_connection.cpp
@@ -0,0 +1,173 @@
+#include "adapters/backend_connection.h"
+
+#include "adapters/http_status.h"
+#include "config.h"
+#include "core/header_rules.h"
+
+#include <charconv>
+#include <utility>
+
+namespace pw::detail {
+namespace {
+
+    constexpr Refusal neverConnected { Verdict::NotRun, Reason::Unreachable, {} };
+    constexpr Refusal brokenOff { Verdict::MayHaveRun, Reason::BackendFailed, {} };
+    constexpr int firstFinalStatus = 200;
+
+    constexpr HttpSizeLimits answerLimits { config::maxHeaderBytes, config::maxAnswerBytes };
+
+    std::string render(const HttpRequest& request)
+    {
+        std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+        for (const auto& it : request.headers) {
+            text += it.name;
+            text += ": ";
+            text += it.value;
+            text += "\r\n";
+        }
+        if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH") {
+            text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+        }
+        text += "\r\n";
+        return text + request.body;
+    }
+
+    /// \returns the "timeout" parameter of a Keep-Alive header.
+    std::optional<Duration> keepAliveOf(const HttpResponse& answer)
+    {
+        const auto value = singleHeader(answer.headers, "Keep-Alive");
+        constexpr std::string_view name = "timeout=";
+        const auto at = value ? value->find(name) : std::string_view::npos;
+        if (at == std::string_view::npos) {
+            return std::nullopt;
+        }
+        unsigned seconds = 0;
+        const auto* begin = value->data() + at + name.size();
+        const auto [end, ec] = std::from_chars(begin, value->data() + value->size(), seconds);
+        return ec == std::errc() ? std::optional<Duration>(std::chrono::seconds(seconds)) : std::nullopt;
+    }
+
+} // namespace
+
+BackendConnection::BackendConnection(BackendClient& client)
+    : m_client(client)
+    , m_stream(client.m_loop, *this)
+    , m_reader(answerLimits)
+{
+}
+
+void BackendConnection::dial(const SocketAddress& address)
+{
+    if (!m_stream.dial(address)) {
+        // Reported from the loop, like every other end.
+        m_client.m_timers.after(Duration::zero(), [&client = m_client, id = m_exchange] {
+            client.fail(id, neverConnected, "cannot connect", false);
+        });
+    }
+}
+
+void BackendConnection::start(std::uint64_t exchange, const HttpRequest& request)
+{
+    m_exchange = exchange;
+    m_sent = m_stream.connected();
+    m_strayed = false;
+    m_stream.write(render(request));
+    m_request = { request.method, request.target, request.headers, {} };
+    m_reader.begin(request.method == "HEAD");
+}
+
+void BackendConnection::streamConnected()
+{
+    m_sent = m_exchange != 0;
+}
+
+void BackendConnection::streamReadable()
+{
+    if (!m_exchange) {
+        // Bytes that nobody asked for: perhaps a second answer to an earlier request.
+        m_client.dropIdle(this);
+        return;
+    }
+    readAnswer();
+}
+
+void BackendConnection::readAnswer()
+{
+    while (m_exchange && !m_stream.input().empty()) {
+        m_stream.consume(m_reader.take(m_stream.input()));
+        if (m_reader.fault() != HttpFault::None) {
+            fail("answer cannot be read");
+            return;
+        }
+        if (!m_reader.complete()) {
+            return;
+        }
+        const auto keepsAlive = m_reader.keepsAlive();
+        judge(m_reader.finish(), keepsAlive);
+    }
+}
+
+void BackendConnection::judge(HttpResponse answer, bool keepsAlive)
+{
+    if (answer.status < firstFinalStatus) {
+        m_reader.begin(m_request.method == "HEAD");
+        return;
+    }
+    const auto meaning = m_client.m_protocol.meaning(m_request, answer);
+    if (meaning == AnswerMeaning::Another && keepsAlive && ++m_strays <= config::maxStrayAnswers) {
+        m_strayed = true;
+        m_reader.begin(m_request.method == "HEAD");
+        return;
+    }
+    if (meaning == AnswerMeaning::Another || meaning == AnswerMeaning::Broken) {
+        fail(meaning == AnswerMeaning::Another ? "answer to another request" : "not an answer of the backend server");
+        return;
+    }
+    noteKeepAlive(answer);
+    // What is left of an early answer's request, or stands behind the answer, must not meet the next request.
+    const auto clean = m_stream.input().empty() && m_stream.backlog() == 0 && !m_strayed;
+    const auto reusable = keepsAlive && clean && m_client.m_protocol.identified(m_request, answer);
+    m_fresh = false;
+    m_client.finish(std::exchange(m_exchange, 0), meaning, std::move(answer), reusable);
+}
+
+void BackendConnection::noteKeepAlive(const HttpResponse& answer)
+{
+    if (const auto keepAlive = keepAliveOf(answer)) {
+        m_keepAlive = keepAlive;
+    }
+}
+
+void BackendConnection::streamEnded(StreamEnd end)
+{
+    if (!m_exchange) {
+        m_client.dropIdle(this);
+        return;
+    }
+    if (end == StreamEnd::NotConnected) {
+        m_client.fail(std::exchange(m_exchange, 0), neverConnected, "cannot connect", false);
+        return;
+    }
+    if (end == StreamEnd::EndOfStream) {
+        m_reader.takeEnd();
+        if (m_reader.complete()) {
+            judge(m_reader.finish(), false);
+            return;
+        }
+    }
+    fail(end == StreamEnd::EndOfStream ? "closed before the end of the answer" : "connection reset");
+}
+
+void BackendConnection::fail(std::string_view why)
+{
+    m_client.fail(std::exchange(m_exchange, 0), brokenOff, why, true);
+}
+
+bool BackendConnection::usable(TimePoint now, bool repeatable) const
+{
+    const auto allowed = m_keepAlive ? *m_keepAlive - config::keepAliveMargin : Duration(config::backendIdleTimeout);
+    const auto idle = now - m_idleSince;
+    return m_stream.input().empty() && idle < allowed && (repeatable || idle < config::sureConnectionAge);
+}
+
+} // namespace pw::detail
--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -63,9 +63,11 @@
         call.service = fromText(message.getService());
         call.method = fromText(message.getMethod());
         call.target = fromText(message.getTarget());
+        call.host = fromText(message.getHost());
         call.headers = readHeaders(message);
         call.body = fromData(message.getBody());
         call.workspace = fromText(message.getWorkspace());
+        call.callerService = fromText(message.getCallerService());
         call.requestId = fromText(message.getRequestId());
         call.importance = readEnum<Importance>(message.getImportance());
         call.idempotent = message.getIdempotent();
@@ -106,9 +108,11 @@
     message.setService(toText(call.service));
     message.setMethod(toText(call.method));
     message.setTarget(toText(call.target));
+    message.setHost(toText(call.host));
     writeHeaders(message, call.headers);
     message.setBody(toData(call.body));
     message.setWorkspace(toText(call.workspace));
+    message.setCallerService(toText(call.callerService));
     message.setRequestId(toText(call.requestId));
     message.setImportance(static_cast<std::uint8_t>(call.importance));
     message.setIdempotent(call.idempotent);
--- a/src/adapters/codec_control_parts.cpp
+++ b/src/adapters/codec_control_parts.cpp
@@ -24,7 +24,9 @@
 
         void operator()(const SubmitConfiguration& change)
         {
-            writeConfiguration(builder.initSubmit(), { change.baseVersion, change.text });
+            auto message = builder.initSubmit();
+            writeConfiguration(message, { change.version, change.text });
+            message.setBaseVersion(change.baseVersion);
         }
         void operator()(const IssueKey& change)
         {
@@ -168,7 +170,7 @@
     switch (reader.which()) {
     case proto::Change::SUBMIT: {
         auto record = readConfiguration(reader.getSubmit());
-        return { id, SubmitConfiguration { record.version, std::move(record.text) } };
+        return { id, SubmitConfiguration { reader.getSubmit().getBaseVersion(), std::move(record.text), record.version } };
     }
     case proto::Change::ISSUE: {
         const auto key = readKey(reader.getIssue());
--- a/src/adapters/crypto.cpp
+++ b/src/adapters/crypto.cpp
@@ -5,6 +5,7 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
+#include <charconv>
 #include <cstdlib>
 #include <cstring>
 
@@ -70,4 +71,27 @@
     return result;
 }
 
+std::string toHex(const KeyDigest& digest)
+{
+    return toHex(std::string_view(reinterpret_cast<const char*>(digest.data()), digest.size()));
+}
+
+std::optional<KeyDigest> parseDigest(std::string_view hex)
+{
+    KeyDigest digest {};
+    if (hex.size() != 2 * digest.size()) {
+        return std::nullopt;
+    }
+    for (std::size_t n = 0; n < digest.size(); ++n) {
+        unsigned value = 0;
+        const auto* begin = hex.data() + 2 * n;
+        const auto [stop, ec] = std::from_chars(begin, begin + 2, value, 16);
+        if (ec != std::errc() || stop != begin + 2) {
+            return std::nullopt;
+        }
+        digest.at(n) = static_cast<std::byte>(value);
+    }
+    return digest;
+}
+
 } // namespace pw::crypto
--- a/src/adapters/crypto.h
+++ b/src/adapters/crypto.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -32,4 +33,10 @@
 /// \returns \p bytes as lower-case hexadecimal digits.
 std::string toHex(std::string_view bytes);
 
+/// \returns \p digest in hexadecimal.
+std::string toHex(const KeyDigest& digest);
+
+/// \returns the digest that \p hex holds, nothing when it is none.
+std::optional<KeyDigest> parseDigest(std::string_view hex);
+
 } // namespace pw::crypto
--- a/src/adapters/event_log_easylogging.cpp
+++ b/src/adapters/event_log_easylogging.cpp
@@ -47,7 +47,7 @@
     EasyloggingEventLog::EasyloggingEventLog(EventLogOptions options, Timers * timers)
         : m_options(std::move(options))
         , m_timers(timers)
-        , m_output(m_options.file, m_options.fileBytes)
+        , m_output(m_options.file, m_options.fileBytes, m_options.toOutput)
     {
         el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(defaultSinkId);
         const bool installed = el::Helpers::installLogDispatchCallback<Sink>(sinkId);
--- a/src/adapters/event_log_easylogging.h
+++ b/src/adapters/event_log_easylogging.h
@@ -18,6 +18,7 @@
     std::string file; ///< Empty: standard error.
     std::uint32_t decisionSampling = 1; ///< One decision line in this many is written; zero writes none.
     std::size_t fileBytes = LogOutput::maxFileBytes; ///< Size at which the file is rotated.
+    bool toOutput = false; ///< Without a file: standard output instead of standard error.
 };
 
 /// Event log through easylogging++, whose state is global: one object of this class at a time.
--- /dev/null
+++ b/src/adapters/http_connection.cpp
@@ -0,0 +1,229 @@
+#include "adapters/http_connection.h"
+
+#include "adapters/http_status.h"
+#include "config.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pw::detail {
+namespace {
+
+    constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+
+    int statusOf(HttpFault fault)
+    {
+        switch (fault) {
+        case HttpFault::HeaderTooLarge:
+            return httpStatus::headersTooLarge;
+        case HttpFault::BodyTooLarge:
+            return httpStatus::bodyTooLarge;
+        default:
+            return httpStatus::badRequest;
+        }
+    }
+
+    std::string_view nameOf(HttpFault fault)
+    {
+        switch (fault) {
+        case HttpFault::HeaderTooLarge:
+            return "header too large";
+        case HttpFault::BodyTooLarge:
+            return "body too large";
+        default:
+            return "malformed request";
+        }
+    }
+
+    bool hasNoBody(int status)
+    {
+        return status == httpStatus::noContent || status == httpStatus::notModified;
+    }
+
+} // namespace
+
+HttpConnection::HttpConnection(HttpServer& server, evutil_socket_t fd)
+    : m_server(server)
+    , m_stream(server.m_loop, *this)
+    , m_reader(server.m_limits.sizes)
+    , m_lastProgress(server.m_timers.now())
+{
+    m_stream.adopt(fd);
+}
+
+void HttpConnection::streamReadable()
+{
+    if (m_closing) {
+        m_stream.consume(m_stream.input().size());
+        return;
+    }
+    m_lastProgress = m_server.m_timers.now();
+    readRequests();
+}
+
+void HttpConnection::readRequests()
+{
+    // A handler may answer at once, which comes back here through holdBack().
+    if (std::exchange(m_reading, true)) {
+        return;
+    }
+    while (!m_closing && m_slots.size() < config::maxPipelinedRequests && !m_stream.input().empty()) {
+        m_stream.consume(m_reader.take(m_stream.input()));
+        if (m_reader.fault() != HttpFault::None) {
+            refuse(statusOf(m_reader.fault()), nameOf(m_reader.fault()));
+            break;
+        }
+        if (!m_reader.complete()) {
+            m_requestBegan = m_requestBegan.value_or(m_lastProgress);
+            if (m_reader.awaitsContinue() && !std::exchange(m_continued, true)) {
+                m_stream.write(continueLine);
+            }
+            break;
+        }
+        m_requestBegan.reset();
+        m_continued = false;
+        const auto keepsAlive = m_reader.keepsAlive();
+        take(m_reader.finish(), keepsAlive);
+    }
+    m_reading = false;
+    holdBack();
+}
+
+void HttpConnection::take(HttpRequest request, bool keepsAlive)
+{
+    const auto number = m_firstSlot + m_slots.size();
+    const auto bodiless = request.method == "HEAD";
+    auto exchange = std::make_shared<HttpExchange>(m_server.m_pending, *this, number, std::move(request));
+    m_slots.push_back({ exchange.get(), keepsAlive, bodiless, {}, false });
+    m_closing = !keepsAlive;
+    m_server.m_handler(std::move(exchange));
+}
+
+/// Answers what cannot be read as a request; where the next one would begin is not known.
+void HttpConnection::refuse(int status, std::string_view what)
+{
+    const auto response = m_server.m_faultAnswer ? m_server.m_faultAnswer(status, what)
+                                                 : HttpResponse { status, {}, std::string(what) + "\n" };
+    m_closing = true;
+    m_slots.push_back({ nullptr, false, false, render(response, false, true), true });
+    sendAnswers();
+}
+
+void HttpConnection::answer(std::uint64_t slot, const HttpResponse& response)
+{
+    auto& it = m_slots.at(slot - m_firstSlot);
+    it.exchange = nullptr;
+    // Requests behind an answer that closes would be sent again although they run.
+    it.closes = !it.keepsAlive || (m_server.m_leaving && lastOnConnection(slot));
+    m_closing = m_closing || it.closes;
+    it.answer = render(response, it.bodiless, it.closes);
+    m_lastProgress = m_server.m_timers.now();
+    sendAnswers();
+}
+
+bool HttpConnection::lastOnConnection(std::uint64_t slot) const
+{
+    return slot + 1 == m_firstSlot + m_slots.size() && !m_reader.begun() && m_stream.input().empty();
+}
+
+void HttpConnection::sendAnswers()
+{
+    while (!m_slots.empty() && !m_slots.front().answer.empty()) {
+        m_stream.write(m_slots.front().answer);
+        const auto closes = m_slots.front().closes;
+        m_slots.pop_front();
+        ++m_firstSlot;
+        if (closes) {
+            beginClose();
+            return;
+        }
+    }
+    if (!m_reading) {
+        readRequests();
+    }
+}
+
+/// Ends this side first and drops what still comes, so that the last answer is not lost in a reset.
+void HttpConnection::beginClose()
+{
+    m_closing = true;
+    m_stream.consume(m_stream.input().size());
+    m_stream.pauseReading(false);
+    m_stream.finishWriting();
+}
+
+void HttpConnection::holdBack()
+{
+    const auto full = m_slots.size() >= config::maxPipelinedRequests || m_stream.backlog() > config::maxUnreadAnswerBytes;
+    m_stream.pauseReading(full && !m_closing);
+}
+
+std::string HttpConnection::render(const HttpResponse& response, bool bodiless, bool closes) const
+{
+    std::string text = "HTTP/1.1 " + std::to_string(response.status) + ' ';
+    text += reasonPhrase(response.status);
+    text += "\r\n";
+    for (const auto& it : response.headers) {
+        text += it.name;
+        text += ": ";
+        text += it.value;
+        text += "\r\n";
+    }
+    if (!hasNoBody(response.status)) {
+        text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    }
+    text += closes ? "Connection: close\r\n\r\n" : "\r\n";
+    if (!bodiless && !hasNoBody(response.status)) {
+        text += response.body;
+    }
+    return text;
+}
+
+bool HttpConnection::idle() const
+{
+    return m_slots.empty() && m_stream.backlog() == 0 && !m_reader.begun() && m_stream.input().empty();
+}
+
+void HttpConnection::check(TimePoint now)
+{
+    const auto& limits = m_server.m_limits;
+    if (m_stream.backlog() == 0) {
+        holdBack();
+    }
+    if (m_closing && m_slots.empty()) {
+        if (now - m_lastProgress >= config::lingerTimeout) {
+            drop();
+        }
+        return;
+    }
+    if (!m_slots.empty()) {
+        m_lastProgress = m_stream.backlog() > 0 ? m_lastProgress : now;
+    }
+    if (m_requestBegan && now - *m_requestBegan >= limits.headerTimeout && !m_reader.headerDone()) {
+        refuse(httpStatus::requestTimeout, "header not received in time");
+    } else if (now - m_lastProgress >= limits.idleTimeout) {
+        drop();
+    }
+}
+
+void HttpConnection::streamEnded(StreamEnd)
+{
+    drop();
+}
+
+void HttpConnection::drop()
+{
+    if (std::exchange(m_dropped, true)) {
+        return;
+    }
+    m_closing = true;
+    auto slots = std::exchange(m_slots, {});
+    m_server.remove(this);
+    std::ranges::for_each(slots, [](const Slot& it) {
+        if (it.exchange) {
+            it.exchange->connectionEnded();
+        }
+    });
+}
+
+} // namespace pw::detail
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,11 +1,8 @@
 #include "adapters/http_server.h"
 
-#include "adapters/http_methods.h"
+#include "adapters/http_connection.h"
+#include "adapters/http_status.h"
 #include "config.h"
-#include "core/header_rules.h"
-
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -13,117 +10,69 @@
 #include <utility>
 
 namespace pw {
-namespace {
-
-    HttpRequest readRequest(evhttp_request* raw)
-    {
-        HttpRequest request;
-        request.method = methodName(evhttp_request_get_command(raw));
-        request.target = evhttp_request_get_uri(raw);
-        for (auto* it = evhttp_request_get_input_headers(raw)->tqh_first; it; it = it->next.tqe_next) {
-            request.headers.push_back({ it->key, it->value });
-        }
-        request.body = detail::drain(evhttp_request_get_input_buffer(raw));
-        return request;
-    }
-
-    /// A message whose length can be read in two ways, or whose target is not a path, is not taken.
-    const char* framingFault(const HttpRequest& request)
-    {
-        auto lengths = countHeader(request.headers, "Content-Length");
-        auto codings = countHeader(request.headers, "Transfer-Encoding");
-        if (lengths > 1 || codings > 1 || (lengths && codings)) {
-            return "ambiguous body length";
-        }
-        if (codings && !sameHeader(*singleHeader(request.headers, "Transfer-Encoding"), "chunked")) {
-            return "transfer coding not supported";
-        }
-        return request.target.starts_with('/') ? nullptr : "the target must be a path";
-    }
-
-} // namespace
 
-HttpExchange::HttpExchange(HttpServer& server, evhttp_request* raw, HttpRequest request)
-    : m_server(&server)
-    , m_raw(raw)
+HttpExchange::HttpExchange(std::shared_ptr<std::size_t> pending, detail::HttpConnection& connection, std::uint64_t slot, HttpRequest request)
+    : m_pending(std::move(pending))
+    , m_connection(&connection)
+    , m_slot(slot)
     , m_request(std::move(request))
 {
-    m_server->m_pending.insert(this);
-    // The library does not watch the connection while a request is worked on.
-    auto* buffer = evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw));
-    bufferevent_setcb(buffer, nullptr, nullptr, onEvent, this);
-    bufferevent_setwatermark(buffer, EV_READ, 0, config::maxHeaderBytes);
-    bufferevent_enable(buffer, EV_READ);
+    ++*m_pending;
 }
 
 HttpExchange::~HttpExchange()
 {
-    reply({ 500, {}, "" });
+    reply({ httpStatus::internalError, {}, "" });
 }
 
 void HttpExchange::reply(const HttpResponse& response)
 {
-    auto* raw = std::exchange(m_raw, nullptr);
-    if (!raw) {
+    const auto pending = std::exchange(m_pending, nullptr);
+    if (!pending) {
         return;
     }
+    --*pending;
     m_gone = nullptr;
-    m_server->m_pending.erase(this);
-    auto* buffer = evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw));
-    bufferevent_setwatermark(buffer, EV_READ, 0, 0);
-    m_server->endReading(buffer);
-    auto* headers = evhttp_request_get_output_headers(raw);
-    std::ranges::for_each(response.headers, [&](const HeaderLine& it) { evhttp_add_header(headers, it.name.c_str(), it.value.c_str()); });
-    if (m_server->m_leaving) {
-        evhttp_add_header(headers, "Connection", "close");
+    if (auto* connection = std::exchange(m_connection, nullptr)) {
+        connection->answer(m_slot, response);
     }
-    auto* output = evhttp_request_get_output_buffer(raw);
-    evbuffer_add(output, response.body.data(), response.body.size());
-    evhttp_send_reply(raw, response.status, nullptr, nullptr);
 }
 
-void HttpExchange::onEvent(bufferevent* buffer, short what, void* argument)
+void HttpExchange::connectionEnded()
 {
-    auto* exchange = static_cast<HttpExchange*>(argument);
-    if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) || !exchange->m_raw) {
-        return;
-    }
-    bufferevent_disable(buffer, EV_READ);
-    if (auto gone = std::exchange(exchange->m_gone, nullptr)) {
+    m_connection = nullptr;
+    if (auto gone = std::exchange(m_gone, nullptr)) {
         gone();
     }
 }
 
-HttpServer::HttpServer(event_base* base, Handler handler)
-    : m_base(base)
+HttpServer::HttpServer(StreamLoop& loop, Timers& timers, Handler handler, FaultAnswer faultAnswer)
+    : m_loop(loop)
+    , m_timers(timers)
     , m_handler(std::move(handler))
+    , m_faultAnswer(std::move(faultAnswer))
+    , m_limits({ { config::maxHeaderBytes, config::maxBodyBytes }, config::callerIdleTimeout, config::callerIdleTimeout })
 {
 }
 
 HttpServer::~HttpServer()
 {
     shutdown();
+    m_timers.cancel(m_sweepTimer);
+    m_timers.cancel(m_releaseTimer);
 }
 
 bool HttpServer::init(const std::string& address, std::string& reason)
 {
-    std::string host;
-    std::uint16_t port = 0;
-    if (!detail::splitAddress(address, host, port)) {
+    detail::SocketAddress parsed;
+    if (!detail::parseAddress(address, parsed)) {
         reason = "not an ip:port address: " + address;
         return false;
     }
-    m_http.reset(evhttp_new(m_base));
-    evhttp_set_allowed_methods(m_http.get(), allowedMethods());
-    evhttp_set_max_headers_size(m_http.get(), config::maxHeaderBytes);
-    evhttp_set_max_body_size(m_http.get(), config::maxBodyBytes);
-    auto timeout = detail::toTimeval(config::callerIdleTimeout);
-    evhttp_set_timeout_tv(m_http.get(), &timeout);
-    evhttp_set_default_content_type(m_http.get(), nullptr);
-    evhttp_set_gencb(m_http.get(), onRequest, this);
-    evhttp_set_bevcb(m_http.get(), onConnection, this);
-    m_socket = evhttp_bind_socket_with_handle(m_http.get(), host.c_str(), port);
-    if (!m_socket) {
+    constexpr unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC;
+    m_listener.reset(evconnlistener_new_bind(m_loop.base(), onAccepted, this, flags, config::listenBacklog, parsed.get(),
+        static_cast<int>(parsed.length)));
+    if (!m_listener) {
         reason = "cannot listen on " + address + ": " + std::strerror(errno);
         return false;
     }
@@ -132,76 +81,83 @@
 
 void HttpServer::stopListening()
 {
-    if (m_socket) {
-        evhttp_del_accept_socket(m_http.get(), std::exchange(m_socket, nullptr));
-    }
+    m_listener.reset();
 }
 
 void HttpServer::pauseListening(bool pause)
 {
-    if (!m_socket) {
-        return;
+    if (m_listener) {
+        pause ? evconnlistener_disable(m_listener.get()) : evconnlistener_enable(m_listener.get());
     }
-    auto* listener = evhttp_bound_socket_get_listener(m_socket);
-    pause ? evconnlistener_disable(listener) : evconnlistener_enable(listener);
+}
+
+void HttpServer::closeIdle()
+{
+    std::vector<detail::HttpConnection*> idle;
+    for (const auto& [connection, owned] : m_connections) {
+        if (connection->idle()) {
+            idle.push_back(connection);
+        }
+    }
+    std::ranges::for_each(idle, [](auto* it) { it->drop(); });
 }
 
 void HttpServer::shutdown()
 {
-    std::ranges::for_each(m_pending, [](HttpExchange* it) { it->m_raw = nullptr; });
-    m_pending.clear();
-    m_http.reset();
-    m_socket = nullptr;
+    m_listener.reset();
+    while (!m_connections.empty()) {
+        m_connections.begin()->first->drop();
+    }
+}
+
+void HttpServer::onAccepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* argument)
+{
+    static_cast<HttpServer*>(argument)->accept(fd);
 }
 
-bufferevent* HttpServer::onConnection(event_base* base, void* argument)
+void HttpServer::accept(evutil_socket_t fd)
 {
-    auto* connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    auto* input = bufferevent_get_input(connection);
-    static_cast<HttpServer*>(argument)->m_readings.insert_or_assign(input, Reading { connection, std::nullopt });
-    evbuffer_add_cb(input, onBytes, argument);
-    return connection;
+    auto connection = std::make_unique<detail::HttpConnection>(*this, fd);
+    auto* raw = connection.get();
+    m_connections.emplace(raw, std::move(connection));
+    scheduleSweep();
 }
 
-void HttpServer::onBytes(evbuffer* input, const evbuffer_cb_info* info, void* argument)
+void HttpServer::remove(detail::HttpConnection* connection)
 {
-    if (!info->n_added) {
+    auto node = m_connections.extract(connection);
+    if (node.empty()) {
         return;
     }
-    auto& reading = static_cast<HttpServer*>(argument)->m_readings.at(input);
-    auto now = MonotonicClock::now();
-    if (!reading.since) {
-        reading.since = now;
-    }
-    // The library bounds silence only; a sender of a byte now and then is cut off here.
-    if (now - *reading.since > config::callerIdleTimeout) {
-        ::shutdown(bufferevent_getfd(reading.connection), SHUT_RDWR);
+    m_removed.push_back(std::move(node.mapped()));
+    if (!m_releaseTimer) {
+        m_releaseTimer = m_timers.after(Duration::zero(), [this] {
+            m_releaseTimer = 0;
+            m_removed.clear();
+        });
     }
 }
 
-void HttpServer::endReading(bufferevent* connection)
+void HttpServer::scheduleSweep()
 {
-    auto it = m_readings.find(bufferevent_get_input(connection));
-    if (it != m_readings.end()) {
-        it->second.since.reset();
+    if (!m_sweepTimer && !m_connections.empty()) {
+        m_sweepTimer = m_timers.after(config::httpSweepInterval, [this] { sweep(); });
     }
 }
 
-void HttpServer::onRequest(evhttp_request* raw, void* argument)
+void HttpServer::sweep()
 {
-    auto* server = static_cast<HttpServer*>(argument);
-    server->endReading(evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw)));
-    auto exchange = std::make_shared<HttpExchange>(*server, raw, readRequest(raw));
-    if (const auto* fault = framingFault(exchange->request())) {
-        const auto& info = reasonInfo(Reason::Malformed);
-        exchange->reply({ info.httpStatus,
-            { { std::string(header::verdict), std::string(verdictName(Verdict::NotRun)) },
-                { std::string(header::reason), std::string(info.name) },
-                { "Connection", "close" } },
-            std::string(fault) + "\n" });
-        return;
+    m_sweepTimer = 0;
+    const auto now = m_timers.now();
+    std::vector<detail::HttpConnection*> connections;
+    connections.reserve(m_connections.size());
+    std::ranges::transform(m_connections, std::back_inserter(connections), [](const auto& it) { return it.first; });
+    for (auto* connection : connections) {
+        if (m_connections.contains(connection)) {
+            connection->check(now);
+        }
     }
-    server->m_handler(std::move(exchange));
+    scheduleSweep();
 }
 
 } // namespace pw
--- /dev/null
+++ b/src/adapters/http_status.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string_view>
+
+namespace pw {
+
+namespace httpStatus {
+    inline constexpr int ok = 200;
+    inline constexpr int noContent = 204;
+    inline constexpr int notModified = 304;
+    inline constexpr int badRequest = 400;
+    inline constexpr int requestTimeout = 408;
+    inline constexpr int bodyTooLarge = 413;
+    inline constexpr int misdirected = 421;
+    inline constexpr int headersTooLarge = 431;
+    inline constexpr int internalError = 500;
+    inline constexpr int unavailable = 503;
+} // namespace httpStatus
+
+/// \returns the reason phrase of an HTTP status; "Status" for one without a phrase here.
+std::string_view reasonPhrase(int status);
+
+} // namespace pw
--- a/src/adapters/log_output.cpp
+++ b/src/adapters/log_output.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-LogOutput::LogOutput(std::string file, std::size_t fileBytes)
+LogOutput::LogOutput(std::string file, std::size_t fileBytes, bool toOutput)
     : m_file(std::move(file))
     , m_fileBytes(fileBytes)
+    , m_toOutput(toOutput)
 {
 }
 
@@ -36,7 +37,7 @@
 bool LogOutput::open(std::string& reason)
 {
     if (m_file.empty()) {
-        m_fd = STDERR_FILENO;
+        m_fd = m_toOutput ? STDOUT_FILENO : STDERR_FILENO;
         return true;
     }
     m_fd = ::open(m_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR | S_IRGRP);
--- a/src/adapters/log_output.h
+++ b/src/adapters/log_output.h
@@ -16,8 +16,8 @@
     static constexpr std::size_t flushBytes = 32 * 1024;
     static constexpr std::size_t maxBufferBytes = 1024 * 1024;
 
-    /// \param file empty for standard error.
-    explicit LogOutput(std::string file, std::size_t fileBytes = maxFileBytes);
+    /// \param file empty for standard error, or standard output.
+    explicit LogOutput(std::string file, std::size_t fileBytes = maxFileBytes, bool toOutput = false);
     ~LogOutput();
 
     LogOutput(const LogOutput&) = delete;
@@ -43,6 +43,7 @@
 
     std::string m_file;
     std::size_t m_fileBytes;
+    bool m_toOutput;
     int m_fd = -1;
     std::size_t m_written = 0; ///< Bytes in the current file.
     std::string m_buf;
--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -8,6 +8,7 @@
 #include <endian.h>
 
 #include <algorithm>
+#include <cstring>
 
 namespace pw {
 namespace {
@@ -55,20 +56,13 @@
 {
     std::unique_ptr<PeerLink> link(new PeerLink(context, true));
     link->m_peer = peer;
-    link->attach(bufferevent_socket_new(context.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
-    detail::SocketAddress address;
-    auto parsed = detail::parseAddress(peer, address) && link->bindSource();
-    if (!parsed || bufferevent_socket_connect(link->m_buffer.get(), address.get(), static_cast<int>(address.length)) != 0) {
-        return nullptr;
-    }
-    return link;
+    return link->connectTo(peer) ? std::move(link) : nullptr;
 }
 
 std::unique_ptr<PeerLink> PeerLink::accept(const LinkContext& context, evutil_socket_t fd)
 {
     std::unique_ptr<PeerLink> link(new PeerLink(context, false));
-    link->attach(bufferevent_socket_new(context.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
-    detail::tuneSocket(fd);
+    link->m_stream.adopt(fd);
     link->greet();
     return link;
 }
@@ -79,29 +73,25 @@
     , m_nonce(crypto::randomBytes(nonceBytes))
     , m_started(MonotonicClock::now())
     , m_lastReceived(m_started)
+    , m_stream(*context.loop, *this)
 {
 }
 
-void PeerLink::attach(bufferevent* buffer)
-{
-    m_buffer.reset(buffer);
-    bufferevent_setcb(buffer, onReadable, nullptr, onEvent, this);
-    bufferevent_enable(buffer, EV_READ | EV_WRITE);
-}
-
-bool PeerLink::bindSource()
+bool PeerLink::connectTo(const PeerAddress& peer)
 {
-    detail::SocketAddress source;
+    detail::SocketAddress address;
+    if (!detail::parseAddress(peer, address)) {
+        return false;
+    }
     if (m_context.listen.empty()) {
-        return true;
+        return m_stream.dial(address);
     }
+    detail::SocketAddress source;
     if (!detail::parseAddress(m_context.listen, source)) {
         return false;
     }
     source.setPort(0);
-    const auto fd = socket(source.get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    bufferevent_setfd(m_buffer.get(), fd);
-    return fd >= 0 && bind(fd, source.get(), source.length) == 0;
+    return m_stream.dial(address, &source);
 }
 
 void PeerLink::greet()
@@ -111,7 +101,7 @@
 
 bool PeerLink::send(MessageKind kind, const Bytes& message)
 {
-    if (m_dead || evbuffer_get_length(bufferevent_get_output(m_buffer.get())) > config::maxLinkBacklogBytes) {
+    if (m_dead || m_stream.backlog() > config::maxLinkBacklogBytes) {
         return false;
     }
     writeFrame(static_cast<std::uint16_t>(kind), message);
@@ -142,52 +132,42 @@
     }
 }
 
-void PeerLink::onReadable(bufferevent*, void* argument)
+void PeerLink::streamConnected()
 {
-    static_cast<PeerLink*>(argument)->readFrames();
+    greet();
 }
 
-void PeerLink::onEvent(bufferevent* buffer, short what, void* argument)
+void PeerLink::streamReadable()
 {
-    auto* link = static_cast<PeerLink*>(argument);
-    if (what & BEV_EVENT_CONNECTED) {
-        detail::tuneSocket(bufferevent_getfd(buffer));
-        link->greet();
-        return;
-    }
-    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
-        link->readFrames();
-        link->close(what & BEV_EVENT_EOF ? "end-of-stream" : "socket-error");
-    }
+    while (!m_dead && readFrame()) { }
 }
 
-void PeerLink::readFrames()
+void PeerLink::streamEnded(StreamEnd end)
 {
-    while (!m_dead && readFrame()) { }
+    close(streamEndName(end));
 }
 
 bool PeerLink::readFrame()
 {
-    auto* input = bufferevent_get_input(m_buffer.get());
+    const auto input = m_stream.input();
     FrameHeader frame {};
-    if (evbuffer_copyout(input, &frame, sizeof(frame)) != sizeof(frame)) {
+    if (input.size() < sizeof(frame)) {
         return false;
     }
-    auto length = static_cast<std::size_t>(le32toh(frame.length));
+    std::memcpy(&frame, input.data(), sizeof(frame));
+    const auto length = static_cast<std::size_t>(le32toh(frame.length));
     if (length > (m_open ? config::maxFrameBytes : maxHandshakeFrameBytes)) {
         refuse("frame too long");
         return false;
     }
-    if (evbuffer_get_length(input) < sizeof(frame) + length) {
+    if (input.size() < sizeof(frame) + length) {
         return false;
     }
-    evbuffer_drain(input, sizeof(frame));
-    auto* data = length ? evbuffer_pullup(input, static_cast<ev_ssize_t>(length)) : nullptr;
     m_lastReceived = MonotonicClock::now();
     m_unanswered.reset();
     m_probed = false;
-    takeFrame(le16toh(frame.kind), { reinterpret_cast<const std::byte*>(data), length });
-    evbuffer_drain(input, length);
+    takeFrame(le16toh(frame.kind), std::as_bytes(std::span(input.substr(sizeof(frame), length))));
+    m_stream.consume(sizeof(frame) + length);
     return true;
 }
 
@@ -225,7 +205,8 @@
     if (!valid.value_or(false) || m_peerNonce.size() != nonceBytes) {
         return false;
     }
-    writeFrame(LinkFrame::Proof, encodeProof(crypto::mac(m_context.fleetSecrets.front(), proofText(m_dialled))));
+    const auto proof = m_context.fleetSecrets.empty() ? crypto::Mac {} : crypto::mac(m_context.fleetSecrets.front(), proofText(m_dialled));
+    writeFrame(LinkFrame::Proof, encodeProof(proof));
     return true;
 }
 
@@ -248,6 +229,9 @@
 
 bool PeerLink::provesSecret(std::span<const std::byte> mac) const
 {
+    if (m_context.fleetSecrets.empty()) {
+        return true;
+    }
     auto text = proofText(!m_dialled);
     return std::ranges::any_of(m_context.fleetSecrets, [&](const std::string& secret) {
         return crypto::sameMac(mac, crypto::mac(secret, text));
@@ -257,9 +241,8 @@
 void PeerLink::writeFrame(std::uint16_t kind, std::span<const std::byte> message)
 {
     FrameHeader frame { htole32(static_cast<std::uint32_t>(message.size())), htole16(kind), 0 };
-    auto* output = bufferevent_get_output(m_buffer.get());
-    evbuffer_add(output, &frame, sizeof(frame));
-    evbuffer_add(output, message.data(), message.size());
+    m_stream.write({ reinterpret_cast<const char*>(&frame), sizeof(frame) });
+    m_stream.write({ reinterpret_cast<const char*>(message.data()), message.size() });
     if (!m_unanswered) {
         m_unanswered = MonotonicClock::now();
     }
@@ -292,7 +275,7 @@
         return;
     }
     m_dead = true;
-    bufferevent_disable(m_buffer.get(), EV_READ | EV_WRITE);
+    m_stream.pauseReading(true);
     PW_EVENT(*m_context.log, Event::LinkClosed, { "peer", m_peer }, { "why", why });
     m_closed.emit();
 }
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/libevent_util.h"
+#include "adapters/tcp_stream.h"
 #include "core/types.h"
 #include "ports/events.h"
 #include "ports/peer_network.h"
@@ -26,10 +26,10 @@
 
 /// What all links of a daemon share.
 struct LinkContext {
-    event_base* base = nullptr;
+    StreamLoop* loop = nullptr;
     EventLog* log = nullptr;
     PeerAddress self;
-    std::vector<std::string> fleetSecrets; ///< The first proves this daemon, every one is accepted as proof.
+    std::vector<std::string> fleetSecrets; ///< The first proves this daemon, every one is accepted. Empty: no proof is asked for.
     PeerAddress listen {}; ///< Where to listen and whose IP to dial from, when it is not the daemon's own address.
     LinkTrafficTable* traffic = nullptr; ///< Counted here when set.
 };
@@ -38,7 +38,7 @@
 ///
 /// A frame is an 8-byte header (length and kind, little endian) and a Cap'n Proto message. Each side sends Hello
 /// with a nonce, then Proof over both nonces; no other frame is taken before the peer's proof.
-class PeerLink : public sigc::trackable {
+class PeerLink final : public StreamUser, public sigc::trackable {
 public:
     /// Dials \p peer.
     static std::unique_ptr<PeerLink> dial(const LinkContext& context, const PeerAddress& peer);
@@ -68,16 +68,15 @@
     /// Emitted for each message of an open link.
     sigc::signal<void(MessageKind, std::span<const std::byte>)>& received() { return m_received; }
 
+    void streamConnected() override;
+    void streamReadable() override;
+    void streamEnded(StreamEnd end) override;
+
 private:
     PeerLink(const LinkContext& context, bool dialled);
 
-    static void onReadable(bufferevent*, void* argument);
-    static void onEvent(bufferevent*, short what, void* argument);
-
-    void attach(bufferevent* buffer);
-    bool bindSource();
+    bool connectTo(const PeerAddress& peer);
     void greet();
-    void readFrames();
     bool readFrame();
     void takeFrame(std::uint16_t kind, std::span<const std::byte> message);
     bool takeHello(std::span<const std::byte> message);
@@ -101,7 +100,7 @@
     TimePoint m_started;
     TimePoint m_lastReceived;
     std::optional<TimePoint> m_unanswered; ///< First send since the last frame from the peer.
-    detail::BufferEventPtr m_buffer;
+    TcpStream m_stream;
     sigc::signal<void()> m_opened;
     sigc::signal<void()> m_closed;
     sigc::signal<void(MessageKind, std::span<const std::byte>)> m_received;
--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -35,7 +35,7 @@
         reason = "not an ip:port address: " + listen;
         return false;
     }
-    m_listener.reset(evconnlistener_new_bind(m_context.base, onAccepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+    m_listener.reset(evconnlistener_new_bind(m_context.loop->base(), onAccepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
         listenBacklog, address.get(), static_cast<int>(address.length)));
     if (!m_listener) {
         reason = "cannot listen on " + listen + ": " + std::strerror(errno);
--- /dev/null
+++ b/src/adapters/tcp_stream.cpp
@@ -0,0 +1,253 @@
+#include "adapters/tcp_stream.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace pw {
+namespace {
+
+    /// Bytes taken from the system in one call.
+    constexpr std::size_t receiveBytes = 64 * 1024;
+    /// Spare room kept in the buffers of a connection between messages.
+    constexpr std::size_t keptBufferBytes = 4 * 1024;
+
+    constexpr std::array<std::string_view, static_cast<std::size_t>(StreamEnd::Count)> endNames { "end-of-stream", "reset",
+        "not-connected" };
+
+    bool isTransient(int error)
+    {
+        return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+    }
+
+    void releaseSpare(std::string& buffer)
+    {
+        buffer.clear();
+        if (buffer.capacity() > keptBufferBytes) {
+            std::string().swap(buffer);
+        }
+    }
+
+} // namespace
+
+std::string_view streamEndName(StreamEnd end)
+{
+    return endNames.at(static_cast<std::size_t>(end));
+}
+
+StreamLoop::StreamLoop(event_base* base)
+    : m_base(base)
+    , m_flushEvent(event_new(base, -1, 0, onFlush, this))
+{
+}
+
+StreamLoop::~StreamLoop() = default;
+
+void StreamLoop::onFlush(evutil_socket_t, short, void* argument)
+{
+    static_cast<StreamLoop*>(argument)->flush();
+}
+
+void StreamLoop::flushLater(TcpStream* stream)
+{
+    if (m_dirty.empty()) {
+        event_active(m_flushEvent.get(), EV_TIMEOUT, 0);
+    }
+    m_dirty.push_back(stream);
+}
+
+void StreamLoop::forget(TcpStream* stream)
+{
+    std::ranges::replace(m_dirty, stream, nullptr);
+    std::ranges::replace(m_flushing, stream, nullptr);
+}
+
+void StreamLoop::flush()
+{
+    m_flushing.swap(m_dirty);
+    for (std::size_t n = 0; n < m_flushing.size(); ++n) {
+        if (auto* stream = m_flushing[n]) {
+            stream->m_dirty = false;
+            stream->flush();
+        }
+    }
+    m_flushing.clear();
+}
+
+TcpStream::TcpStream(StreamLoop& loop, StreamUser& user)
+    : m_loop(loop)
+    , m_user(user)
+{
+}
+
+TcpStream::~TcpStream()
+{
+    if (m_dirty) {
+        m_loop.forget(this);
+    }
+    m_event.reset();
+    if (m_fd >= 0) {
+        close(m_fd);
+    }
+}
+
+bool TcpStream::dial(const detail::SocketAddress& peer, const detail::SocketAddress* source)
+{
+    m_fd = socket(peer.get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (m_fd < 0 || (source && bind(m_fd, source->get(), source->length) != 0)) {
+        return false;
+    }
+    detail::tuneSocket(m_fd);
+    if (connect(m_fd, peer.get(), peer.length) != 0 && errno != EINPROGRESS) {
+        return false;
+    }
+    watch();
+    return true;
+}
+
+void TcpStream::adopt(evutil_socket_t fd)
+{
+    m_fd = fd;
+    m_connected = true;
+    detail::tuneSocket(fd);
+    watch();
+}
+
+void TcpStream::consume(std::size_t n)
+{
+    m_consumed += n;
+    if (m_consumed == m_input.size()) {
+        releaseSpare(m_input);
+        m_consumed = 0;
+    } else if (m_consumed > receiveBytes) {
+        m_input.erase(0, std::exchange(m_consumed, 0));
+    }
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    if (m_ended || m_finishing) {
+        return;
+    }
+    m_output += bytes;
+    if (m_connected && !m_dirty && !(m_watched & EV_WRITE)) {
+        m_dirty = true;
+        m_loop.flushLater(this);
+    }
+}
+
+void TcpStream::pauseReading(bool pause)
+{
+    if (m_paused != pause) {
+        m_paused = pause;
+        watch();
+    }
+}
+
+void TcpStream::finishWriting()
+{
+    m_finishing = true;
+    flush();
+}
+
+/// Asks the loop for the readiness that is of use now.
+void TcpStream::watch()
+{
+    const bool wantsWrite = !m_connected || backlog() > 0;
+    const auto wanted = static_cast<short>((m_paused || !m_connected ? 0 : EV_READ) | (wantsWrite ? EV_WRITE : 0));
+    if (m_ended || m_fd < 0 || (wanted == m_watched && m_event)) {
+        return;
+    }
+    m_watched = wanted;
+    if (!m_event) {
+        m_event.reset(event_new(m_loop.base(), m_fd, static_cast<short>(wanted | EV_PERSIST), onReady, this));
+    } else {
+        event_del(m_event.get());
+        event_assign(m_event.get(), m_loop.base(), m_fd, static_cast<short>(wanted | EV_PERSIST), onReady, this);
+    }
+    if (wanted) {
+        event_add(m_event.get(), nullptr);
+    }
+}
+
+void TcpStream::onReady(evutil_socket_t, short what, void* argument)
+{
+    auto* stream = static_cast<TcpStream*>(argument);
+    if (!stream->m_connected) {
+        stream->settleConnect();
+        return;
+    }
+    if (what & EV_WRITE) {
+        stream->flush();
+    }
+    if (what & EV_READ) {
+        stream->receive();
+    }
+}
+
+void TcpStream::settleConnect()
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+        end(StreamEnd::NotConnected);
+        return;
+    }
+    m_connected = true;
+    flush();
+    watch();
+    m_user.streamConnected();
+}
+
+void TcpStream::receive()
+{
+    static std::array<char, receiveBytes> buf;
+    const auto n = recv(m_fd, buf.data(), buf.size(), 0);
+    if (n > 0) {
+        m_input.append(buf.data(), static_cast<std::size_t>(n));
+        m_user.streamReadable();
+    } else if (n == 0) {
+        end(StreamEnd::EndOfStream);
+    } else if (!isTransient(errno)) {
+        end(StreamEnd::Reset);
+    }
+}
+
+void TcpStream::flush()
+{
+    while (m_connected && backlog() > 0) {
+        const auto n = send(m_fd, m_output.data() + m_sent, backlog(), MSG_NOSIGNAL);
+        if (n < 0) {
+            if (!isTransient(errno)) {
+                // Reading tells the user how the connection ended.
+                m_sent = m_output.size();
+            }
+            break;
+        }
+        m_sent += static_cast<std::size_t>(n);
+    }
+    if (backlog() == 0) {
+        releaseSpare(m_output);
+        m_sent = 0;
+    }
+    if (m_finishing && m_connected && backlog() == 0) {
+        shutdown(m_fd, SHUT_WR);
+    }
+    watch();
+}
+
+void TcpStream::end(StreamEnd end)
+{
+    if (std::exchange(m_ended, true)) {
+        return;
+    }
+    m_event.reset();
+    m_watched = 0;
+    m_user.streamEnded(end);
+}
+
+} // namespace pw
--- a/src/app/backend_edge.cpp
+++ b/src/app/backend_edge.cpp
@@ -26,22 +26,26 @@
 
 } // namespace
 
-BackendEdge::BackendEdge(event_base* base, Timers& timers, EventLog& log, FleetView& fleet, ServerRole& server, Dispatcher& dispatcher)
-    : m_timers(timers)
-    , m_log(log)
-    , m_fleet(fleet)
-    , m_server(server)
-    , m_dispatcher(dispatcher)
-    , m_routes(fleet.deployment().routes)
-    , m_http(base, [this](const std::shared_ptr<HttpExchange>& exchange) { onRequest(exchange); })
+BackendEdge::BackendEdge(const InterfaceParts& parts)
+    : m_timers(parts.timers)
+    , m_log(parts.log)
+    , m_fleet(parts.fleet)
+    , m_server(*parts.server)
+    , m_dispatcher(*parts.dispatcher)
+    , m_address(parts.settings.backendSideAddress)
+    , m_routes(parts.fleet.deployment().routes)
+    , m_http(parts.loop, parts.timers, [this](const std::shared_ptr<HttpExchange>& exchange) { onRequest(exchange); })
 {
-    fleet.onChanged([this] { m_routes = RouteTable(m_fleet.deployment().routes); });
-    server.contextClosed().connect([this](const std::string& token) { orphaned(token); });
+    m_fleet.onChanged([this] {
+        m_routes = RouteTable(m_fleet.deployment().routes);
+        m_split.configure(m_fleet.deployment().routes);
+    });
+    m_server.contextClosed().connect([this](const std::string& token) { orphaned(token); });
 }
 
-bool BackendEdge::init(const std::string& address, std::string& reason)
+bool BackendEdge::init(std::string& reason)
 {
-    return m_http.init(address, reason);
+    return m_http.init(m_address, reason);
 }
 
 void BackendEdge::onRequest(const std::shared_ptr<HttpExchange>& exchange)
@@ -59,7 +63,11 @@
 void BackendEdge::announce(HttpExchange& exchange)
 {
     HttpQuery query(exchange.request().target);
-    Announcement announcement { query.text("service"), query.text("address"), countOf(query, "slots"), countOf(query, "connections") };
+    Announcement announcement;
+    announcement.service = query.text("service");
+    announcement.address = query.text("address");
+    announcement.slots = countOf(query, "slots");
+    announcement.connections = countOf(query, "connections");
     std::string reason;
     if (m_server.announce(announcement, reason)) {
         exchange.reply({ 204, {}, {} });
@@ -70,7 +78,7 @@
 
 void BackendEdge::leave(HttpExchange& exchange)
 {
-    m_server.leave();
+    m_server.serverLeaves();
     exchange.reply({ 204, {}, {} });
 }
 
@@ -86,7 +94,7 @@
         refuse({ Verdict::NotRun, Reason::BadToken, {} });
         return;
     }
-    const auto* route = m_routes.match(request.method, request.target);
+    const auto* route = m_routes.match(singleHeader(request.headers, "Host").value_or(""), request.method, request.target);
     if (!route) {
         refuse({ Verdict::NotRun, Reason::NoRoute, {} });
         return;
@@ -96,16 +104,18 @@
         refuse(begun.refusal);
         return;
     }
-    auto state = std::make_shared<Nested>(Nested { exchange, std::string(*token), route->service, route->idempotent, 0 });
-    start(state, requestFor(request, *route, *begun.grant));
+    auto job = requestFor(request, *route, *begun.grant);
+    auto state = std::make_shared<Nested>(Nested { exchange, std::string(*token), job.call.service, route->idempotent, 0 });
+    start(state, std::move(job));
 }
 
-DispatchRequest BackendEdge::requestFor(const HttpRequest& request, const Route& route, const NestedGrant& grant) const
+DispatchRequest BackendEdge::requestFor(const HttpRequest& request, const Route& route, const NestedGrant& grant)
 {
     DispatchRequest job;
     job.deadline = std::min<TimePoint>(grant.deadline, m_timers.now() + route.deadline);
     job.attempts = grant.attempts;
-    job.call = callFor(request, route);
+    job.call = callFor(request, route, m_split.next(route), forwardedHeaders(request.headers, header::ownPrefix));
+    job.call.callerService = m_server.entry().service;
     job.call.workspace = grant.workspace;
     job.call.importance = grant.importance;
     job.call.nested = true;
--- a/src/app/backend_edge.h
+++ b/src/app/backend_edge.h
@@ -2,8 +2,10 @@
 
 #include "adapters/http_server.h"
 #include "app/dispatcher.h"
+#include "app/interface.h"
 #include "app/server_role.h"
 #include "core/route_table.h"
+#include "core/service_split.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
 
@@ -15,13 +17,11 @@
 
 /// Where the backend server beside this daemon talks to it: announces itself, leaves, and makes nested calls with the
 /// context token of the request it works on.
-class BackendEdge {
+class BackendEdge final : public Edge {
 public:
-    BackendEdge(event_base* base, Timers& timers, EventLog& log, FleetView& fleet, ServerRole& server, Dispatcher& dispatcher);
+    explicit BackendEdge(const InterfaceParts& parts);
 
-    /// \param reason receives what went wrong when false is returned.
-    bool init(const std::string& address, std::string& reason);
-    void shutdown() { m_http.shutdown(); }
+    bool init(std::string& reason) override;
 
 private:
     /// A nested call under way.
@@ -38,7 +38,7 @@
     void announce(HttpExchange& exchange);
     void leave(HttpExchange& exchange);
     void nested(const std::shared_ptr<HttpExchange>& exchange);
-    DispatchRequest requestFor(const HttpRequest& request, const Route& route, const NestedGrant& grant) const;
+    DispatchRequest requestFor(const HttpRequest& request, const Route& route, const NestedGrant& grant);
     void start(const NestedPtr& nested, DispatchRequest request);
     void answered(const NestedPtr& nested, const Answer& answer);
     void cancel(const NestedPtr& nested);
@@ -50,7 +50,9 @@
     FleetView& m_fleet;
     ServerRole& m_server;
     Dispatcher& m_dispatcher;
+    const std::string& m_address;
     RouteTable m_routes;
+    ServiceSplit m_split;
     std::unordered_multimap<std::string, NestedPtr> m_nested; ///< By context token.
     HttpServer m_http;
 };
--- a/src/app/caller_edge.cpp
+++ b/src/app/caller_edge.cpp
@@ -8,13 +8,11 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 namespace pw {
 namespace {
 
-    constexpr Refusal malformed { Verdict::NotRun, Reason::Malformed, {} };
     constexpr Refusal callerLeft { Verdict::NotRun, Reason::Cancelled, {} };
 
     /// Indexed by ClaimOutcome; the two that do not refuse are not used.
@@ -26,36 +24,25 @@
         { Verdict::NotRun, Reason::ClaimUnavailable, config::claimRetryAfter },
     } };
 
-    bool isRequestId(std::string_view text)
-    {
-        auto printable = [](char c) { return c > ' ' && c < 0x7f; };
-        return !text.empty() && text.size() <= config::maxRequestIdBytes && std::ranges::all_of(text, printable);
-    }
-
-    std::optional<std::chrono::milliseconds> parseDeadline(std::string_view text)
-    {
-        std::int64_t value = 0;
-        auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-        if (ec != std::errc() || end != text.data() + text.size() || value <= 0) {
-            return std::nullopt;
-        }
-        return std::min(std::chrono::milliseconds(value), config::maxDeadline);
-    }
-
 } // namespace
 
-CallerEdge::CallerEdge(event_base* base, Timers& timers, EventLog& log, FleetView& fleet, RateGate& rates, ClaimGate& claims,
-    Dispatcher& dispatcher)
-    : m_timers(timers)
-    , m_log(log)
-    , m_fleet(fleet)
-    , m_rates(rates)
-    , m_claims(claims)
-    , m_dispatcher(dispatcher)
-    , m_routes(fleet.deployment().routes)
-    , m_http(base, [this](std::shared_ptr<HttpExchange> exchange) { onRequest(std::move(exchange)); })
+CallerEdge::CallerEdge(Parts parts)
+    : m_parts(std::move(parts))
+    , m_http(
+          m_parts.loop, m_parts.timers, [this](std::shared_ptr<HttpExchange> exchange) { onRequest(std::move(exchange)); },
+          [&protocol = m_parts.protocol](int status, std::string_view what) { return protocol.fault(status, what); })
+{
+    configure();
+    m_parts.fleet.onChanged([this] { configure(); });
+}
+
+void CallerEdge::configure()
 {
-    fleet.onChanged([this] { m_routes = RouteTable(m_fleet.deployment().routes); });
+    const auto& deployment = m_parts.fleet.deployment();
+    m_routes = RouteTable(deployment.routes);
+    m_split.configure(deployment.routes);
+    const auto& limits = deployment.limits;
+    m_http.setLimits({ { limits.headerBytes, std::min(limits.bodyBytes, config::maxBodyBytes) }, limits.headerTimeout, limits.idleTimeout });
 }
 
 bool CallerEdge::init(const std::string& address, std::string& reason)
@@ -67,9 +54,9 @@
 {
     auto incoming = std::make_shared<Incoming>();
     incoming->exchange = std::move(exchange);
-    incoming->started = m_timers.now();
+    incoming->started = m_parts.timers.now();
     using Check = std::optional<Refusal> (CallerEdge::*)(Incoming&) const;
-    constexpr std::array<Check, 3> checks { &CallerEdge::readHeaders, &CallerEdge::findRoute, &CallerEdge::checkKey };
+    constexpr std::array<Check, 3> checks { &CallerEdge::readAsk, &CallerEdge::findRoute, &CallerEdge::checkKey };
     for (auto check : checks) {
         if (auto refusal = (this->*check)(*incoming)) {
             refuse(incoming, *refusal);
@@ -77,7 +64,7 @@
         }
     }
     const auto& route = incoming->route;
-    if (auto refusal = m_gate.check(route.name, route.importance, incoming->workspace, m_timers.now())) {
+    if (auto refusal = m_gate.check(route.name, route.importance, incoming->workspace, m_parts.timers.now())) {
         refuse(incoming, *refusal);
         return;
     }
@@ -89,36 +76,23 @@
     takeToken(incoming);
 }
 
-std::optional<Refusal> CallerEdge::readHeaders(Incoming& incoming) const
+std::optional<Refusal> CallerEdge::readAsk(Incoming& incoming) const
 {
-    const auto& request = incoming.exchange->request();
-    if (hasMisplacedKey(request.target, request.headers, request.body) || countHeader(request.headers, header::key) > 1
-        || countHeader(request.headers, header::context) > 0) {
-        return malformed;
-    }
-    if (countHeader(request.headers, header::requestId) > 0) {
-        auto id = singleHeader(request.headers, header::requestId);
-        if (!id || !isRequestId(*id)) {
-            return malformed;
-        }
-        incoming.requestId = *id;
-    }
-    incoming.deadline = incoming.started + config::maxDeadline;
-    if (countHeader(request.headers, header::deadline) > 0) {
-        auto text = singleHeader(request.headers, header::deadline);
-        auto deadline = text ? parseDeadline(*text) : std::nullopt;
-        if (!deadline) {
-            return malformed;
-        }
-        incoming.deadline = incoming.started + *deadline;
+    if (auto refusal = m_parts.protocol.read(incoming.exchange->request(), incoming.ask)) {
+        return refusal;
     }
+    incoming.deadline = incoming.started + std::min(incoming.ask.patience.value_or(config::maxDeadline), config::maxDeadline);
     return std::nullopt;
 }
 
 std::optional<Refusal> CallerEdge::findRoute(Incoming& incoming) const
 {
+    if (m_parts.fleet.version() == 0) {
+        return Refusal { Verdict::NotRun, Reason::NoConfiguration, config::noServerRetryAfter };
+    }
     const auto& request = incoming.exchange->request();
-    const auto* route = m_routes.match(request.method, request.target);
+    const auto host = singleHeader(request.headers, "Host").value_or("");
+    const auto* route = m_routes.match(host, request.method, request.target);
     if (!route) {
         return Refusal { Verdict::NotRun, Reason::NoRoute, {} };
     }
@@ -132,14 +106,14 @@
 
 std::optional<Refusal> CallerEdge::checkKey(Incoming& incoming) const
 {
-    if (incoming.route.open) {
+    if (incoming.route.open || incoming.ask.nested) {
         return std::nullopt;
     }
-    if (!m_fleet.keysValid(m_timers.now())) {
+    if (!m_parts.fleet.keysValid(m_parts.timers.now())) {
         return Refusal { Verdict::NotRun, Reason::KeysNotValid, config::noServerRetryAfter };
     }
-    auto key = singleHeader(incoming.exchange->request().headers, header::key);
-    auto workspace = key ? m_fleet.workspaceOfKey(crypto::digest(*key)) : std::nullopt;
+    const auto& key = incoming.ask.key;
+    auto workspace = key ? m_parts.fleet.workspaceOfKey(crypto::digest(*key)) : std::nullopt;
     if (!workspace) {
         return Refusal { Verdict::NotRun, Reason::UnknownKey, {} };
     }
@@ -149,11 +123,11 @@
 
 void CallerEdge::takeToken(const IncomingPtr& incoming)
 {
-    if (incoming->route.open) {
+    if (incoming->workspace.empty()) {
         dispatch(incoming);
         return;
     }
-    m_rates.take(incoming->workspace, incoming->deadline, [this, incoming](const std::optional<Refusal>& refusal) {
+    m_parts.rates.take(incoming->workspace, incoming->deadline, [this, incoming](const std::optional<Refusal>& refusal) {
         if (refusal || incoming->gone) {
             refuse(incoming, refusal.value_or(callerLeft));
         } else {
@@ -164,11 +138,11 @@
 
 void CallerEdge::claim(const IncomingPtr& incoming)
 {
-    if (incoming->route.idempotent || incoming->requestId.empty()) {
+    if (incoming->route.idempotent || !incoming->ask.claimsId) {
         dispatch(incoming);
         return;
     }
-    m_claims.claim(incoming->workspace, incoming->requestId, incoming->deadline,
+    m_parts.claims.claim(incoming->workspace, incoming->ask.requestId, incoming->deadline,
         [this, incoming](ClaimOutcome outcome, const std::optional<KeptAnswer>& kept) { claimed(incoming, outcome, kept); });
 }
 
@@ -197,11 +171,13 @@
     DispatchRequest job;
     job.deadline = incoming->deadline;
     job.attempts = route.attempts;
-    job.call = callFor(request, route);
+    job.call = callFor(request, route, m_split.next(route), m_parts.protocol.forwarded(request));
+    job.call.callerService = m_parts.localService;
+    job.call.nested = incoming->ask.nested;
     job.call.workspace = incoming->workspace;
-    job.call.requestId = incoming->requestId;
+    job.call.requestId = incoming->ask.requestId;
     auto answeredAtOnce = std::make_shared<bool>(false);
-    auto id = m_dispatcher.start(std::move(job), [this, incoming, answeredAtOnce](const Answer& answer) {
+    auto id = m_parts.dispatcher.start(std::move(job), [this, incoming, answeredAtOnce](const Answer& answer) {
         *answeredAtOnce = true;
         answered(incoming, answer);
     });
@@ -212,10 +188,10 @@
 {
     incoming->job = 0;
     const auto& route = incoming->route;
-    m_gate.onAnswer(route.name, route.importance, incoming->workspace, answer, m_timers.now());
-    auto response = toHttp(answer);
+    m_gate.onAnswer(route.name, route.importance, incoming->workspace, answer, m_parts.timers.now());
+    auto response = m_parts.protocol.answer(answer);
     if (incoming->claimed) {
-        m_claims.finish(incoming->workspace, incoming->requestId, toKept(answer, response));
+        m_parts.claims.finish(incoming->workspace, incoming->ask.requestId, toKept(answer, response));
         incoming->claimed = false;
     }
     reply(incoming, answer.refusal, response);
@@ -226,7 +202,7 @@
     incoming->gone = true;
     // A non-idempotent request may run already; its answer is kept for a re-send instead.
     if (incoming->job && incoming->route.idempotent) {
-        m_dispatcher.cancel(std::exchange(incoming->job, 0));
+        m_parts.dispatcher.cancel(std::exchange(incoming->job, 0));
         refuse(incoming, { Verdict::MayHaveRun, Reason::Cancelled, {} });
     }
 }
@@ -235,17 +211,17 @@
 {
     if (incoming->claimed) {
         incoming->claimed = false;
-        m_claims.finish(incoming->workspace, incoming->requestId, { 0, {}, {}, refusal });
+        m_parts.claims.finish(incoming->workspace, incoming->ask.requestId, { 0, {}, {}, refusal });
     }
-    reply(incoming, refusal, refusalToHttp(refusal));
+    reply(incoming, refusal, m_parts.protocol.refusal(refusal));
 }
 
 void CallerEdge::reply(const IncomingPtr& incoming, const Refusal& refusal, const HttpResponse& response)
 {
     RequestRecord record { incoming->route.name, incoming->workspace, incoming->route.importance, refusal, response.status,
-        m_timers.now() - incoming->started };
+        m_parts.timers.now() - incoming->started };
     auto event = refusal.reason == Reason::None ? Event::RequestDone : Event::RequestRefused;
-    PW_EVENT(m_log, event, { "route", record.route }, { "workspace", record.workspace }, { "status", record.status },
+    PW_EVENT(m_parts.log, event, { "route", record.route }, { "workspace", record.workspace }, { "status", record.status },
         { "reason", reasonInfo(refusal.reason).name }, { "verdict", verdictName(refusal.verdict) },
         { "micros", std::chrono::duration_cast<std::chrono::microseconds>(record.latency).count() });
     incoming->exchange->reply(response);
--- a/src/app/caller_edge.h
+++ b/src/app/caller_edge.h
@@ -5,6 +5,8 @@
 #include "app/request_record.h"
 #include "core/downstream_gate.h"
 #include "core/route_table.h"
+#include "core/service_split.h"
+#include "ports/caller_protocol.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
 
@@ -18,7 +20,20 @@
 /// in that order, then hands the request to the dispatcher.
 class CallerEdge {
 public:
-    CallerEdge(event_base* base, Timers& timers, EventLog& log, FleetView& fleet, RateGate& rates, ClaimGate& claims, Dispatcher& dispatcher);
+    /// What the edge works with; all must outlive it.
+    struct Parts {
+        StreamLoop& loop;
+        Timers& timers;
+        EventLog& log;
+        FleetView& fleet;
+        RateGate& rates;
+        ClaimGate& claims;
+        Dispatcher& dispatcher;
+        const CallerProtocol& protocol;
+        std::string localService; ///< Service of the backend server beside, empty when there is none.
+    };
+
+    explicit CallerEdge(Parts parts);
 
     /// \param reason receives what went wrong when false is returned.
     bool init(const std::string& address, std::string& reason);
@@ -40,9 +55,9 @@
     /// A request on its way through the checks.
     struct Incoming {
         std::shared_ptr<HttpExchange> exchange;
+        CallerAsk ask;
         Route route;
         std::string workspace;
-        std::string requestId;
         TimePoint started {};
         TimePoint deadline {};
         bool claimed = false;
@@ -52,26 +67,23 @@
     using IncomingPtr = std::shared_ptr<Incoming>;
 
     void onRequest(std::shared_ptr<HttpExchange> exchange);
+    std::optional<Refusal> readAsk(Incoming& incoming) const;
     std::optional<Refusal> findRoute(Incoming& incoming) const;
-    std::optional<Refusal> readHeaders(Incoming& incoming) const;
     std::optional<Refusal> checkKey(Incoming& incoming) const;
     void takeToken(const IncomingPtr& incoming);
     void claim(const IncomingPtr& incoming);
     void claimed(const IncomingPtr& incoming, ClaimOutcome outcome, const std::optional<KeptAnswer>& kept);
     void dispatch(const IncomingPtr& incoming);
     void answered(const IncomingPtr& incoming, const Answer& answer);
+    void configure();
     void callerGone(const IncomingPtr& incoming);
     void refuse(const IncomingPtr& incoming, const Refusal& refusal);
     void reply(const IncomingPtr& incoming, const Refusal& refusal, const HttpResponse& response);
 
-    Timers& m_timers;
-    EventLog& m_log;
-    FleetView& m_fleet;
-    RateGate& m_rates;
-    ClaimGate& m_claims;
-    Dispatcher& m_dispatcher;
+    Parts m_parts;
     DownstreamGate m_gate;
     RouteTable m_routes;
+    ServiceSplit m_split;
     HttpServer m_http;
     sigc::signal<void(const RequestRecord&)> m_finished;
 };
--- a/src/app/cluster_join.cpp
+++ b/src/app/cluster_join.cpp
@@ -12,20 +12,42 @@
     , m_timers(timers)
     , m_raft(raft)
     , m_name(settings.name)
+    , m_seeded(settings.controlMembers.empty())
+    , m_founds(m_seeded && settings.firstStart && !settings.controlSeeds.empty() && settings.controlSeeds.front() == network.self())
+    , m_known(controlPeers(settings))
 {
-    std::ranges::transform(settings.controlMembers, std::back_inserter(m_others), &ControlMember::peerAddress);
-    std::erase(m_others, network.self());
+    std::erase(m_known, network.self());
 }
 
-void ClusterJoin::work()
+std::vector<PeerAddress> ClusterJoin::others() const
+{
+    auto result = m_known;
+    for (const auto& it : m_raft.members()) {
+        if (it.address != m_network.self() && std::ranges::find(result, it.address) == result.end()) {
+            result.push_back(it.address);
+        }
+    }
+    return result;
+}
+
+bool ClusterJoin::work()
 {
     const auto now = m_timers.now();
-    if (!m_raft.members().empty() || now < m_askDue) {
-        return;
+    const auto astray = m_seeded && (!m_raft.isMember() || m_raft.removed());
+    if ((!m_raft.members().empty() && !astray) || now < m_askDue) {
+        return false;
     }
     m_askDue = now + config::joinInterval;
-    const auto ask = encodeRaftMessage({ 0, m_raft.identity(), 0, m_raft.term(), JoinAsk { m_name } });
-    std::ranges::for_each(m_others, [&](const PeerAddress& it) { m_network.send(it, MessageKind::Raft, ask); });
+    if (m_founds && !whyNotFound()) {
+        return m_raft.found(now);
+    }
+    std::ranges::for_each(others(), [this](const PeerAddress& it) { ask(it); });
+    return false;
+}
+
+void ClusterJoin::ask(const PeerAddress& address)
+{
+    m_network.send(address, MessageKind::Raft, encodeRaftMessage({ 0, m_raft.identity(), 0, m_raft.term(), JoinAsk { m_name } }));
 }
 
 bool ClusterJoin::receive(const PeerAddress& from, const RaftMessage& message)
@@ -40,8 +62,13 @@
     }
     if (reply->empty) {
         m_emptyMembers[from] = m_timers.now();
-    } else {
-        m_emptyMembers.erase(from);
+        return true;
+    }
+    m_emptyMembers.erase(from);
+    // Only the leader takes members in, and it need not be among those that the settings name.
+    const auto isElsewhere = !reply->leader.empty() && reply->leader != from && reply->leader != m_network.self();
+    if (isElsewhere && m_seeded && !m_raft.isMember()) {
+        ask(reply->leader);
     }
     return true;
 }
@@ -62,7 +89,7 @@
         return "this member is stopped or belongs to a cluster already";
     }
     const auto freshFrom = m_timers.now() - 3 * config::joinInterval;
-    for (const auto& address : m_others) {
+    for (const auto& address : m_known) {
         const auto it = m_emptyMembers.find(address);
         if (it == m_emptyMembers.end() || it->second <= freshFrom) {
             return "control member " + address + " has not said lately that it is empty too";
--- a/src/app/control_log.cpp
+++ b/src/app/control_log.cpp
@@ -41,6 +41,11 @@
     m_impl->submit(std::move(change), std::move(done));
 }
 
+void ControlLog::readLatest(std::function<void(const ConfigurationRecord*)> done)
+{
+    m_impl->readLatest(std::move(done));
+}
+
 void ControlLog::inForce(std::uint64_t index, std::function<void(bool)> done)
 {
     m_impl->submit(AwaitInForce { index }, [done = std::move(done)](const ChangeResult& result) {
--- a/src/app/control_log.h
+++ b/src/app/control_log.h
@@ -77,6 +77,10 @@
     /// config::changeTimeout. \p done is called once with what is truly known.
     void submit(Change change, Done done);
 
+    /// Calls \p done with the newest accepted configuration once this member knows that nothing newer had been accepted
+    /// when it was asked; with null when it could not find that out within config::readTimeout.
+    void readLatest(std::function<void(const ConfigurationRecord*)> done);
+
     /// Calls \p done with true once every daemon applied log index \p index or may not judge keys any more;
     /// with false when that could not be found out within config::inForceTimeout.
     void inForce(std::uint64_t index, std::function<void(bool)> done);
--- a/src/app/control_log_impl.cpp
+++ b/src/app/control_log_impl.cpp
@@ -33,7 +33,10 @@
         PW_EVENT(m_events, Event::LogTailRepaired, { "bytes", stored->tornBytes });
     }
     RaftOptions options;
-    options.voters = m_settings.controlMembers.size();
+    const auto seeded = m_settings.controlMembers.empty();
+    options.voters = seeded ? 2 * m_settings.toleratedLosses + 1 : m_settings.controlMembers.size();
+    options.copies = m_settings.toleratedLosses + 1;
+    options.waitsForVoters = seeded;
     m_raft = std::make_unique<Raft>(options, m_storage, *stored, m_settings.name, m_network.self(), m_random(), m_timers.now());
     m_join = std::make_unique<ClusterJoin>(m_settings, m_network, m_timers, *m_raft);
     m_desk = std::make_unique<OperatorDesk>(m_network, m_timers, *m_raft, m_parser);
@@ -75,7 +78,9 @@
 {
     m_tick = m_timers.after(config::raftTickInterval, [this] { tick(); });
     m_raft->tick(m_timers.now());
-    m_join->work();
+    if (m_join->work()) {
+        PW_EVENT(m_events, Event::ClusterFounded, { "cluster", m_raft->cluster() });
+    }
     m_desk->work();
     pump();
     settleHandOver();
@@ -96,6 +101,7 @@
         sendMessages();
     } while (!m_raft->halted() && m_raft->commitIndex() > m_raft->appliedIndex());
     watchRole();
+    settleReads();
     m_pumping = false;
 }
 
@@ -244,6 +250,33 @@
     pump();
 }
 
+void ControlLog::Impl::readLatest(std::function<void(const ConfigurationRecord*)> done)
+{
+    if (!m_raft) {
+        done(nullptr);
+        return;
+    }
+    m_reads.push_back({ m_timers.now(), std::move(done) });
+    m_raft->confirm(m_timers.now());
+    pump();
+}
+
+void ControlLog::Impl::settleReads()
+{
+    const auto now = m_timers.now();
+    const auto confirmed = m_raft->members().empty() ? std::nullopt : m_raft->confirmedAsOf(now);
+    auto waiting = std::exchange(m_reads, {});
+    for (auto& read : waiting) {
+        if (confirmed && *confirmed >= read.asked) {
+            read.done(&m_state.image().configuration());
+        } else if (now >= read.asked + config::readTimeout) {
+            read.done(nullptr);
+        } else {
+            m_reads.push_back(std::move(read));
+        }
+    }
+}
+
 void ControlLog::Impl::handOver(std::function<void()> done)
 {
     if (!m_raft) {
--- a/src/app/control_log_impl.h
+++ b/src/app/control_log_impl.h
@@ -31,6 +31,7 @@
     bool start(std::string& reason);
     bool bootstrap(std::string& reason);
     void submit(decltype(OperatorAsk::what) what, OperatorDesk::Done done);
+    void readLatest(std::function<void(const ConfigurationRecord*)> done);
     void handOver(std::function<void()> done);
     ControlStatus status() const;
 
@@ -41,6 +42,12 @@
     void onChanged(std::function<void(bool)> handler) { m_changed.push_back(std::move(handler)); }
 
 private:
+    /// An operator who waits for the newest configuration.
+    struct Read {
+        TimePoint asked;
+        std::function<void(const ConfigurationRecord*)> done;
+    };
+
     void listen();
     void tick();
     void pump();
@@ -53,6 +60,7 @@
     void sendMessages();
     void watchRole();
     void settleHandOver();
+    void settleReads();
     ControlRole role() const;
     SessionServer::Completeness completeness() const;
 
@@ -78,6 +86,7 @@
     bool m_pumping = false;
     TimePoint m_handOverDeadline {};
     std::vector<std::function<void()>> m_handOverDone;
+    std::vector<Read> m_reads; ///< Oldest first.
     std::vector<std::function<void(bool)>> m_changed;
 };
 
--- a/src/app/control_services.cpp
+++ b/src/app/control_services.cpp
@@ -1,14 +1,15 @@
 #include "app/control_services.h"
 
 #include "adapters/crypto.h"
-#include "app/deployment_yaml.h"
+
+#include <utility>
 
 namespace pw {
 
 ControlServices::ControlServices(const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& events, FleetView& fleet,
-    std::unique_ptr<LogStorage> storage)
+    DeploymentParser parser, std::unique_ptr<LogStorage> storage)
     : m_storage(std::move(storage))
-    , m_log(settings, network, timers, crypto::randomNumber(), events, *m_storage, parseConfiguration)
+    , m_log(settings, network, timers, crypto::randomNumber(), events, *m_storage, std::move(parser))
     , m_ledger(settings, network, timers, events, fleet, m_log)
     , m_claims(settings, network, timers, events)
     , m_view(settings, network, timers, crypto::randomNumber(), events)
--- a/src/app/control_services.h
+++ b/src/app/control_services.h
@@ -16,7 +16,7 @@
 class ControlServices {
 public:
     ControlServices(const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& events, FleetView& fleet,
-        std::unique_ptr<LogStorage> storage);
+        DeploymentParser parser, std::unique_ptr<LogStorage> storage);
 
     /// \param reason receives what is wrong with the data folder when false is returned.
     bool init(std::string& reason);
@@ -24,6 +24,9 @@
     /// Hands the leadership over, for a planned stop. \p done is called once nothing is led here.
     void leave(std::function<void()> done);
 
+    /// Replaces the addresses of the control members, this one included.
+    void setMembers(const std::vector<PeerAddress>& members) { m_view.setMembers(members); }
+
     ControlLog& log() { return m_log; }
 
 private:
--- a/src/app/control_session.cpp
+++ b/src/app/control_session.cpp
@@ -1,12 +1,30 @@
 #include "app/control_session.h"
 
 #include "adapters/codec_control.h"
+#include "adapters/crypto.h"
 #include "config.h"
 
 #include <algorithm>
+#include <map>
 #include <ranges>
 
 namespace pw {
+namespace {
+
+    std::map<KeyDigest, std::string> configuredKeys(const Deployment& deployment)
+    {
+        std::map<KeyDigest, std::string> result;
+        for (const auto& workspace : deployment.workspaces) {
+            for (const auto& hex : workspace.keyDigests) {
+                if (const auto digest = crypto::parseDigest(hex)) {
+                    result.emplace(*digest, workspace.name);
+                }
+            }
+        }
+        return result;
+    }
+
+} // namespace
 
 /// State of the session.
 class ControlSession::Impl {
@@ -29,13 +47,15 @@
     Impl& operator=(const Impl&) = delete;
 
     void start();
-    bool keysValid(TimePoint now) const { return m_inService && now < m_validAsOf + config::validityLease; }
+    bool keysValid(TimePoint now) const;
+    std::optional<std::string> workspaceOfKey(const KeyDigest& digest) const;
     const Deployment& deployment() const { return m_deployment; }
     std::uint64_t version() const { return m_version; }
     const FleetImage& image() const { return m_image; }
     const PeerAddress& member() const { return m_member; }
     std::vector<PeerAddress> members() const;
     void onChanged(std::function<void()> handler) { m_changed.push_back(std::move(handler)); }
+    void onMembers(std::function<void(const std::vector<PeerAddress>&)> handler) { m_membersChanged.push_back(std::move(handler)); }
 
 private:
     void beat();
@@ -47,7 +67,9 @@
     bool isFromOurCluster(const SessionReply& reply);
     bool takeState(SessionReply& reply);
     void takeValidity(const SessionReply& reply);
+    void takeWithoutLease();
     void publish();
+    void publishMembers();
     void watchValidity();
 
     Settings m_settings;
@@ -70,9 +92,27 @@
     bool m_valid = false; ///< As last told to the event log.
     std::uint64_t m_version = 0;
     Deployment m_deployment;
+    std::map<KeyDigest, std::string> m_configuredKeys; ///< Workspaces by keys that the configuration names.
     std::vector<std::function<void()>> m_changed;
+    std::vector<PeerAddress> m_knownMembers; ///< As last told to the handlers.
+    std::vector<std::function<void(const std::vector<PeerAddress>&)>> m_membersChanged;
 };
 
+bool ControlSession::Impl::keysValid(TimePoint now) const
+{
+    const auto leased = now < m_validAsOf + config::validityLease;
+    return m_inService && (leased || !m_settings.refuseWithoutControl);
+}
+
+std::optional<std::string> ControlSession::Impl::workspaceOfKey(const KeyDigest& digest) const
+{
+    if (const auto it = m_configuredKeys.find(digest); it != m_configuredKeys.end()) {
+        return it->second;
+    }
+    const auto* key = m_image.keyOf(digest);
+    return key ? std::optional(key->workspace) : std::nullopt;
+}
+
 void ControlSession::Impl::start()
 {
     m_network.onMessage(MessageKind::SessionReply, [this](const PeerAddress& from, std::span<const std::byte> bytes) {
@@ -91,12 +131,11 @@
 
 std::vector<PeerAddress> ControlSession::Impl::members() const
 {
-    std::vector<PeerAddress> result;
     if (m_image.members().empty()) {
-        std::ranges::transform(m_settings.controlMembers, std::back_inserter(result), &ControlMember::peerAddress);
-    } else {
-        std::ranges::transform(m_image.members(), std::back_inserter(result), &ControlMemberRecord::address);
+        return controlPeers(m_settings);
     }
+    std::vector<PeerAddress> result;
+    std::ranges::transform(m_image.members(), std::back_inserter(result), &ControlMemberRecord::address);
     return result;
 }
 
@@ -109,6 +148,9 @@
     };
     auto result = members();
     std::ranges::sort(result, {}, rank);
+    // Members that were known may all have been replaced meanwhile: seeds come last.
+    std::ranges::copy_if(m_settings.controlSeeds, std::back_inserter(result),
+        [known = result](const PeerAddress& it) { return std::ranges::find(known, it) == known.end(); });
     return result;
 }
 
@@ -177,6 +219,8 @@
     const auto changed = takeState(reply);
     const auto missed = m_image.index() < reply.index;
     takeValidity(reply);
+    takeWithoutLease();
+    publishMembers();
     publish();
     watchValidity();
     if (changed || (missed && m_image.index() == before && reply.sentAt == Duration::zero())) {
@@ -226,6 +270,20 @@
     m_inService = m_inService || m_validAsOf >= m_startedAt;
 }
 
+/// A daemon that goes on without control takes what it can get: it cannot wait for the latest.
+void ControlSession::Impl::takeWithoutLease()
+{
+    m_inService = m_inService || (!m_settings.refuseWithoutControl && m_image.configuration().version > 0);
+}
+
+void ControlSession::Impl::publishMembers()
+{
+    if (auto known = members(); known != m_knownMembers) {
+        m_knownMembers = std::move(known);
+        std::ranges::for_each(m_membersChanged, [this](const auto& handler) { handler(m_knownMembers); });
+    }
+}
+
 void ControlSession::Impl::publish()
 {
     const auto& record = m_image.configuration();
@@ -239,6 +297,7 @@
         return;
     }
     m_deployment = std::move(*parsed);
+    m_configuredKeys = configuredKeys(m_deployment);
     m_version = record.version;
     PW_EVENT(m_events, Event::ConfigurationApplied, { "version", m_version }, { "index", m_image.index() });
     std::ranges::for_each(m_changed, [](const auto& handler) { handler(); });
@@ -283,8 +342,7 @@
 
 std::optional<std::string> ControlSession::workspaceOfKey(const KeyDigest& digest) const
 {
-    const auto* key = m_impl->image().keyOf(digest);
-    return key ? std::optional(key->workspace) : std::nullopt;
+    return m_impl->workspaceOfKey(digest);
 }
 
 bool ControlSession::keysValid(TimePoint now) const
@@ -302,6 +360,11 @@
     return m_impl->image().index();
 }
 
+void ControlSession::onMembers(std::function<void(const std::vector<PeerAddress>&)> handler)
+{
+    m_impl->onMembers(std::move(handler));
+}
+
 const PeerAddress& ControlSession::controlMember() const
 {
     return m_impl->member();
--- a/src/app/control_session.h
+++ b/src/app/control_session.h
@@ -25,6 +25,9 @@
     bool keysValid(TimePoint now) const override;
     void onChanged(std::function<void()> handler) override;
 
+    /// Adds a handler called with the addresses of the control members when they changed.
+    void onMembers(std::function<void(const std::vector<PeerAddress>&)> handler);
+
     /// \returns the log index up to which this daemon applied the state.
     std::uint64_t appliedIndex() const;
 
--- a/src/app/control_view.cpp
+++ b/src/app/control_view.cpp
@@ -14,8 +14,7 @@
 
     std::vector<std::string> otherMembers(const Settings& settings, const std::string& self)
     {
-        std::vector<std::string> result;
-        std::ranges::transform(settings.controlMembers, std::back_inserter(result), &ControlMember::peerAddress);
+        auto result = controlPeers(settings);
         std::erase(result, self);
         return result;
     }
@@ -49,6 +48,14 @@
 
     std::size_t attached() const { return m_daemons.size(); }
 
+    void setMembers(std::vector<PeerAddress> members)
+    {
+        std::erase(members, m_network.self());
+        m_others = std::move(members);
+        m_view.setOthers(m_others, m_timers.now());
+        sendToMembers(MemberSyncAsk {});
+    }
+
 private:
     /// A daemon that reports here.
     struct Daemon {
@@ -204,6 +211,11 @@
 
 ControlView::~ControlView() = default;
 
+void ControlView::setMembers(std::vector<PeerAddress> members)
+{
+    m_impl->setMembers(std::move(members));
+}
+
 std::size_t ControlView::attached() const
 {
     return m_impl->attached();
--- a/src/app/control_view.h
+++ b/src/app/control_view.h
@@ -19,6 +19,9 @@
     ControlView(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events);
     ~ControlView();
 
+    /// Replaces the addresses of the control members, this one included.
+    void setMembers(std::vector<PeerAddress> members);
+
     /// \returns how many daemons are attached to this member.
     std::size_t attached() const;
 
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -2,7 +2,6 @@
 
 #include "adapters/crypto.h"
 #include "adapters/log_storage_file.h"
-#include "app/backend_edge.h"
 #include "app/caller_edge.h"
 #include "app/connection_bound.h"
 #include "app/control_services.h"
@@ -12,9 +11,9 @@
 #include "app/daemon_metrics.h"
 #include "app/daemon_reporter.h"
 #include "app/daemon_view.h"
-#include "app/deployment_yaml.h"
+#include "app/interface.h"
 #include "app/operator_control.h"
-#include "app/operator_http.h"
+#include "app/readiness_edge.h"
 #include "config.h"
 
 #include <algorithm>
@@ -23,12 +22,13 @@
 namespace pw {
 
 Daemon::Daemon(event_base* base, Timers& timers, EventLog& log, const Settings& settings, Secrets secrets)
-    : m_base(base)
+    : m_loop(base)
     , m_timers(timers)
     , m_log(log)
     , m_settings(settings)
     , m_secrets(std::move(secrets))
-    , m_network({ base, &log, settings.peerAddress, m_secrets.fleet, settings.peerListenAddress }, timers)
+    , m_interface(makeInterface(settings.interfaceName))
+    , m_network({ &m_loop, &log, settings.peerAddress, m_secrets.fleet, settings.peerListenAddress }, timers)
     , m_metrics(std::make_unique<DaemonMetrics>(timers))
 {
 }
@@ -38,10 +38,12 @@
 bool Daemon::init(std::string& reason)
 {
     makeSession();
-    if (!makeControl(reason) || !makeServer(reason) || !makeEntry(reason) || !makeOperatorPort(reason) || !m_network.init(reason)) {
+    makeServer();
+    if (!makeControl(reason) || !makeEntry(reason) || !makeEdges(reason) || !m_network.init(reason)) {
         return false;
     }
     m_session->onChanged([this] { applyConfiguration(); });
+    m_session->onMembers([this](const std::vector<PeerAddress>& members) { followMembers(members); });
     m_session->start();
     PW_EVENT(m_log, Event::DaemonStarted, { "name", m_settings.name }, { "peer", m_settings.peerAddress },
         { "entry", m_settings.entry }, { "server", m_settings.server }, { "control", m_settings.control });
@@ -50,7 +52,7 @@
 
 void Daemon::makeSession()
 {
-    m_session = std::make_unique<ControlSession>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log, parseConfiguration);
+    m_session = std::make_unique<ControlSession>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log, m_interface->parser());
     m_view = std::make_unique<DaemonView>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log);
 }
 
@@ -60,25 +62,20 @@
         return true;
     }
     auto storage = std::make_unique<LogStorageFile>(m_settings.dataFolder);
-    m_control = std::make_unique<ControlServices>(m_settings, m_network, m_timers, m_log, *m_session, std::move(storage));
+    m_control = std::make_unique<ControlServices>(m_settings, m_network, m_timers, m_log, *m_session, m_interface->parser(), std::move(storage));
     return m_control->init(reason);
 }
 
-bool Daemon::makeServer(std::string& reason)
+void Daemon::makeServer()
 {
     if (m_settings.server) {
-        m_server = std::make_unique<ServerRole>(m_base, m_settings, m_network, m_timers, m_log, *m_view);
+        m_server = std::make_unique<ServerRole>(m_loop, m_settings, m_network, m_timers, m_log, *m_view, m_interface->backends());
     }
     if (!m_settings.server && !m_settings.entry) {
-        return true;
+        return;
     }
     m_transport = std::make_unique<CallTransport>(m_network, m_timers, m_server.get(), crypto::randomNumber());
     m_dispatcher = std::make_unique<Dispatcher>(m_settings, *m_transport, m_timers, m_log, *m_view, crypto::randomNumber());
-    if (!m_server) {
-        return true;
-    }
-    m_backendEdge = std::make_unique<BackendEdge>(m_base, m_timers, m_log, *m_session, *m_server, *m_dispatcher);
-    return m_backendEdge->init(m_settings.backendSideAddress, reason);
 }
 
 bool Daemon::makeEntry(std::string& reason)
@@ -88,7 +85,8 @@
     }
     m_grants = std::make_unique<DaemonGrants>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log, *m_session);
     m_claims = std::make_unique<DaemonClaims>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log);
-    m_callerEdge = std::make_unique<CallerEdge>(m_base, m_timers, m_log, *m_session, *m_grants, *m_claims, *m_dispatcher);
+    m_callerEdge = std::make_unique<CallerEdge>(CallerEdge::Parts { m_loop, m_timers, m_log, *m_session, *m_grants, *m_claims,
+        *m_dispatcher, m_interface->callers(), m_settings.localService });
     m_callerEdge->finished().connect([this](const RequestRecord& record) { m_metrics->count(record); });
     if (!m_callerEdge->init(m_settings.callerAddress, reason)) {
         return false;
@@ -101,22 +99,53 @@
     return true;
 }
 
-bool Daemon::makeOperatorPort(std::string& reason)
+InterfaceParts Daemon::interfaceParts()
+{
+    return { m_loop, m_timers, m_log, m_settings, *m_session, m_metrics->metrics(), m_server.get(), m_dispatcher.get(),
+        m_operatorControl.get(), m_reporter.get(), m_secrets.operators };
+}
+
+bool Daemon::isReady() const
+{
+    return !m_stopping && m_session->version() > 0 && m_view->known();
+}
+
+bool Daemon::makeEdges(std::string& reason)
 {
     if (m_server) {
         m_metrics->watch(*m_server);
     }
     m_metrics->watch(m_network.traffic());
-    if (m_settings.operatorAddress.empty()) {
-        return true;
-    }
     m_reporter = std::make_unique<DaemonReporter>(m_settings, *m_session, *m_view, m_timers, m_server.get());
     if (m_control) {
         m_operatorControl = std::make_unique<OperatorControl>(m_control->log());
     }
-    m_operatorHttp = std::make_unique<OperatorHttp>(OperatorHttp::Parts {
-        m_base, m_timers, m_log, m_metrics->metrics(), *m_reporter, m_operatorControl.get(), m_secrets.operators });
-    return m_operatorHttp->init(m_settings.operatorAddress, reason);
+    if (m_server) {
+        m_backendEdge = m_interface->makeBackendEdge(interfaceParts());
+    }
+    if (!m_settings.operatorAddress.empty()) {
+        m_operatorEdge = m_interface->makeOperatorEdge(interfaceParts());
+    }
+    if (!m_settings.readyAddress.empty()) {
+        m_readinessEdge = std::make_unique<ReadinessEdge>(m_loop, m_timers, [this] { return isReady(); });
+    }
+    if (!m_settings.metricsAddress.empty()) {
+        m_metricsEdge = std::make_unique<MetricsEdge>(m_loop, m_timers, [this] { return m_metrics->metrics().render(); });
+    }
+    const auto begun = [&reason](auto& edge, auto... address) { return !edge || edge->init(address..., reason); };
+    return begun(m_backendEdge) && begun(m_operatorEdge) && begun(m_readinessEdge, m_settings.readyAddress)
+        && begun(m_metricsEdge, m_settings.metricsAddress);
+}
+
+void Daemon::followMembers(const std::vector<PeerAddress>& members)
+{
+    m_view->setMembers(members);
+    if (m_grants) {
+        m_grants->setMembers(members);
+    }
+    if (m_control) {
+        m_control->setMembers(members);
+    }
 }
 
 void Daemon::applyConfiguration()
@@ -136,7 +165,7 @@
         return;
     }
     m_stopping = true;
-    m_stopBy = m_timers.now() + config::maxDeadline;
+    m_stopBy = m_timers.now() + m_settings.stopTime;
     PW_EVENT(m_log, Event::DaemonStopping, { "name", m_settings.name });
     if (m_server) {
         m_server->leave();
@@ -186,7 +215,7 @@
         return;
     }
     PW_EVENT(m_log, Event::DaemonStopped, { "name", m_settings.name });
-    event_base_loopbreak(m_base);
+    event_base_loopbreak(m_loop.base());
 }
 
 } // namespace pw
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -12,7 +12,6 @@
 
 namespace pw {
 
-class BackendEdge;
 class CallTransport;
 class CallerEdge;
 class ConnectionBound;
@@ -24,9 +23,13 @@
 class DaemonReporter;
 class DaemonView;
 class Dispatcher;
+class Edge;
+class Interface;
+class MetricsEdge;
 class OperatorControl;
-class OperatorHttp;
+class ReadinessEdge;
 class ServerRole;
+struct InterfaceParts;
 
 /// Secrets read from the files that the settings name.
 struct Secrets {
@@ -53,20 +56,24 @@
 private:
     void makeSession();
     bool makeControl(std::string& reason);
-    bool makeServer(std::string& reason);
+    void makeServer();
     bool makeEntry(std::string& reason);
-    bool makeOperatorPort(std::string& reason);
+    bool makeEdges(std::string& reason);
+    InterfaceParts interfaceParts();
+    bool isReady() const;
     void applyConfiguration();
+    void followMembers(const std::vector<PeerAddress>& members);
     void stopTaking();
     void waitUntilQuiet();
     void finishStop();
     bool busy() const;
 
-    event_base* m_base;
+    StreamLoop m_loop;
     Timers& m_timers;
     EventLog& m_log;
     const Settings& m_settings;
     Secrets m_secrets;
+    std::unique_ptr<Interface> m_interface;
     bool m_stopping = false;
     TimePoint m_stopBy {};
     PeerNetworkLibevent m_network;
@@ -78,13 +85,15 @@
     std::unique_ptr<ServerRole> m_server;
     std::unique_ptr<CallTransport> m_transport;
     std::unique_ptr<Dispatcher> m_dispatcher;
-    std::unique_ptr<BackendEdge> m_backendEdge;
     std::unique_ptr<CallerEdge> m_callerEdge;
     std::unique_ptr<ConnectionBound> m_connectionBound;
     std::unique_ptr<DaemonMetrics> m_metrics;
     std::unique_ptr<DaemonReporter> m_reporter;
     std::unique_ptr<OperatorControl> m_operatorControl;
-    std::unique_ptr<OperatorHttp> m_operatorHttp;
+    std::unique_ptr<Edge> m_backendEdge;
+    std::unique_ptr<Edge> m_operatorEdge;
+    std::unique_ptr<ReadinessEdge> m_readinessEdge;
+    std::unique_ptr<MetricsEdge> m_metricsEdge;
 };
 
 } // namespace pw
--- a/src/app/daemon_grants.cpp
+++ b/src/app/daemon_grants.cpp
@@ -28,13 +28,6 @@
         config::grantReportInterval,
     };
 
-    std::vector<std::string> addresses(const std::vector<ControlMember>& members)
-    {
-        std::vector<std::string> result;
-        std::ranges::transform(members, std::back_inserter(result), &ControlMember::peerAddress);
-        return result;
-    }
-
 } // namespace
 
 class DaemonGrants::Impl {
@@ -47,7 +40,7 @@
         , m_events(events)
         , m_fleet(fleet)
         , m_incarnation(seed)
-        , m_owner(addresses(settings.controlMembers), settings.name)
+        , m_owner(controlPeers(settings), settings.name)
     {
         m_network.onMessage(MessageKind::GrantReply, [this](const PeerAddress& from, std::span<const std::byte> message) { replied(from, message); });
         m_fleet.onChanged([this, alive = std::weak_ptr(m_alive)] {
@@ -97,6 +90,8 @@
         plan(share, now);
     }
 
+    void setMembers(std::vector<PeerAddress> members) { m_owner.update(std::move(members)); }
+
     void returnAll()
     {
         const auto now = m_timers.now();
@@ -334,6 +329,11 @@
     m_impl->take(workspace, deadline, std::move(done));
 }
 
+void DaemonGrants::setMembers(std::vector<PeerAddress> members)
+{
+    m_impl->setMembers(std::move(members));
+}
+
 void DaemonGrants::returnAll()
 {
     m_impl->returnAll();
--- a/src/app/daemon_grants.h
+++ b/src/app/daemon_grants.h
@@ -20,6 +20,9 @@
 
     void take(const std::string& workspace, TimePoint deadline, std::function<void(std::optional<Refusal>)> done) override;
 
+    /// Replaces the control members among which the owner of the rates is looked for.
+    void setMembers(std::vector<PeerAddress> members);
+
     /// Gives unspent tokens back to the owner; part of a planned stop, after the last request was admitted.
     void returnAll();
 
--- a/src/app/daemon_view.cpp
+++ b/src/app/daemon_view.cpp
@@ -9,16 +9,6 @@
 #include <optional>
 
 namespace pw {
-namespace {
-
-    std::vector<std::string> memberAddresses(const Settings& settings)
-    {
-        std::vector<std::string> result;
-        std::ranges::transform(settings.controlMembers, std::back_inserter(result), &ControlMember::peerAddress);
-        return result;
-    }
-
-} // namespace
 
 class DaemonView::Impl {
 public:
@@ -26,7 +16,7 @@
         : m_network(network)
         , m_timers(timers)
         , m_events(events)
-        , m_choice(memberAddresses(settings), settings.name)
+        , m_choice(controlPeers(settings), settings.name)
         , m_heard(timers.now())
         , m_phase(std::chrono::duration_cast<Duration>(config::viewReportInterval) * (seed % phases) / phases)
     {
@@ -58,6 +48,15 @@
         }
     }
 
+    void setMembers(std::vector<PeerAddress> members)
+    {
+        const auto before = m_choice.current();
+        m_choice.update(std::move(members));
+        if (m_choice.current() != before) {
+            attach();
+        }
+    }
+
     void onChanged(std::function<void(const std::string&)> handler) { m_handlers.push_back(std::move(handler)); }
 
     const ViewMirror& mirror() const { return m_mirror; }
@@ -195,6 +194,16 @@
     return m_impl->mirror().servers(service);
 }
 
+bool DaemonView::known() const
+{
+    return m_impl->mirror().stream() != 0;
+}
+
+void DaemonView::setMembers(std::vector<PeerAddress> members)
+{
+    m_impl->setMembers(std::move(members));
+}
+
 void DaemonView::publish(const ServerEntry& entry)
 {
     m_impl->publish(entry);
--- a/src/app/daemon_view.h
+++ b/src/app/daemon_view.h
@@ -19,10 +19,16 @@
     DaemonView(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events);
     ~DaemonView() override;
 
+    /// Replaces the control members to choose from.
+    void setMembers(std::vector<PeerAddress> members);
+
     /// Repeats of the same version cost nothing; this class reports the entry for as long as it lives.
     void publish(const ServerEntry& entry) override;
 
     const std::vector<ServerEntry>& servers(const std::string& service) const override;
+
+    /// \returns whether a control member has sent the view since the start.
+    bool known() const;
     void onChanged(std::function<void(const std::string& service)> handler) override;
 
 private:
--- a/src/app/deployment_diff.cpp
+++ b/src/app/deployment_diff.cpp
@@ -19,25 +19,39 @@
         { "workspaces", "workspace" },
     } };
 
+    Fields fieldsOf(const YAML::Node& entry)
+    {
+        Fields result;
+        for (const auto& it : entry) {
+            result[it.first.Scalar()] = it.second.IsScalar() ? it.second.Scalar() : YAML::Dump(it.second);
+        }
+        return result;
+    }
+
     Entries entriesOf(const YAML::Node& section)
     {
         Entries result;
         for (const auto& entry : section) {
             auto& fields = result[entry["name"].Scalar()];
-            for (const auto& it : entry) {
-                fields[it.first.Scalar()] = it.second.Scalar();
-            }
+            fields = fieldsOf(entry);
         }
         return result;
     }
 
     std::string changedFields(const Fields& before, const Fields& after)
     {
+        const auto valueIn = [](const Fields& fields, const std::string& key) {
+            const auto it = fields.find(key);
+            return it == fields.end() ? std::string("none") : it->second;
+        };
+        auto keys = after;
+        keys.insert(before.begin(), before.end());
         std::string result;
-        for (const auto& [key, value] : after) {
-            const auto& old = before.at(key);
-            if (old != value) {
-                result.append(result.empty() ? "" : ", ").append(key).append(" ").append(old).append(" -> ").append(value);
+        for (const auto& [key, unused] : keys) {
+            const auto old = valueIn(before, key);
+            const auto now = valueIn(after, key);
+            if (old != now) {
+                result.append(result.empty() ? "" : ", ").append(key).append(" ").append(old).append(" -> ").append(now);
             }
         }
         return result;
@@ -79,6 +93,9 @@
     for (const auto& [section, kind] : sections) {
         diffSection(kind, entriesOf(old[section]), entriesOf(now[section]), lines);
     }
+    if (const auto changed = changedFields(fieldsOf(old["limits"]), fieldsOf(now["limits"])); !changed.empty()) {
+        lines.push_back("~ limits: " + changed);
+    }
     return lines;
 }
 
--- a/src/app/deployment_yaml.cpp
+++ b/src/app/deployment_yaml.cpp
@@ -11,7 +11,8 @@
 namespace {
 
     constexpr std::size_t maxDeploymentBytes = 1024 * 1024;
-    constexpr std::string_view deadlineAccepted = "a whole number with its unit, like 250ms or 2s";
+    constexpr Range<std::chrono::milliseconds> callerTimeoutRange { config::minCallerTimeout, config::maxCallerTimeout };
+    constexpr Range<std::chrono::milliseconds> anyDuration { std::chrono::milliseconds(0), std::chrono::hours(24) };
 
     std::vector<std::string_view> allImportanceNames()
     {
@@ -20,18 +21,6 @@
         return result;
     }
 
-    std::optional<std::chrono::milliseconds> parseDuration(const std::string& text)
-    {
-        std::uint32_t n = 0;
-        const auto* end = text.data() + text.size();
-        auto [stop, ec] = std::from_chars(text.data(), end, n);
-        const std::string_view unit(stop, static_cast<std::size_t>(end - stop));
-        if (ec != std::errc() || (unit != "ms" && unit != "s")) {
-            return std::nullopt;
-        }
-        return unit == "s" ? std::chrono::seconds(n) : std::chrono::milliseconds(n);
-    }
-
     /// Reads the value of \p key into \p result when there is one.
     template <typename Value>
     void take(std::optional<Value> value, Value& result)
@@ -41,19 +30,6 @@
         }
     }
 
-    void readDuration(YamlMap& map, const std::string& key, std::chrono::milliseconds& result)
-    {
-        auto value = map.text(key);
-        if (!value) {
-            return;
-        }
-        auto duration = parseDuration(*value);
-        if (!duration) {
-            map.wrong(key, "not a time", deadlineAccepted);
-        }
-        take(duration, result);
-    }
-
     /// Methods that are seldom idempotent: the default would be a trap.
     bool mustStateIdempotency(const std::string& method)
     {
@@ -68,15 +44,38 @@
         take(map.integer("connectionsPerServer", { 1, config::maxConnectionsPerServer }), service.connectionsPerServer);
     }
 
+    /// Parts of a route that is divided among services: a mapping of the services to their weights.
+    void readParts(YamlMap& map, Route& route)
+    {
+        constexpr std::string_view accepted = "a list of mappings with service and weight";
+        for (const auto& node : map.list("services", accepted)) {
+            if (!node.IsMap()) {
+                map.wrong("services", "not a mapping", accepted);
+                continue;
+            }
+            auto part = map.child(node, "services");
+            part.require("service", "the name of an entry of services");
+            WeightedService parsed;
+            take(part.text("service"), parsed.service);
+            take(part.integer("weight", { 1, config::maxWeight }), parsed.weight);
+            part.finish();
+            route.services.push_back(parsed);
+        }
+    }
+
     void readRoute(YamlMap& map, Route& route)
     {
         map.require("name", nameAccepted);
         map.require("pathPrefix", "a path prefix");
-        map.require("service", "the name of an entry of services");
+        if (!map.has("services")) {
+            map.require("service", "the name of an entry of services");
+        }
         take(map.text("name"), route.name);
         take(map.text("method"), route.method);
+        take(map.text("host"), route.host);
         take(map.text("pathPrefix"), route.pathPrefix);
         take(map.text("service"), route.service);
+        readParts(map, route);
         if (auto n = map.choice("importance", allImportanceNames())) {
             route.importance = static_cast<Importance>(*n);
         }
@@ -86,16 +85,35 @@
         take(map.boolean("idempotent"), route.idempotent);
         take(map.boolean("open"), route.open);
         take(map.boolean("nestedOnly"), route.nestedOnly);
-        readDuration(map, "deadline", route.deadline);
+        take(map.duration("deadline", anyDuration), route.deadline);
+        take(map.duration("targetLatency", anyDuration), route.targetLatency);
         take(map.integer("attempts", { 1, config::maxAttempts }), route.attempts);
+        take(map.integer("maxServers", { 1, config::maxAttempts }), route.maxServers);
     }
 
     void readWorkspace(YamlMap& map, Workspace& workspace)
     {
         map.require("name", nameAccepted);
         take(map.text("name"), workspace.name);
+        take(map.boolean("limited"), workspace.limited);
         take(map.number("rate", { config::minRate, config::maxRate }), workspace.rate);
         take(map.number("burst", { config::minBurst, config::maxBurst }), workspace.burst);
+        for (const auto& node : map.list("keyDigests", "a list of SHA-256 digests in hexadecimal")) {
+            workspace.keyDigests.push_back(node.IsScalar() ? node.Scalar() : "");
+        }
+    }
+
+    void readLimits(YamlMap map, CallerLimits& limits)
+    {
+        std::uint32_t header = limits.headerBytes;
+        std::uint32_t body = limits.bodyBytes;
+        take(map.integer("headerBytes", { config::minHeaderBytes, config::maxCallerBytes }), header);
+        take(map.integer("bodyBytes", { 0, config::maxCallerBytes }), body);
+        limits.headerBytes = header;
+        limits.bodyBytes = body;
+        take(map.duration("headerTimeout", callerTimeoutRange), limits.headerTimeout);
+        take(map.duration("idleTimeout", callerTimeoutRange), limits.idleTimeout);
+        map.finish();
     }
 
     /// Lines of the text that a deployment was read from.
@@ -152,6 +170,7 @@
         readSection(root, "services", readService, deployment.services, places, problems);
         readSection(root, "routes", readRoute, deployment.routes, places, problems);
         readSection(root, "workspaces", readWorkspace, deployment.workspaces, places, problems);
+        readLimits(root.map("limits"), deployment.limits);
         root.finish();
         // Values that could not be read stand at their defaults and would only repeat the problem.
         if (problems.empty()) {
--- a/src/app/deployment_yaml_write.cpp
+++ b/src/app/deployment_yaml_write.cpp
@@ -25,19 +25,45 @@
         out << YAML::EndMap;
     }
 
+    std::string durationText(std::chrono::milliseconds value)
+    {
+        return std::to_string(value.count()) + "ms";
+    }
+
+    void emitServices(YAML::Emitter& out, const Route& route)
+    {
+        if (route.services.empty()) {
+            out << YAML::Key << "service" << YAML::Value << route.service;
+            return;
+        }
+        out << YAML::Key << "services" << YAML::Value << YAML::Flow << YAML::BeginSeq;
+        for (const auto& it : route.services) {
+            out << YAML::BeginMap << YAML::Key << "service" << YAML::Value << it.service;
+            out << YAML::Key << "weight" << YAML::Value << it.weight << YAML::EndMap;
+        }
+        out << YAML::EndSeq;
+    }
+
     void emit(YAML::Emitter& out, const Route& route)
     {
         out << YAML::BeginMap;
         out << YAML::Key << "name" << YAML::Value << route.name;
         out << YAML::Key << "method" << YAML::Value << route.method;
+        if (!route.host.empty()) {
+            out << YAML::Key << "host" << YAML::Value << route.host;
+        }
         out << YAML::Key << "pathPrefix" << YAML::Value << route.pathPrefix;
-        out << YAML::Key << "service" << YAML::Value << route.service;
+        emitServices(out, route);
         out << YAML::Key << "importance" << YAML::Value << std::string(importanceName(route.importance));
         out << YAML::Key << "idempotent" << YAML::Value << route.idempotent;
         out << YAML::Key << "open" << YAML::Value << route.open;
         out << YAML::Key << "nestedOnly" << YAML::Value << route.nestedOnly;
-        out << YAML::Key << "deadline" << YAML::Value << std::to_string(route.deadline.count()) + "ms";
+        out << YAML::Key << "deadline" << YAML::Value << durationText(route.deadline);
+        if (route.targetLatency.count() > 0) {
+            out << YAML::Key << "targetLatency" << YAML::Value << durationText(route.targetLatency);
+        }
         out << YAML::Key << "attempts" << YAML::Value << route.attempts;
+        out << YAML::Key << "maxServers" << YAML::Value << route.maxServers;
         out << YAML::EndMap;
     }
 
@@ -45,8 +71,24 @@
     {
         out << YAML::BeginMap;
         out << YAML::Key << "name" << YAML::Value << workspace.name;
+        if (!workspace.limited) {
+            out << YAML::Key << "limited" << YAML::Value << false;
+        }
         out << YAML::Key << "rate" << YAML::Value << numberText(workspace.rate);
         out << YAML::Key << "burst" << YAML::Value << numberText(workspace.burst);
+        if (!workspace.keyDigests.empty()) {
+            out << YAML::Key << "keyDigests" << YAML::Value << workspace.keyDigests;
+        }
+        out << YAML::EndMap;
+    }
+
+    void emit(YAML::Emitter& out, const CallerLimits& limits)
+    {
+        out << YAML::BeginMap;
+        out << YAML::Key << "headerBytes" << YAML::Value << limits.headerBytes;
+        out << YAML::Key << "bodyBytes" << YAML::Value << limits.bodyBytes;
+        out << YAML::Key << "headerTimeout" << YAML::Value << durationText(limits.headerTimeout);
+        out << YAML::Key << "idleTimeout" << YAML::Value << durationText(limits.idleTimeout);
         out << YAML::EndMap;
     }
 
@@ -69,6 +111,8 @@
     emitSection(out, "services", deployment.services);
     emitSection(out, "routes", deployment.routes);
     emitSection(out, "workspaces", deployment.workspaces);
+    out << YAML::Key << "limits" << YAML::Value;
+    emit(out, deployment.limits);
     out << YAML::EndMap;
     return std::string(out.c_str()) + "\n";
 }
--- a/src/app/http_answer.h
+++ b/src/app/http_answer.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "adapters/http_server.h"
 #include "core/call.h"
 #include "ports/fleet.h"
 
--- /dev/null
+++ b/src/app/native_interface.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "app/interface.h"
+
+namespace pw {
+
+/// \returns the product's own interface; see docs/INTERFACE.md and docs/OPERATOR-API.md.
+std::unique_ptr<Interface> makeNativeInterface();
+
+} // namespace pw
--- /dev/null
+++ b/src/app/native_protocol.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "ports/backend_protocol.h"
+#include "ports/caller_protocol.h"
+
+namespace pw {
+
+/// Callers' side of the product's own interface; see docs/INTERFACE.md.
+class NativeCallerProtocol final : public CallerProtocol {
+public:
+    std::optional<Refusal> read(const HttpRequest& request, CallerAsk& ask) const override;
+    std::vector<HeaderLine> forwarded(const HttpRequest& request) const override;
+    HttpResponse answer(const Answer& answer) const override;
+    HttpResponse refusal(const Refusal& refusal) const override;
+    HttpResponse fault(int status, std::string_view what) const override;
+};
+
+/// Backend servers' side of the product's own interface; see docs/INTERFACE.md.
+class NativeBackendProtocol final : public BackendProtocol {
+public:
+    bool usesContextTokens() const override { return true; }
+    HttpRequest request(const BackendRun& run) const override;
+    AnswerMeaning meaning(const HttpRequest& request, const HttpResponse& answer) const override;
+    bool identified(const HttpRequest& request, const HttpResponse& answer) const override;
+    void strip(HttpResponse& answer) const override;
+};
+
+} // namespace pw
--- a/src/app/operator_control.cpp
+++ b/src/app/operator_control.cpp
@@ -15,6 +15,11 @@
     m_log.submit(std::move(change), std::move(done));
 }
 
+void OperatorControl::readLatest(std::function<void(const ConfigurationRecord*)> done)
+{
+    m_log.readLatest(std::move(done));
+}
+
 void OperatorControl::inForce(std::uint64_t index, std::function<void(bool)> done)
 {
     m_log.inForce(index, std::move(done));
--- a/src/app/operator_control.h
+++ b/src/app/operator_control.h
@@ -12,6 +12,7 @@
     explicit OperatorControl(ControlLog& log);
 
     void submit(Change change, Done done) override;
+    void readLatest(std::function<void(const ConfigurationRecord*)> done) override;
     void inForce(std::uint64_t index, std::function<void(bool)> done) override;
     void removeMember(const std::string& name, Done done) override;
     bool bootstrap(std::string& reason) override;
--- a/src/app/operator_http.cpp
+++ b/src/app/operator_http.cpp
@@ -16,7 +16,6 @@
     constexpr std::string_view metricsPath = "/metrics";
     constexpr std::string_view challengePath = "/v1/challenge";
     constexpr std::size_t maxLabelBytes = 128;
-    constexpr std::size_t digestHexBytes = 64;
 
     constexpr int ok = 200;
     constexpr int badRequest = 400;
@@ -46,34 +45,6 @@
         return text.size() <= maxLabelBytes && std::ranges::all_of(text, [](char c) { return c >= ' ' && c <= '~'; });
     }
 
-    std::optional<std::byte> hexByte(const char* digits)
-    {
-        unsigned value = 0;
-        auto [stop, ec] = std::from_chars(digits, digits + 2, value, 16);
-        return ec == std::errc() && stop == digits + 2 ? std::optional(static_cast<std::byte>(value)) : std::nullopt;
-    }
-
-    std::optional<KeyDigest> parseDigest(const std::string& hex)
-    {
-        if (hex.size() != digestHexBytes) {
-            return std::nullopt;
-        }
-        KeyDigest digest {};
-        for (std::size_t n = 0; n < digest.size(); ++n) {
-            const auto byte = hexByte(hex.data() + 2 * n);
-            if (!byte) {
-                return std::nullopt;
-            }
-            digest.at(n) = *byte;
-        }
-        return digest;
-    }
-
-    std::string digestHex(const KeyDigest& digest)
-    {
-        return crypto::toHex({ reinterpret_cast<const char*>(digest.data()), digest.size() });
-    }
-
 } // namespace
 
 int statusOfOutcome(ChangeOutcome outcome)
@@ -99,10 +70,10 @@
     return table;
 }
 
-OperatorHttp::OperatorHttp(Parts parts)
-    : m_parts(std::move(parts))
-    , m_auth(m_parts.secrets)
-    , m_http(m_parts.base, [this](const std::shared_ptr<HttpExchange>& exchange) { onRequest(exchange); })
+OperatorHttp::OperatorHttp(const InterfaceParts& parts)
+    : m_parts(parts)
+    , m_auth(m_parts.operatorSecrets)
+    , m_http(m_parts.loop, m_parts.timers, [this](const std::shared_ptr<HttpExchange>& exchange) { onRequest(exchange); })
     , m_alive(std::make_shared<bool>(true))
 {
     addGauges();
@@ -113,7 +84,7 @@
 void OperatorHttp::addGauges()
 {
     auto daemonGauge = [this](std::string_view name, std::string_view help, auto read) {
-        m_parts.metrics.gauge(name, help, {}, [daemon = &m_parts.daemon, read] { return static_cast<double>(read(daemon->report())); });
+        m_parts.metrics.gauge(name, help, {}, [daemon = m_parts.daemon, read] { return static_cast<double>(read(daemon->report())); });
     };
     daemonGauge("pistachiowheel_configuration_version", "Version of the configuration in force here.",
         [](const DaemonStatus& report) { return report.version; });
@@ -134,9 +105,9 @@
         [](const ControlReport& report) { return report.daemons.size(); });
 }
 
-bool OperatorHttp::init(const std::string& address, std::string& reason)
+bool OperatorHttp::init(std::string& reason)
 {
-    return m_http.init(address, reason);
+    return m_http.init(m_parts.settings.operatorAddress, reason);
 }
 
 void OperatorHttp::onRequest(const std::shared_ptr<HttpExchange>& exchange)
@@ -183,7 +154,7 @@
 
 void OperatorHttp::status(const ProvenPtr& proven)
 {
-    answer(proven, ok, statusJson(m_parts.daemon, m_parts.control));
+    answer(proven, ok, statusJson(*m_parts.daemon, m_parts.control));
 }
 
 void OperatorHttp::showConfiguration(const ProvenPtr& proven)
@@ -227,7 +198,7 @@
     json.object().array("keys");
     for (const auto& [id, key] : m_parts.control->keys()) {
         json.object().field("keyId", key.keyId).field("workspace", key.workspace).field("label", key.label);
-        json.field("digest", digestHex(key.digest)).field("withdrawn", key.withdrawn).endObject();
+        json.field("digest", crypto::toHex(key.digest)).field("withdrawn", key.withdrawn).endObject();
     }
     json.endArray().endObject();
     answer(proven, ok, json.text() + "\n");
@@ -237,7 +208,7 @@
 {
     const HttpQuery query(proven->exchange->request().target);
     IssueKey change { query.text("id"), query.text("workspace"), query.text("label"), {} };
-    const auto digest = parseDigest(query.text("digest"));
+    const auto digest = crypto::parseDigest(query.text("digest"));
     if (!isName(change.keyId) || !isName(change.workspace)) {
         malformed(proven, "id or workspace: not a name; accepted: " + std::string(nameAccepted));
     } else if (!isLabel(change.label)) {
@@ -291,7 +262,7 @@
 void OperatorHttp::drain(const ProvenPtr& proven)
 {
     std::string reason;
-    const bool done = m_parts.daemon.drain(reason);
+    const bool done = m_parts.daemon->drain(reason);
     answerChange(proven, { done ? ChangeOutcome::Accepted : ChangeOutcome::Invalid, 0, 0, reason });
 }
 
--- a/src/app/operator_http.h
+++ b/src/app/operator_http.h
@@ -2,7 +2,7 @@
 
 #include "adapters/http_server.h"
 #include "adapters/operator_proof.h"
-#include "app/metrics.h"
+#include "app/interface.h"
 #include "ports/events.h"
 #include "ports/operator_backend.h"
 #include "ports/timers.h"
@@ -15,26 +15,15 @@
 
 /// HTTP port for operators: metrics for anyone, everything else for those who prove the operators' secret.
 /// docs/OPERATOR-API.md lists the requests.
-class OperatorHttp {
+class OperatorHttp final : public Edge {
 public:
-    /// What the port serves. All but secrets must outlive this object, and the metrics may not be rendered after it.
-    struct Parts {
-        event_base* base;
-        Timers& timers;
-        EventLog& log;
-        Metrics& metrics;
-        LocalDaemon& daemon;
-        OperatorBackend* control; ///< Null without the control role.
-        std::vector<std::string> secrets; ///< Those that are accepted.
-    };
-
-    explicit OperatorHttp(Parts parts);
-    ~OperatorHttp();
+    /// The metrics of \p parts may not be rendered after this object.
+    explicit OperatorHttp(const InterfaceParts& parts);
+    ~OperatorHttp() override;
     OperatorHttp(const OperatorHttp&) = delete;
     OperatorHttp& operator=(const OperatorHttp&) = delete;
 
-    /// Starts to listen. \param reason receives what went wrong when false is returned.
-    bool init(const std::string& address, std::string& reason);
+    bool init(std::string& reason) override;
 
 private:
     /// A request whose proof was checked, and the means to answer it.
@@ -76,7 +65,7 @@
     void answer(const ProvenPtr& proven, int status, const std::string& json);
     void reply(const ProvenPtr& proven, HttpResponse response);
 
-    Parts m_parts;
+    InterfaceParts m_parts;
     OperatorAuth m_auth;
     HttpServer m_http;
     std::shared_ptr<bool> m_alive; ///< Expires with this object; late callbacks check it.
--- /dev/null
+++ b/src/app/readiness_edge.cpp
@@ -0,0 +1,26 @@
+#include "app/readiness_edge.h"
+
+#include "adapters/http_status.h"
+
+#include <utility>
+
+namespace pw {
+
+ReadinessEdge::ReadinessEdge(StreamLoop& loop, Timers& timers, std::function<bool()> isReady)
+    : m_isReady(std::move(isReady))
+    , m_http(loop, timers, [this](const std::shared_ptr<HttpExchange>& exchange) {
+        const auto ready = m_isReady();
+        exchange->reply({ ready ? httpStatus::ok : httpStatus::unavailable, {}, ready ? "ready\n" : "not ready\n" });
+    })
+{
+}
+
+MetricsEdge::MetricsEdge(StreamLoop& loop, Timers& timers, std::function<std::string()> render)
+    : m_render(std::move(render))
+    , m_http(loop, timers, [this](const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->reply({ httpStatus::ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_render() });
+    })
+{
+}
+
+} // namespace pw
--- a/src/app/request_call.cpp
+++ b/src/app/request_call.cpp
@@ -2,16 +2,19 @@
 
 #include "core/header_rules.h"
 
+#include <utility>
+
 namespace pw {
 
-Call callFor(const HttpRequest& request, const Route& route)
+Call callFor(const HttpRequest& request, const Route& route, std::string service, std::vector<HeaderLine> headers)
 {
     Call call;
     call.route = route.name;
-    call.service = route.service;
+    call.service = std::move(service);
     call.method = request.method;
     call.target = request.target;
-    call.headers = forwardedHeaders(request.headers);
+    call.host = singleHeader(request.headers, "Host").value_or("");
+    call.headers = std::move(headers);
     call.body = request.body;
     call.importance = route.importance;
     call.idempotent = route.idempotent;
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -42,13 +42,16 @@
 
 } // namespace
 
-ServerRole::ServerRole(event_base* base, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-    ServerDirectory& directory)
+ServerRole::ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
+    ServerDirectory& directory, const BackendProtocol& protocol)
     : m_network(network)
     , m_timers(timers)
     , m_log(log)
     , m_directory(directory)
-    , m_client(base, timers)
+    , m_protocol(protocol)
+    , m_lease(settings.announcementLease)
+    , m_leaveGrace(settings.drainTime / 2)
+    , m_client(loop, timers, protocol)
     , m_admission(limitFrom(settings))
     , m_contexts(randomToken)
 {
@@ -76,17 +79,28 @@
         reason = "service, slots and connections are needed";
         return false;
     }
+    if (isOutdated(announcement)) {
+        return true;
+    }
     if (!m_client.setAddress(announcement.address)) {
         reason = "not an ip:port address: " + announcement.address;
         return false;
     }
     auto changed = !m_announced || m_entry.service != announcement.service || m_entry.slots != announcement.slots
         || m_entry.connections != announcement.connections;
+    if (announcement.started != m_latest.started || announcement.instance != m_latest.instance) {
+        takeIncarnation(announcement);
+        changed = true;
+    }
+    m_latest = announcement;
     m_entry.service = announcement.service;
     m_entry.slots = announcement.slots;
     m_entry.connections = announcement.connections;
     m_announced = true;
     renewLease();
+    if (announcement.leaving) {
+        serverLeaves();
+    }
     if (changed) {
         m_admission.setCapacity(announcement.slots, announcement.connections);
         PW_EVENT(m_log, Event::BackendAnnounced, { "service", m_entry.service }, { "address", announcement.address }, { "slots", m_entry.slots });
@@ -96,10 +110,31 @@
     return true;
 }
 
+bool ServerRole::isOutdated(const Announcement& announcement) const
+{
+    const auto isOlder = std::pair(announcement.started, announcement.sequence) < std::pair(m_latest.started, m_latest.sequence);
+    return announcement.started != 0 && isOlder;
+}
+
+/// Another start of a backend server has the place: nothing that was known of the last one holds.
+void ServerRole::takeIncarnation(const Announcement& announcement)
+{
+    m_client.closeIdle();
+    if (m_stopping) {
+        return;
+    }
+    m_timers.cancel(std::exchange(m_leaveTimer, 0));
+    m_entry.leaving = false;
+    m_refusing = false;
+    m_admission.setLeaving(false);
+    PW_EVENT(m_log, Event::BackendStarted, { "service", announcement.service }, { "instance", announcement.instance },
+        { "previous", m_latest.instance }, { "started", announcement.started });
+}
+
 void ServerRole::renewLease()
 {
     m_timers.cancel(m_leaseTimer);
-    m_leaseTimer = m_timers.after(config::announcementLease, [this] { lapsed(); });
+    m_leaseTimer = m_timers.after(m_lease, [this] { lapsed(); });
 }
 
 void ServerRole::lapsed()
@@ -114,24 +149,51 @@
     m_entry.leaving = false;
 }
 
+void ServerRole::serverLeaves()
+{
+    startLeaving();
+}
+
+void ServerRole::serverLeaves(const std::string& instance, std::uint64_t started)
+{
+    if (instance == m_latest.instance && (started == 0 || started == m_latest.started)) {
+        startLeaving();
+    }
+}
+
 void ServerRole::leave()
+{
+    m_stopping = true;
+    startLeaving();
+}
+
+void ServerRole::startLeaving()
 {
     if (m_entry.leaving) {
         return;
     }
     m_entry.leaving = true;
-    PW_EVENT(m_log, Event::BackendLeft, { "service", m_entry.service }, { "pending", m_work.size() });
+    PW_EVENT(m_log, Event::BackendLeft, { "service", m_entry.service }, { "instance", m_latest.instance }, { "pending", m_work.size() });
     publish();
-    m_leaveTimer = m_timers.after(config::leaveGrace, [this] { stopAdmitting(); });
+    m_leaveTimer = m_timers.after(m_leaveGrace, [this] { stopAdmitting(); });
 }
 
 void ServerRole::stopAdmitting()
 {
     m_refusing = true;
     m_admission.setLeaving(true);
+    handBackQueued();
     pump();
 }
 
+/// Gives back what has not reached the backend server, to be run by another one.
+void ServerRole::handBackQueued()
+{
+    for (const auto id : m_admission.takeQueued()) {
+        refuse(id, { Verdict::NotRun, Reason::Leaving, {} });
+    }
+}
+
 void ServerRole::publish()
 {
     if (m_entry.service.empty()) {
@@ -170,12 +232,13 @@
     }
 }
 
-std::optional<Refusal> ServerRole::refusedNow() const
+std::optional<Refusal> ServerRole::refusedNow(const Call& call) const
 {
     if (m_refusing) {
         return Refusal { Verdict::NotRun, Reason::Leaving, {} };
     }
-    if (!m_announced) {
+    // Another service may have taken the place over.
+    if (!m_announced || call.service != m_entry.service) {
         return Refusal { Verdict::NotRun, Reason::NoBackendServer, {} };
     }
     return std::nullopt;
@@ -191,7 +254,7 @@
     work.done = std::move(done);
     m_names.emplace(work.name, id);
     m_work.emplace(id, std::move(work));
-    if (auto refusal = refusedNow()) {
+    if (auto refusal = refusedNow(m_work.at(id).call)) {
         refuse(id, *refusal);
         return;
     }
@@ -211,20 +274,15 @@
     }
 }
 
-BackendRequest ServerRole::requestFor(std::uint64_t id, const Work& work) const
+HttpRequest ServerRole::requestFor(std::uint64_t id, const Work& work) const
 {
-    auto left = std::max<Duration>(work.deadline - m_timers.now(), std::chrono::milliseconds(1));
-    auto leftMs = std::chrono::ceil<std::chrono::milliseconds>(left).count();
-    BackendRequest request { work.call.method, work.call.target, work.call.headers, work.call.body, exchangeId(id), left };
-    request.headers.push_back({ std::string(header::context), work.token });
-    request.headers.push_back({ std::string(header::deadline), std::to_string(leftMs) });
-    if (!work.call.workspace.empty()) {
-        request.headers.push_back({ std::string(header::workspace), work.call.workspace });
-    }
-    if (!work.call.requestId.empty()) {
-        request.headers.push_back({ std::string(header::requestId), work.call.requestId });
-    }
-    return request;
+    return m_protocol.request({ work.call, exchangeId(id), m_latest.instance, work.token,
+        std::chrono::ceil<std::chrono::milliseconds>(timeLeft(work)) });
+}
+
+Duration ServerRole::timeLeft(const Work& work) const
+{
+    return std::max<Duration>(work.deadline - m_timers.now(), std::chrono::milliseconds(1));
 }
 
 std::string ServerRole::exchangeId(std::uint64_t id) const
@@ -235,12 +293,19 @@
 void ServerRole::begin(std::uint64_t id)
 {
     auto& work = m_work.at(id);
-    work.token = m_contexts.open(work.call, m_timers.now());
-    work.exchange = m_client.start(requestFor(id, work), [this, id](BackendResult result) { finished(id, std::move(result)); });
+    work.running = true;
+    if (m_protocol.usesContextTokens()) {
+        work.token = m_contexts.open(work.call, m_timers.now());
+    }
+    work.exchange = m_client.start(requestFor(id, work), timeLeft(work), work.call.idempotent,
+        [this, id](BackendResult result) { finished(id, std::move(result)); });
 }
 
 ClosedContext ServerRole::closeContext(const Work& work)
 {
+    if (work.token.empty()) {
+        return { work.call.attempts, {}, {}, {} };
+    }
     auto closed = m_contexts.close(work.token, m_timers.now());
     m_contextClosed.emit(work.token);
     return closed;
@@ -254,15 +319,16 @@
     m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
     Answer reply;
     reply.refusal = result.refusal;
-    reply.status = result.status;
-    reply.headers = forwardedHeaders(result.headers);
-    reply.body = std::move(result.body);
+    reply.status = result.response.status;
+    reply.headers = std::move(result.response.headers);
+    reply.body = std::move(result.response.body);
     reply.attemptsUnused = context.attemptsUnused;
     reply.downstream = std::move(context.downstream);
     reply.saturated = std::move(context.saturated);
     if (!reply.whole()) {
-        PW_EVENT(m_log, Event::BackendFailed, { "route", work.call.route }, { "reason", reasonInfo(result.refusal.reason).name },
-            { "verdict", verdictName(result.refusal.verdict) });
+        PW_EVENT(m_log, Event::BackendFailed, { "request", work.call.requestId }, { "route", work.call.route },
+            { "reason", reasonInfo(result.refusal.reason).name }, { "verdict", verdictName(result.refusal.verdict) },
+            { "detail", result.detail }, { "instance", m_latest.instance });
     }
     answer(id, std::move(reply));
     pump();
@@ -298,7 +364,7 @@
     auto node = m_work.extract(id);
     m_names.erase(name);
     const auto& work = node.mapped();
-    if (!work.token.empty()) {
+    if (work.running) {
         m_client.cancel(work.exchange);
         closeContext(work);
     }
@@ -311,7 +377,7 @@
     std::vector<std::uint64_t> orphans;
     for (const auto& [id, work] : m_work) {
         // A non-idempotent request that runs already is left to end in good order.
-        if (work.name.first == peer && (work.token.empty() || work.call.idempotent)) {
+        if (work.name.first == peer && (!work.running || work.call.idempotent)) {
             orphans.push_back(work.name.second);
         }
     }
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -25,6 +25,11 @@
     std::string address; ///< "ip:port" where it takes requests.
     std::uint32_t slots = 1;
     std::uint32_t connections = 1;
+    std::string instance; ///< Names this start of the backend server; empty when it has no name.
+    std::uint64_t started = 0; ///< When it started, in ms since the epoch; zero when it does not say.
+    std::uint64_t sequence = 0; ///< Grows with each announcement of one start; zero when it does not say.
+    bool leaving = false;
+    std::chrono::milliseconds coldTime { 0 }; ///< For how long it will still be slow.
 };
 
 /// The daemon's part beside a backend server: the only one that connects to it. Admits, queues, runs and cancels calls.
@@ -32,18 +37,25 @@
 public:
     using Done = std::function<void(Answer)>;
 
-    ServerRole(event_base* base, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-        ServerDirectory& directory);
+    ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
+        ServerDirectory& directory, const BackendProtocol& protocol);
     ~ServerRole();
     ServerRole(const ServerRole&) = delete;
     ServerRole& operator=(const ServerRole&) = delete;
 
-    /// Takes or renews the backend server's announcement.
+    /// Takes or renews the backend server's announcement. One that is older than what is known changes nothing.
     /// \param reason receives what is wrong with it when false is returned.
     bool announce(const Announcement& announcement, std::string& reason);
 
-    /// The backend server, or this daemon, is leaving: tells the fleet at once, takes new work only for as long as the
-    /// fleet needs to learn of it, and finishes what runs.
+    /// The backend server is leaving: tells the fleet at once, takes new work only for as long as the fleet needs to
+    /// learn of it, and finishes what runs. A later start of the backend server is taken in again.
+    void serverLeaves();
+
+    /// The same, said by the start of the backend server called \p instance; an earlier start changes nothing.
+    /// \param started in ms since the epoch; zero when it does not say.
+    void serverLeaves(const std::string& instance, std::uint64_t started);
+
+    /// This daemon is leaving, for good.
     void leave();
 
     /// Runs \p call. \p done is called once, perhaps at once, unless cancel() comes first.
@@ -74,7 +86,8 @@
         Call call;
         Done done;
         TimePoint deadline {};
-        std::string token; ///< Empty while queued.
+        bool running = false; ///< Otherwise it is queued.
+        std::string token; ///< Of a running one, when the protocol has tokens.
         std::uint64_t exchange = 0;
     };
 
@@ -82,10 +95,15 @@
     void onCancel(const PeerAddress& from, std::span<const std::byte> message);
     void onPeerLost(const PeerAddress& peer);
 
-    std::optional<Refusal> refusedNow() const;
+    std::optional<Refusal> refusedNow(const Call& call) const;
+    bool isOutdated(const Announcement& announcement) const;
+    void takeIncarnation(const Announcement& announcement);
+    void startLeaving();
+    void handBackQueued();
     void offer(std::uint64_t id);
     void begin(std::uint64_t id);
-    BackendRequest requestFor(std::uint64_t id, const Work& work) const;
+    HttpRequest requestFor(std::uint64_t id, const Work& work) const;
+    Duration timeLeft(const Work& work) const;
     std::string exchangeId(std::uint64_t id) const;
     void finished(std::uint64_t id, BackendResult result);
     ClosedContext closeContext(const Work& work);
@@ -101,11 +119,16 @@
     Timers& m_timers;
     EventLog& m_log;
     ServerDirectory& m_directory;
+    const BackendProtocol& m_protocol;
+    std::chrono::milliseconds m_lease;
+    std::chrono::milliseconds m_leaveGrace; ///< For which a leaving server still takes new work.
     BackendClient m_client;
     Admission m_admission;
     ContextTable m_contexts;
     ServerEntry m_entry;
+    Announcement m_latest;
     bool m_announced = false;
+    bool m_stopping = false; ///< This daemon leaves.
     bool m_refusing = false; ///< Leaving, and the fleet has had time to learn of it.
     TimerId m_leaseTimer = 0;
     TimerId m_leaveTimer = 0;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -1,5 +1,6 @@
 #include "app/settings.h"
 
+#include "app/interface.h"
 #include "app/yaml_reader.h"
 #include "core/deployment_check.h"
 #include "core/limit.h"
@@ -25,6 +26,17 @@
     constexpr std::string_view identityAccepted = "IP:PORT with the numeric IP at which others reach it, and a port from 1 to 65535";
     constexpr std::string_view memberAccepted = "a list of 1 to 7 mappings with name, peer, operator";
     constexpr std::string_view pathAccepted = "an absolute path";
+    constexpr std::string_view seedsAccepted = "a list of 1 to 9 IP:PORT, operators' addresses of control members";
+    constexpr std::size_t maxSeeds = 9;
+    constexpr std::uint32_t maxToleratedLosses = 3;
+    constexpr Range<std::chrono::milliseconds> boundRange { std::chrono::milliseconds(100), std::chrono::minutes(10) };
+    constexpr Range<std::chrono::milliseconds> windowRange { std::chrono::seconds(1), std::chrono::minutes(10) };
+    constexpr double maxRetryRatio = 1;
+    constexpr double maxRetryExtra = 1e6;
+
+    const std::vector<std::string_view> unreachableChoices { "refuse", "continue" };
+    const std::vector<std::string_view> proofChoices { "secret", "none" };
+    const std::vector<std::string_view> outputChoices { "error", "output" };
 
     const std::vector<std::string_view> logLevels { "debug", "info", "warning", "error" };
 
@@ -39,6 +51,14 @@
         { "control", &Settings::control },
     } };
 
+    template <typename Value>
+    void take(std::optional<Value> value, Value& result)
+    {
+        if (value) {
+            result = *value;
+        }
+    }
+
     bool isWildcard(const sockaddr_storage& address)
     {
         if (address.ss_family == AF_INET) {
@@ -103,6 +123,13 @@
         result = value.value_or("");
     }
 
+    void readInterface(YamlMap& root, Settings& settings)
+    {
+        if (auto n = root.choice("interface", interfaceNames())) {
+            settings.interfaceName = interfaceNames()[*n];
+        }
+    }
+
     void readRoles(YamlMap& root, YamlProblems& problems, Settings& settings)
     {
         constexpr std::string_view accepted = "a list of entry, server, control, at least one of them";
@@ -149,6 +176,24 @@
         settings.controlMembers.push_back(member);
     }
 
+    /// Seeds are told by their operators' addresses; all daemons use one port for links.
+    void readSeeds(YamlMap& map, Settings& settings)
+    {
+        const auto items = map.list("seeds", seedsAccepted);
+        if (items.size() > maxSeeds) {
+            map.wrong("seeds", std::to_string(items.size()) + " seeds", seedsAccepted);
+        }
+        const auto port = settings.peerAddress.substr(settings.peerAddress.rfind(':') + 1);
+        for (const auto& it : items) {
+            const auto text = it.IsScalar() ? it.Scalar() : std::string();
+            if (!isAddress(text, false)) {
+                map.wrong("seeds", "not an address", seedsAccepted);
+                continue;
+            }
+            settings.controlSeeds.push_back(text.substr(0, text.rfind(':') + 1) + port);
+        }
+    }
+
     void readControl(YamlMap& root, YamlProblems& problems, Settings& settings)
     {
         root.require("control", "a mapping with members and, for the control role, dataFolder");
@@ -158,9 +203,15 @@
         for (std::size_t n = 0; n < items.size(); ++n) {
             readMember(items[n], n, problems, settings);
         }
-        if (items.empty() || items.size() > maxControlMembers) {
+        readSeeds(map, settings);
+        const auto seeded = !settings.controlSeeds.empty() && items.empty();
+        if (!seeded && (items.empty() || items.size() > maxControlMembers)) {
             map.wrong("members", std::to_string(items.size()) + " members", memberAccepted);
         }
+        settings.toleratedLosses = static_cast<std::uint32_t>(items.empty() ? settings.toleratedLosses : (items.size() - 1) / 2);
+        take(map.integer("toleratedLosses", { 0, maxToleratedLosses }), settings.toleratedLosses);
+        take(map.boolean("firstStart"), settings.firstStart);
+        settings.refuseWithoutControl = map.choice("whenUnreachable", unreachableChoices).value_or(0) == 0;
         if (settings.control) {
             map.require("dataFolder", pathAccepted);
         }
@@ -177,21 +228,31 @@
         map.finish();
     }
 
+    void readBackend(YamlMap& map, Settings& settings)
+    {
+        if (map.has("service")) {
+            readName(map, "service", settings.localService);
+        }
+        take(map.duration("announcementLease", boundRange), settings.announcementLease);
+    }
+
     /// An address that a role listens at.
     struct ListenRow {
         const char* section;
         std::string Settings::*member;
-        bool Settings::*role; ///< Role that cannot do without.
+        bool Settings::*role; ///< Role that cannot do without; null: none.
     };
-    constexpr std::array<ListenRow, 3> listenTable { {
+    constexpr std::array<ListenRow, 5> listenTable { {
         { "caller", &Settings::callerAddress, &Settings::entry },
         { "backend", &Settings::backendSideAddress, &Settings::server },
         { "operator", &Settings::operatorAddress, &Settings::control },
+        { "ready", &Settings::readyAddress, nullptr },
+        { "metrics", &Settings::metricsAddress, nullptr },
     } };
 
     void readListen(YamlMap& root, const ListenRow& row, Settings& settings)
     {
-        if (settings.*(row.role)) {
+        if (row.role && settings.*(row.role)) {
             root.require(row.section, "a mapping with address, which a role of this daemon needs");
         }
         auto map = root.map(row.section);
@@ -199,31 +260,58 @@
             map.require("address", bindAccepted);
         }
         readBindAddress(map, "address", settings.*(row.member));
+        if (row.member == &Settings::backendSideAddress) {
+            readBackend(map, settings);
+        }
         map.finish();
     }
 
-    void readPeer(YamlMap& root, Settings& settings)
+    void readPeer(YamlMap& root, Settings& settings, bool& proves)
     {
         root.require("peer", "a mapping with address");
         auto map = root.map("peer");
         readIdentityAddress(map, "address", settings.peerAddress);
         readBindAddress(map, "listen", settings.peerListenAddress);
+        proves = map.choice("proof", proofChoices).value_or(0) == 0;
         map.finish();
     }
 
-    void readSecrets(YamlMap& root, Settings& settings)
+    void readSecrets(YamlMap& root, Settings& settings, bool proves)
     {
-        root.require("secrets", "a mapping with fleet and, where operators are served, operator");
+        const auto native = settings.interfaceName == nativeInterfaceName;
+        const auto operators = native && !settings.operatorAddress.empty();
+        if (proves || operators) {
+            root.require("secrets", "a mapping with fleet and, where operators are served, operator");
+        }
         auto map = root.map("secrets");
-        map.require("fleet", pathAccepted);
+        if (proves) {
+            map.require("fleet", pathAccepted);
+        }
         readPath(map, "fleet", settings.fleetSecretFile);
-        if (!settings.operatorAddress.empty()) {
+        if (operators) {
             map.require("operator", pathAccepted);
         }
         readPath(map, "operator", settings.operatorSecretFile);
         map.finish();
     }
 
+    void readBounds(YamlMap& root, Settings& settings)
+    {
+        auto map = root.map("bounds");
+        take(map.duration("drain", boundRange), settings.drainTime);
+        take(map.duration("stop", boundRange), settings.stopTime);
+        map.finish();
+    }
+
+    void readRetryBudget(YamlMap& root, Settings& settings)
+    {
+        auto map = root.map("retryBudget");
+        take(map.number("ratio", { 0, maxRetryRatio }), settings.retryBudget.ratio);
+        take(map.number("extra", { 0, maxRetryExtra }), settings.retryBudget.extra);
+        take(map.duration("window", windowRange), settings.retryBudget.window);
+        map.finish();
+    }
+
     void readLimit(YamlMap& root, Settings& settings)
     {
         auto map = root.map("limit");
@@ -241,6 +329,7 @@
             settings.logLevel = logLevels[*n];
         }
         readPath(map, "file", settings.logFile);
+        settings.logToOutput = map.choice("stream", outputChoices).value_or(0) == 1;
         if (auto n = map.integer("decisionSampling", { 0, maxDecisionSampling })) {
             settings.decisionSampling = *n;
         }
@@ -272,12 +361,16 @@
 
     void readAll(YamlMap& root, YamlProblems& problems, Settings& settings)
     {
+        bool proves = true;
         readDaemon(root, settings);
+        readInterface(root, settings);
         readRoles(root, problems, settings);
-        readPeer(root, settings);
+        readPeer(root, settings, proves);
         std::ranges::for_each(listenTable, [&](const ListenRow& row) { readListen(root, row, settings); });
         readControl(root, problems, settings);
-        readSecrets(root, settings);
+        readSecrets(root, settings, proves);
+        readBounds(root, settings);
+        readRetryBudget(root, settings);
         readLimit(root, settings);
         readLog(root, settings);
         root.finish();
@@ -301,6 +394,16 @@
     return settings;
 }
 
+std::vector<PeerAddress> controlPeers(const Settings& settings)
+{
+    if (settings.controlMembers.empty()) {
+        return settings.controlSeeds;
+    }
+    std::vector<PeerAddress> result;
+    std::ranges::transform(settings.controlMembers, std::back_inserter(result), &ControlMember::peerAddress);
+    return result;
+}
+
 std::optional<Settings> loadSettings(const std::string& file, std::string& reason)
 {
     auto text = readFile(file, reason);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -17,6 +17,13 @@
     std::string operatorAddress; ///< HTTP address for operators, "ip:port".
 };
 
+/// Bound of what is sent again, for each service over the whole fleet.
+struct RetryBudgetSettings {
+    double ratio = 0.1; ///< Repeats for each request.
+    double extra = 10; ///< Repeats in each window besides, shared by all daemons.
+    std::chrono::milliseconds window { 10000 };
+};
+
 /// The settings file of one daemon.
 struct Settings {
     std::string name; ///< Unique in the fleet.
@@ -33,17 +40,35 @@
     std::string backendSideAddress; ///< HTTP for the backend server beside; server role.
     std::string operatorAddress; ///< HTTP for operators.
 
+    std::string interfaceName = "native"; ///< Outside interface; one of interfaceNames().
+    std::string localService; ///< Service of the backend server beside, for the servers that its calls reach.
+    std::string readyAddress; ///< HTTP that says whether callers should come; empty: none.
+    std::string metricsAddress; ///< HTTP for metrics alone; empty: none.
+
     std::vector<ControlMember> controlMembers;
+    std::vector<PeerAddress> controlSeeds; ///< Control members to begin with, where the others are learned from them.
+    bool firstStart = false; ///< With seeds: the whole fleet starts for the first time.
+    std::uint32_t toleratedLosses = 1; ///< Control members, disks included, that may be lost at once.
+    bool refuseWithoutControl = true; ///< Refuse requests with a key while control cannot be reached.
     std::string dataFolder; ///< Control role: the one folder that files live under.
-    std::string fleetSecretFile;
+    std::string fleetSecretFile; ///< Empty: daemons do not prove themselves to each other.
     std::string operatorSecretFile;
 
     std::string limitStrategy; ///< Concurrency limit of the server role; empty takes the default.
+    std::chrono::milliseconds drainTime { 2000 }; ///< From the word that a backend server leaves until it gets no new work.
+    std::chrono::milliseconds stopTime { 60000 }; ///< From the signal to stop until the process must have ended.
+    std::chrono::milliseconds announcementLease { 3000 }; ///< Silence after which a backend server counts as gone.
+    RetryBudgetSettings retryBudget;
+
     std::string logLevel = "info";
-    std::string logFile; ///< Empty: standard error.
+    std::string logFile; ///< Empty: standard error, or standard output.
+    bool logToOutput = false; ///< Write to standard output instead of standard error.
     std::uint32_t decisionSampling = 1; ///< One decision line in this many is written; zero writes none.
 };
 
+/// \returns the links' addresses of the control members that \p settings name.
+std::vector<PeerAddress> controlPeers(const Settings& settings);
+
 /// Reads and checks settings from YAML \p text.
 /// \param source name of the text in messages.
 /// \param reason receives "source:line: key: what is wrong; accepted: ..." when nothing is returned, a line for each
--- a/src/app/yaml_reader.cpp
+++ b/src/app/yaml_reader.cpp
@@ -39,6 +39,19 @@
         return out.str();
     }
 
+    std::optional<std::chrono::milliseconds> parseDuration(std::string_view text)
+    {
+        double n = 0;
+        const auto* end = text.data() + text.size();
+        auto [stop, ec] = std::from_chars(text.data(), end, n, std::chars_format::fixed);
+        const std::string_view unit(stop, static_cast<std::size_t>(end - stop));
+        if (ec != std::errc() || (unit != "ms" && unit != "s")) {
+            return std::nullopt;
+        }
+        const std::chrono::duration<double, std::milli> exact(unit == "s" ? n * 1000 : n);
+        return std::chrono::round<std::chrono::milliseconds>(exact);
+    }
+
     int lineNumber(const YAML::Mark& mark)
     {
         return mark.is_null() ? 1 : mark.line + 1;
@@ -131,6 +144,22 @@
     return result;
 }
 
+std::optional<std::chrono::milliseconds> YamlMap::duration(const std::string& key, Range<std::chrono::milliseconds> range)
+{
+    const auto accepted = "a number with its unit, like 250ms or 1.5s, from " + std::to_string(range.least.count()) + "ms to "
+        + std::to_string(range.most.count()) + "ms";
+    auto value = scalar(key, accepted);
+    if (!value) {
+        return std::nullopt;
+    }
+    auto result = parseDuration(*value);
+    if (!result || *result < range.least || *result > range.most) {
+        wrong(key, result ? "out of range" : "not a time", accepted);
+        return std::nullopt;
+    }
+    return result;
+}
+
 std::optional<bool> YamlMap::boolean(const std::string& key)
 {
     auto index = choice(key, { "false", "true" });
--- a/src/app/yaml_reader.h
+++ b/src/app/yaml_reader.h
@@ -2,6 +2,7 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <limits>
@@ -63,12 +64,16 @@
     std::optional<std::uint32_t> integer(const std::string& key, Range<std::uint32_t> range);
     /// \returns the number of \p key, or nothing when it is absent or wrong.
     std::optional<double> number(const std::string& key, Range<double> range);
+    /// \returns the time of \p key, or nothing when it is absent or wrong.
+    std::optional<std::chrono::milliseconds> duration(const std::string& key, Range<std::chrono::milliseconds> range);
     /// \returns the truth value of \p key, or nothing when it is absent or wrong.
     std::optional<bool> boolean(const std::string& key);
     /// \returns which of \p names the text of \p key is, or nothing when it is absent or wrong.
     std::optional<std::size_t> choice(const std::string& key, const std::vector<std::string_view>& names);
     /// \returns the mapping under \p key; an empty one when it is absent or wrong.
     YamlMap map(const std::string& key);
+    /// \returns \p node, an item of the list under \p key, as a mapping.
+    YamlMap child(const YAML::Node& node, const std::string& key) { return { node, fullKey(key), m_problems }; }
     /// \returns the items of the list under \p key; none when it is absent or wrong.
     std::vector<YAML::Node> list(const std::string& key, std::string_view accepted);
 
--- a/src/config.h
+++ b/src/config.h
@@ -25,6 +25,16 @@
 inline constexpr milliseconds openFilesInterval { 250 };
 /// Time a caller has to send a whole request, and an idle connection stays open.
 inline constexpr milliseconds callerIdleTimeout { 30000 };
+/// Requests of one caller's connection that are worked on side by side.
+inline constexpr std::size_t maxPipelinedRequests = 64;
+/// Unread bytes of answers on one caller's connection above which no further request is read from it.
+inline constexpr std::size_t maxUnreadAnswerBytes = 256 * 1024;
+/// Time for which a connection is read after its last answer, so that the answer is not lost in a reset.
+inline constexpr milliseconds lingerTimeout { 1000 };
+/// Interval at which a server looks for callers that are idle or too slow.
+inline constexpr milliseconds httpSweepInterval { 250 };
+/// New connections that may wait to be accepted.
+inline constexpr int listenBacklog = 1024;
 /// Time to connect to another daemon and to prove the fleet's secret.
 inline constexpr milliseconds linkHandshakeTimeout { 1000 };
 /// Idle time after which a link between daemons is closed; longer than any deadline.
@@ -35,6 +45,16 @@
 inline constexpr milliseconds linkDeadAfter { 3000 };
 /// Time past a request's deadline that an entry daemon leaves the server-side daemon to give the truer verdict.
 inline constexpr milliseconds deadlineGrace { 20 };
+/// Largest body of an answer of a backend server, in bytes; an answer goes in one frame between daemons.
+inline constexpr std::size_t maxAnswerBytes = 3 * 1024 * 1024;
+/// Idle time after which a connection to a backend server that names no time of its own is not used again.
+inline constexpr milliseconds backendIdleTimeout { 4000 };
+/// Part of the idle time that a backend server allows which is left unused, against its closing while a request is sent.
+inline constexpr milliseconds keepAliveMargin { 1000 };
+/// Idle time up to which a connection is used for requests that cannot be sent again if it was closed unnoticed.
+inline constexpr milliseconds sureConnectionAge { 1000 };
+/// Answers to other requests that are skipped on one connection to a backend server before it is given up.
+inline constexpr std::size_t maxStrayAnswers = 3;
 /// Time to connect to the backend server beside a daemon.
 inline constexpr milliseconds backendConnectTimeout { 500 };
 /// Deadline of a route that names none.
@@ -191,6 +211,10 @@
 /// Time for which a leader acts after it sent what a quorum acknowledged.
 inline constexpr milliseconds raftLeaderLease { 300 };
 static_assert(raftLeaderLease < raftElectionTimeout, "a leader must step down before another can be elected");
+/// Silence of a voter after which a learner that stands by takes its place.
+inline constexpr milliseconds raftVoterSilence { 2000 };
+/// Silence of a learner after which it is no member any more.
+inline constexpr milliseconds raftLearnerSilence { 30000 };
 /// Time after which a snapshot that was not acknowledged is sent again.
 inline constexpr milliseconds raftSnapshotResend { 1000 };
 /// Entries applied after which a member stores a snapshot.
@@ -221,6 +245,8 @@
 inline constexpr std::size_t keptDeltas = 512;
 /// Time for which a change is repeated before it is answered as unknown.
 inline constexpr milliseconds changeTimeout { 5000 };
+/// Longest time in which a member finds out which configuration is the newest.
+inline constexpr milliseconds readTimeout { 800 };
 /// Interval at which a change without an answer is sent to the leader again.
 inline constexpr milliseconds changeRetry { 300 };
 /// Longest wait for a change to be in force everywhere.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -73,6 +73,15 @@
     }
 }
 
+std::vector<std::uint64_t> Admission::takeQueued()
+{
+    std::vector<std::uint64_t> taken;
+    for (const auto& waiting : m_queue.expire(TimePoint::max())) {
+        taken.push_back(waiting.item.id);
+    }
+    return taken;
+}
+
 AdmissionWork Admission::poll(TimePoint now)
 {
     rollInterval(now);
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -65,6 +65,9 @@
     /// Drops a queued request, or frees the slot of a started one whose exchange was closed.
     void cancel(std::uint64_t id, TimePoint now);
 
+    /// Removes and \returns all queued requests.
+    std::vector<std::uint64_t> takeQueued();
+
     /// \returns the queued requests to start now and those shed since the last call.
     AdmissionWork poll(TimePoint now);
 
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/http_message.h"
 #include "core/types.h"
 
 #include <cstdint>
@@ -8,12 +9,6 @@
 
 namespace pw {
 
-/// One HTTP header line.
-struct HeaderLine {
-    std::string name;
-    std::string value;
-};
-
 /// One attempt at a request, from an entry role to the daemon beside a backend server.
 struct Call {
     std::uint64_t id = 0; ///< Unique to the entry daemon's process.
@@ -21,10 +16,12 @@
     std::string service;
     std::string method;
     std::string target; ///< Path and query.
+    std::string host; ///< As the caller named it, with its port.
     std::vector<HeaderLine> headers; ///< Never the caller's key.
     std::string body;
     std::string workspace; ///< Empty on open routes.
-    std::string requestId; ///< Caller's id for re-sends; empty when it sent none.
+    std::string callerService; ///< Service of the backend server beside the entry daemon, empty when there is none.
+    std::string requestId; ///< As the caller chose it; empty when it sent none.
     Importance importance = Importance::Normal; ///< The root's.
     bool idempotent = true;
     bool nested = false; ///< Made by a backend server while it worked on another request.
--- a/src/core/change.h
+++ b/src/core/change.h
@@ -11,7 +11,8 @@
 /// Replaces the configuration if it still has the version that the change is based on.
 struct SubmitConfiguration {
     std::uint64_t baseVersion = 0;
-    std::string text; ///< YAML.
+    std::string text;
+    std::uint64_t version = 0; ///< Of the new configuration, above the base; zero: the next number.
 };
 
 /// Makes a key valid for a workspace.
--- a/src/core/deployment_check.cpp
+++ b/src/core/deployment_check.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <sstream>
+#include <tuple>
 
 namespace pw {
 namespace {
@@ -16,9 +17,10 @@
         "critical" };
     constexpr std::array<std::string_view, 6> methods { "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH" };
     constexpr std::string_view methodsAccepted = "GET, HEAD, POST, PUT, DELETE, PATCH";
+    constexpr std::string_view hostAccepted = "a host name without a port: letters, digits, '.' and '-'";
     constexpr std::string_view pathAccepted
-        = "\"/\" or segments like \"/prices/guide\": letters, digits and -._~!$&'()*+,;=:@, no empty, \".\" or \"..\" segment, "
-          "no \"/\" at the end";
+        = "\"/\" or segments like \"/prices/guide\", with or without a \"/\" at the end: letters, digits and -._~!$&'()*+,;=:@, "
+          "no empty, \".\" or \"..\" segment";
 
     bool isAlnum(unsigned char c)
     {
@@ -40,7 +42,7 @@
         if (!text.starts_with('/') || text.size() > config::maxPathPrefixBytes) {
             return false;
         }
-        while (!text.empty()) {
+        while (!text.empty() && text != "/") {
             const auto end = std::min(text.find('/', 1), text.size());
             if (!isSegment(text.substr(1, end - 1))) {
                 return false;
@@ -50,6 +52,18 @@
         return true;
     }
 
+    bool isHost(std::string_view text)
+    {
+        auto allowed = [](char c) { return isAlnum(c) || c == '.' || c == '-'; };
+        return text.size() <= config::maxHostBytes && std::ranges::all_of(text, allowed);
+    }
+
+    bool isDigest(std::string_view text)
+    {
+        auto isHexDigit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+        return text.size() == config::digestHexBytes && std::ranges::all_of(text, isHexDigit);
+    }
+
     std::string rangeText(double least, double most)
     {
         std::ostringstream out;
@@ -110,18 +124,33 @@
         section.checkRange(n, "connectionsPerServer", service.connectionsPerServer, 1, config::maxConnectionsPerServer);
     }
 
+    void checkServices(Section& section, const Section& services, std::size_t n, const Route& route)
+    {
+        constexpr std::string_view accepted = "the name of an entry of services";
+        if (route.services.empty() ? !services.hasName(route.service) : !route.service.empty()) {
+            section.add(n, "service", route.services.empty() ? "unknown service" : "given beside services", accepted);
+        }
+        for (const auto& it : route.services) {
+            if (!services.hasName(it.service)) {
+                section.add(n, "services", "unknown service", accepted);
+            }
+            section.checkRange(n, "services", it.weight, 1, config::maxWeight);
+        }
+    }
+
     void checkRoute(Section& section, const Section& services, std::size_t n, const Route& route)
     {
         section.checkName(n, route.name);
-        if (std::ranges::find(methods, route.method) == methods.end()) {
+        if (!route.method.empty() && std::ranges::find(methods, route.method) == methods.end()) {
             section.add(n, "method", "not a method", methodsAccepted);
         }
+        if (!route.host.empty() && !isHost(route.host)) {
+            section.add(n, "host", "not a host", hostAccepted);
+        }
         if (!isPathPrefix(route.pathPrefix)) {
             section.add(n, "pathPrefix", "not a path prefix", pathAccepted);
         }
-        if (!services.hasName(route.service)) {
-            section.add(n, "service", "unknown service", "the name of an entry of services");
-        }
+        checkServices(section, services, n, route);
         if (route.importance >= Importance::Count) {
             section.add(n, "importance", "unknown importance", "low, normal, high, critical");
         }
@@ -130,17 +159,18 @@
         }
         section.checkRange(n, "deadline", static_cast<double>(route.deadline.count()), 1, static_cast<double>(config::maxDeadline.count()));
         section.checkRange(n, "attempts", route.attempts, 1, config::maxAttempts);
+        section.checkRange(n, "maxServers", route.maxServers, 1, config::maxAttempts);
     }
 
-    /// Two routes with one method and one prefix would make the choice a matter of order.
+    /// Two routes with one host, one method and one prefix would make the choice a matter of order.
     void checkAmbiguity(Section& section, const std::vector<Route>& routes)
     {
-        std::map<std::pair<std::string, std::string>, std::size_t> seen;
+        std::map<std::tuple<std::string, std::string, std::string>, std::size_t> seen;
         for (std::size_t n = 0; n < routes.size(); ++n) {
-            auto [it, added] = seen.emplace(std::pair(routes[n].method, routes[n].pathPrefix), n);
+            auto [it, added] = seen.emplace(std::tuple(routes[n].host, routes[n].method, routes[n].pathPrefix), n);
             if (!added) {
-                section.add(n, "pathPrefix", "same method and prefix as route \"" + routes[it->second].name + "\"",
-                    "one route for each method and prefix");
+                section.add(n, "pathPrefix", "same host, method and prefix as route \"" + routes[it->second].name + "\"",
+                    "one route for each host, method and prefix");
             }
         }
     }
@@ -148,8 +178,36 @@
     void checkWorkspace(Section& section, std::size_t n, const Workspace& workspace)
     {
         section.checkName(n, workspace.name);
-        section.checkRange(n, "rate", workspace.rate, config::minRate, config::maxRate);
-        section.checkRange(n, "burst", workspace.burst, config::minBurst, config::maxBurst);
+        if (workspace.limited) {
+            section.checkRange(n, "rate", workspace.rate, config::minRate, config::maxRate);
+            section.checkRange(n, "burst", workspace.burst, config::minBurst, config::maxBurst);
+        }
+        if (!std::ranges::all_of(workspace.keyDigests, isDigest)) {
+            section.add(n, "keyDigests", "not a digest", "64 hexadecimal digits");
+        }
+    }
+
+    /// A key leads to one workspace.
+    void checkKeys(Section& section, const std::vector<Workspace>& workspaces)
+    {
+        std::set<std::string> seen;
+        for (std::size_t n = 0; n < workspaces.size(); ++n) {
+            for (const auto& digest : workspaces[n].keyDigests) {
+                if (!seen.insert(digest).second) {
+                    section.add(n, "keyDigests", "a key is given twice", "each key once");
+                }
+            }
+        }
+    }
+
+    void checkLimits(Section& section, const CallerLimits& limits)
+    {
+        section.checkRange(0, "headerBytes", static_cast<double>(limits.headerBytes), config::minHeaderBytes, config::maxCallerBytes);
+        section.checkRange(0, "bodyBytes", static_cast<double>(limits.bodyBytes), 0, config::maxCallerBytes);
+        constexpr auto least = static_cast<double>(config::minCallerTimeout.count());
+        constexpr auto most = static_cast<double>(config::maxCallerTimeout.count());
+        section.checkRange(0, "headerTimeout", static_cast<double>(limits.headerTimeout.count()), least, most);
+        section.checkRange(0, "idleTimeout", static_cast<double>(limits.idleTimeout.count()), least, most);
     }
 
 } // namespace
@@ -185,6 +243,9 @@
     for (std::size_t n = 0; n < deployment.workspaces.size(); ++n) {
         checkWorkspace(workspaces, n, deployment.workspaces[n]);
     }
+    checkKeys(workspaces, deployment.workspaces);
+    Section limits("limits", problems);
+    checkLimits(limits, deployment.limits);
     return problems;
 }
 
--- a/src/core/deployment_check.h
+++ b/src/core/deployment_check.h
@@ -2,6 +2,7 @@
 
 #include "pistachiowheel/pistachiowheel.h"
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -24,11 +25,19 @@
     /// Requests. A burst below one would never let a request pass.
     inline constexpr double minBurst = 1;
     inline constexpr double maxBurst = 1e7;
+    inline constexpr std::uint32_t maxWeight = 1'000'000;
+    inline constexpr std::size_t maxHostBytes = 253;
+    inline constexpr std::size_t digestHexBytes = 64;
+    /// Bytes of a header or a body that operators may allow.
+    inline constexpr std::uint32_t minHeaderBytes = 256;
+    inline constexpr std::uint32_t maxCallerBytes = 1U << 30U;
+    inline constexpr std::chrono::milliseconds minCallerTimeout { 100 };
+    inline constexpr std::chrono::milliseconds maxCallerTimeout { 3'600'000 };
 } // namespace config
 
 /// One thing that is wrong with a deployment.
 struct DeploymentProblem {
-    std::string section; ///< "services", "routes" or "workspaces".
+    std::string section; ///< "services", "routes", "workspaces" or "limits".
     std::size_t index = 0; ///< Which entry of the section.
     std::string field; ///< Empty when the whole section or entry is meant.
     std::string wrong;
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -25,6 +25,7 @@
         {
             add("configuration");
             add(std::to_string(change.baseVersion));
+            add(std::to_string(change.version));
             add(change.text);
         }
 
@@ -134,14 +135,18 @@
     if (change.baseVersion != current) {
         return { { ChangeOutcome::Conflict, current, 0, {} }, {} };
     }
+    const auto version = change.version ? change.version : current + 1;
+    if (version <= current) {
+        return invalid("the version is not above the current one");
+    }
     if (change.text.empty() || change.text.size() > config::maxConfigurationBytes) {
         return invalid("the configuration is empty or too large");
     }
-    m_history.push_back({ current + 1, index, changeId });
+    m_history.push_back({ version, index, changeId });
     if (m_history.size() > config::keptConfigurationSteps) {
         m_history.pop_front();
     }
-    return accept({ index, ConfigurationRecord { current + 1, change.text } });
+    return accept({ index, ConfigurationRecord { version, change.text } });
 }
 
 Applied FleetState::decide(std::uint64_t index, const std::string&, const IssueKey& change)
--- a/src/core/header_rules.cpp
+++ b/src/core/header_rules.cpp
@@ -11,8 +11,6 @@
         "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
         "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Host", "Content-Length", "Expect", "Date"
     };
-    constexpr std::string_view ownPrefix = "Pistachio-";
-
     char lower(char c)
     {
         return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
@@ -56,13 +54,13 @@
     return std::string_view(it->value);
 }
 
-std::vector<HeaderLine> forwardedHeaders(const std::vector<HeaderLine>& headers)
+std::vector<HeaderLine> forwardedHeaders(const std::vector<HeaderLine>& headers, std::string_view ownPrefix)
 {
     auto hasConnection = countHeader(headers, "Connection") > 0;
     std::vector<HeaderLine> result;
     result.reserve(headers.size());
     std::ranges::copy_if(headers, std::back_inserter(result), [&](const HeaderLine& it) {
-        if (startsWith(it.name, ownPrefix)) {
+        if (!ownPrefix.empty() && startsWith(it.name, ownPrefix)) {
             return false;
         }
         if (std::ranges::any_of(connectionHeaders, [&](std::string_view name) { return sameHeader(it.name, name); })) {
@@ -73,6 +71,13 @@
     return result;
 }
 
+bool endIsMarked(const HttpResponse& answer)
+{
+    constexpr std::array<int, 2> bodiless { 204, 304 };
+    return std::ranges::find(bodiless, answer.status) != bodiless.end() || countHeader(answer.headers, "Content-Length") > 0
+        || countHeader(answer.headers, "Transfer-Encoding") > 0;
+}
+
 bool hasMisplacedKey(std::string_view target, const std::vector<HeaderLine>& headers, std::string_view body)
 {
     if (target.find(keyPrefix) != std::string_view::npos || body.find(keyPrefix) != std::string_view::npos) {
--- a/src/core/header_rules.h
+++ b/src/core/header_rules.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/call.h"
+#include "core/http_message.h"
 
 #include <optional>
 #include <string_view>
@@ -20,6 +20,8 @@
     inline constexpr std::string_view verdict = "Pistachio-Verdict";
     inline constexpr std::string_view reason = "Pistachio-Reason";
     inline constexpr std::string_view retryAfterMs = "Pistachio-Retry-After-Ms";
+    /// Begins the name of every header of the product's own interface.
+    inline constexpr std::string_view ownPrefix = "Pistachio-";
 } // namespace header
 
 /// Prefix of every key, by which a key in the wrong place is recognised.
@@ -34,9 +36,12 @@
 /// \returns how often \p name occurs.
 std::size_t countHeader(const std::vector<HeaderLine>& headers, std::string_view name);
 
-/// \returns the headers that may be passed on: none that is hop-by-hop, that the HTTP library writes itself,
-/// or that belongs to this system.
-std::vector<HeaderLine> forwardedHeaders(const std::vector<HeaderLine>& headers);
+/// \returns the headers that may be passed on: none that is hop-by-hop, that every message is given anew, or whose name
+/// begins with \p ownPrefix; an empty prefix is none.
+std::vector<HeaderLine> forwardedHeaders(const std::vector<HeaderLine>& headers, std::string_view ownPrefix);
+
+/// \returns whether the end of \p answer was marked by its header, not only by the end of its connection.
+bool endIsMarked(const HttpResponse& answer);
 
 /// \returns whether the request carries a key anywhere but in its key header.
 bool hasMisplacedKey(std::string_view target, const std::vector<HeaderLine>& headers, std::string_view body);
--- /dev/null
+++ b/src/core/http_message.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace pw {
+
+/// One HTTP header line.
+struct HeaderLine {
+    std::string name;
+    std::string value;
+
+    bool operator==(const HeaderLine&) const = default;
+};
+
+/// A whole request.
+struct HttpRequest {
+    std::string method;
+    std::string target; ///< Path and query.
+    std::vector<HeaderLine> headers;
+    std::string body;
+};
+
+/// A whole answer.
+struct HttpResponse {
+    int status = 200;
+    std::vector<HeaderLine> headers;
+    std::string body;
+};
+
+} // namespace pw
--- a/src/core/member_choice.cpp
+++ b/src/core/member_choice.cpp
@@ -42,10 +42,19 @@
 }
 
 MemberChoice::MemberChoice(std::vector<std::string> members, std::string_view name)
-    : m_members(rendezvousOrder(std::move(members), name))
+    : m_name(name)
+    , m_members(rendezvousOrder(std::move(members), name))
 {
 }
 
+void MemberChoice::update(std::vector<std::string> members)
+{
+    const auto inUse = current();
+    m_members = rendezvousOrder(std::move(members), m_name);
+    m_current = 0;
+    turnTo(inUse);
+}
+
 const std::string& MemberChoice::current() const
 {
     return m_members.empty() ? noMember : m_members[m_current];
--- a/src/core/member_choice.h
+++ b/src/core/member_choice.h
@@ -27,10 +27,14 @@
     /// Turns to the next member.
     void next();
 
+    /// Replaces the members; the one in use stays when it is among them.
+    void update(std::vector<std::string> members);
+
     /// Turns to \p member when it is one of them. \returns whether it is.
     bool turnTo(const std::string& member);
 
 private:
+    std::string m_name;
     std::vector<std::string> m_members;
     std::size_t m_current = 0;
 };
--- a/src/core/membership_view.cpp
+++ b/src/core/membership_view.cpp
@@ -14,6 +14,16 @@
     std::ranges::for_each(others, [this, start](const auto& other) { m_members[other] = start; });
 }
 
+void MembershipView::setOthers(const std::vector<std::string>& others, TimePoint now)
+{
+    std::map<std::string, TimePoint> members;
+    for (const auto& other : others) {
+        const auto it = m_members.find(other);
+        members[other] = it == m_members.end() ? now : it->second;
+    }
+    m_members = std::move(members);
+}
+
 bool MembershipView::report(const std::string& name, const DaemonReport& report, TimePoint now)
 {
     const auto it = m_items.find(name);
--- a/src/core/membership_view.h
+++ b/src/core/membership_view.h
@@ -25,6 +25,9 @@
     /// \param others addresses of the other control members.
     MembershipView(std::string self, std::vector<std::string> others, MembershipTimes times, TimePoint start);
 
+    /// Replaces the addresses of the other control members; one that is new counts as heard at \p now.
+    void setOthers(const std::vector<std::string>& others, TimePoint now);
+
     /// Takes a report of the daemon of \p name, attached here. \returns whether its server is known in its version.
     bool report(const std::string& name, const DaemonReport& report, TimePoint now);
 
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -41,7 +41,7 @@
         if (now >= m_heartbeatDue) {
             broadcast(now);
         }
-        settleLearners(now);
+        settleMembers(now);
         tryHandOver(now);
         return;
     }
@@ -131,7 +131,12 @@
 
 std::size_t Raft::quorum() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(m_members, &ControlMemberRecord::voter)) / 2 + 1;
+    return voterCount() / 2 + 1;
+}
+
+bool Raft::formed() const
+{
+    return !m_options.waitsForVoters || voterCount() >= m_options.voters || m_log.holdsChange(m_commit);
 }
 
 void Raft::refreshMembers()
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -16,7 +16,11 @@
     Duration leaderLease = config::raftLeaderLease; ///< Counted from the sending of what a quorum acknowledged.
     Duration heartbeat = config::raftHeartbeat;
     Duration snapshotResend = config::raftSnapshotResend;
+    Duration voterSilence = config::raftVoterSilence; ///< After which a voter is replaced by a learner that stands by.
+    Duration learnerSilence = config::raftLearnerSilence; ///< After which a learner is removed.
     std::size_t voters = 3; ///< Learners are promoted until there are so many.
+    std::size_t copies = 1; ///< Synced copies at voters without which nothing commits, beside a quorum; at most all voters.
+    bool waitsForVoters = false; ///< The first change waits until there are as many voters as there should be.
 };
 
 /// Part of a member in the replicated log.
@@ -85,6 +89,19 @@
     /// \returns the local time as of which the applied state held everything accepted; nothing before the first.
     std::optional<TimePoint> completeAsOf(TimePoint now) const;
 
+    /// Begins to find out what had been accepted by now; confirmedAsOf() tells the outcome.
+    void confirm(TimePoint now);
+
+    /// \returns the local time as of which the applied state certainly held everything accepted, by word of a quorum and
+    /// not by the leader's lease; nothing before the first.
+    std::optional<TimePoint> confirmedAsOf(TimePoint now) const;
+
+    /// \returns whether changes may be accepted: there are enough voters, or there once were.
+    bool formed() const;
+
+    /// \returns whether the latest members this one knows of include itself.
+    bool isMember() const { return member(identity()) != nullptr; }
+
     /// \returns the index that all daemons attached to \p member applied, as it said last, and when it said so.
     std::optional<std::pair<std::uint64_t, TimePoint>> sessionsIndexOf(MemberId member) const;
 
@@ -160,8 +177,13 @@
     bool proposeMembers(std::vector<ControlMemberRecord> next, TimePoint now);
     bool recentlyHeard(MemberId id, TimePoint now) const;
     bool caughtUp(MemberId id, TimePoint now) const;
-    void settleLearners(TimePoint now);
-    bool settleLearner(const ControlMemberRecord& learner, TimePoint now);
+    std::size_t voterCount() const;
+    bool isStandby(const ControlMemberRecord& it, TimePoint now) const;
+    bool isLost(const ControlMemberRecord& voter, TimePoint now) const;
+    void settleMembers(TimePoint now);
+    bool removeLostVoter(TimePoint now);
+    bool promoteLearner(TimePoint now);
+    void removeSilentLearner(TimePoint now);
 
     // raft_snapshot.cpp
     void sendSnapshot(const ControlMemberRecord& to, Progress& progress, TimePoint now);
--- a/src/core/raft_log.cpp
+++ b/src/core/raft_log.cpp
@@ -75,6 +75,12 @@
     return it == held.end() ? m_snapshot.members : it->members;
 }
 
+bool RaftLog::holdsChange(std::uint64_t index) const
+{
+    const auto held = m_entries | std::views::take(index - m_snapshot.index);
+    return m_snapshot.index > 0 || std::ranges::find(held, EntryKind::Change, &LogEntry::kind) != held.end();
+}
+
 std::uint64_t RaftLog::lastMembersIndex() const
 {
     const auto latestFirst = m_entries | std::views::reverse;
--- a/src/core/raft_log.h
+++ b/src/core/raft_log.h
@@ -34,6 +34,9 @@
     /// \returns the members in force at \p index, which is not below the snapshot's.
     const std::vector<ControlMemberRecord>& membersAt(std::uint64_t index) const;
 
+    /// \returns whether a change has been made up to \p index. A snapshot is only made of changes.
+    bool holdsChange(std::uint64_t index) const;
+
     /// \returns the index of the last entry that changed the members; the snapshot's when none is held.
     std::uint64_t lastMembersIndex() const;
 
--- a/src/core/raft_membership.cpp
+++ b/src/core/raft_membership.cpp
@@ -34,7 +34,7 @@
         return true;
     }
     auto next = m_members;
-    std::erase_if(next, [&](const auto& it) { return !it.voter && it.name == name && !recentlyHeard(it.id, now); });
+    std::erase_if(next, [&](const auto& it) { return !it.voter && (it.name == name || it.address == address) && !recentlyHeard(it.id, now); });
     next.push_back({ id, name, address, false });
     return next.size() <= config::maxControlMembers && proposeMembers(std::move(next), now);
 }
@@ -86,33 +86,83 @@
     return recentlyHeard(id, now) && it != m_progress.end() && it->second.match >= m_commit;
 }
 
-void Raft::settleLearners(TimePoint now)
+std::size_t Raft::voterCount() const
 {
-    for (const auto& it : m_members) {
-        if (!it.voter && caughtUp(it.id, now) && settleLearner(it, now)) {
-            return; // m_members has changed.
-        }
+    return static_cast<std::size_t>(std::ranges::count_if(m_members, &ControlMemberRecord::voter));
+}
+
+bool Raft::isStandby(const ControlMemberRecord& it, TimePoint now) const
+{
+    return !it.voter && caughtUp(it.id, now);
+}
+
+void Raft::settleMembers(TimePoint now)
+{
+    if (removeLostVoter(now) || promoteLearner(now)) {
+        return; // m_members has changed.
     }
+    removeSilentLearner(now);
 }
 
-bool Raft::settleLearner(const ControlMemberRecord& learner, TimePoint now)
+/// \returns whether \p voter is gone for good as far as this leader can tell: a new identity has its place, or it has been
+/// silent and another member stands by.
+bool Raft::isLost(const ControlMemberRecord& voter, TimePoint now) const
 {
+    if (voter.id == identity() || recentlyHeard(voter.id, now)) {
+        return false;
+    }
+    const auto tookPlace = [&](const ControlMemberRecord& it) {
+        return (it.address == voter.address || it.name == voter.name) && isStandby(it, now);
+    };
+    const auto standsBy = [&](const ControlMemberRecord& it) { return isStandby(it, now); };
+    const auto progress = m_progress.find(voter.id);
+    const auto heard = progress == m_progress.end() ? m_electedAt : progress->second.acknowledged.value_or(m_electedAt);
+    const auto silent = now >= std::max(heard, m_electedAt) + m_options.voterSilence;
+    return std::ranges::any_of(m_members, tookPlace) || (silent && std::ranges::any_of(m_members, standsBy));
+}
+
+/// The lost voter goes first and alone, so that any quorum before overlaps with any after.
+bool Raft::removeLostVoter(TimePoint now)
+{
+    const auto lost = [&](const ControlMemberRecord& it) { return it.voter && isLost(it, now); };
     auto next = m_members;
-    const auto replaced = std::ranges::find_if(next, [&](const auto& it) { return it.voter && it.name == learner.name; });
-    if (replaced != next.end()) {
-        if (recentlyHeard(replaced->id, now)) {
-            return false;
-        }
-        // The silent voter goes first and alone, so that any quorum before overlaps with any after.
-        next.erase(replaced);
-        return proposeMembers(std::move(next), now);
+    const auto it = std::ranges::find_if(next, lost);
+    if (it == next.end()) {
+        return false;
     }
-    const auto voters = static_cast<std::size_t>(std::ranges::count_if(next, &ControlMemberRecord::voter));
-    if (voters >= m_options.voters) {
+    next.erase(it);
+    return proposeMembers(std::move(next), now);
+}
+
+bool Raft::promoteLearner(TimePoint now)
+{
+    if (voterCount() >= m_options.voters) {
+        return false;
+    }
+    auto next = m_members;
+    // A voter that another identity replaces is removed before.
+    const auto replaces = [&](const ControlMemberRecord& learner) {
+        return std::ranges::any_of(m_members, [&](const ControlMemberRecord& it) { return it.voter && it.address == learner.address; });
+    };
+    const auto it = std::ranges::find_if(next, [&](const ControlMemberRecord& it) { return isStandby(it, now) && !replaces(it); });
+    if (it == next.end()) {
         return false;
     }
-    std::ranges::find(next, learner.id, &ControlMemberRecord::id)->voter = true;
+    it->voter = true;
     return proposeMembers(std::move(next), now);
 }
 
+void Raft::removeSilentLearner(TimePoint now)
+{
+    const auto silent = [&](const ControlMemberRecord& it) {
+        const auto progress = m_progress.find(it.id);
+        const auto heard = progress == m_progress.end() ? m_electedAt : progress->second.acknowledged.value_or(m_electedAt);
+        return !it.voter && now >= std::max(heard, m_electedAt) + m_options.learnerSilence;
+    };
+    auto next = m_members;
+    if (std::erase_if(next, silent) > 0) {
+        proposeMembers(std::move(next), now);
+    }
+}
+
 } // namespace pw
--- a/src/core/raft_read.cpp
+++ b/src/core/raft_read.cpp
@@ -63,6 +63,26 @@
     return m_completeAsOf;
 }
 
+void Raft::confirm(TimePoint now)
+{
+    if (m_halted) {
+        return;
+    }
+    if (m_role == RaftRole::Leader) {
+        broadcast(now);
+    } else {
+        askRead(now);
+    }
+}
+
+std::optional<TimePoint> Raft::confirmedAsOf(TimePoint now) const
+{
+    if (m_role != RaftRole::Leader) {
+        return m_completeAsOf;
+    }
+    return leading(now) && m_applied == m_commit ? quorumAcknowledged(now) : std::nullopt;
+}
+
 std::optional<std::pair<std::uint64_t, TimePoint>> Raft::sessionsIndexOf(MemberId id) const
 {
     const auto it = m_sessionsIndexes.find(id);
--- a/src/core/raft_replication.cpp
+++ b/src/core/raft_replication.cpp
@@ -7,7 +7,7 @@
 
 std::optional<std::uint64_t> Raft::propose(std::string data, TimePoint now)
 {
-    if (m_halted || m_handingOver || !leading(now)) {
+    if (m_halted || m_handingOver || !leading(now) || !formed()) {
         return std::nullopt;
     }
     const auto index = m_log.lastIndex() + 1;
@@ -72,7 +72,8 @@
         return;
     }
     std::ranges::sort(matches, std::greater());
-    const auto index = matches[quorum() - 1];
+    const auto needed = std::max(quorum(), std::min(m_options.copies, matches.size()));
+    const auto index = matches[needed - 1];
     if (index <= m_commit || m_log.termAt(index) != term()) {
         return;
     }
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -30,6 +30,7 @@
     NoRoute,
     RouteNotAllowed,
     UnknownKey,
+    NoConfiguration, ///< This daemon does not know any configuration yet.
     KeysNotValid, ///< This daemon's validity lease has lapsed, it may not judge keys.
     RateExceeded,
     Overloaded, ///< The server-side daemon shed the request.
@@ -43,6 +44,7 @@
     Unreachable, ///< The daemon beside the backend server could not be reached.
     BackendFailed, ///< The backend server closed, truncated or mis-framed its answer.
     BackendRefused, ///< The backend server said that it did not run the request.
+    WrongServer, ///< Another backend server answered at the address; it did not run the request.
     Cancelled,
     DuplicateRunning, ///< A request with the same id is running.
     DuplicateUnknown, ///< A request with the same id was started, its outcome is not known.
--- a/src/ports/operator_backend.h
+++ b/src/ports/operator_backend.h
@@ -55,6 +55,10 @@
     /// Submits \p change. \p done is called once with what is truly known.
     virtual void submit(Change change, Done done) = 0;
 
+    /// Calls \p done once with the newest accepted configuration, or with null when this member cannot be sure which that
+    /// is. The record is valid within the call.
+    virtual void readLatest(std::function<void(const ConfigurationRecord*)> done) = 0;
+
     /// Calls \p done once, with true when every daemon applied log index \p index or may not judge keys any more.
     virtual void inForce(std::uint64_t index, std::function<void(bool)> done) = 0;
 
--- a/src/proto/call.capnp
+++ b/src/proto/call.capnp
@@ -24,6 +24,8 @@
   depth @12 :UInt8;
   attempts @13 :UInt32;
   timeLeftMicros @14 :UInt32;
+  host @15 :Text;
+  callerService @16 :Text;
 }
 
 struct LoadHint {
--- a/src/proto/call.capnp.h
+++ b/src/proto/call.capnp.h
@@ -51,7 +51,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e8cc65576cde28b, 3, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(8e8cc65576cde28b, 3, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -251,6 +251,12 @@
 
   inline  ::uint32_t getTimeLeftMicros() const;
 
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasCallerService() const;
+  inline  ::capnp::Text::Reader getCallerService() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -356,6 +362,20 @@
   inline  ::uint32_t getTimeLeftMicros();
   inline void setTimeLeftMicros( ::uint32_t value);
 
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasCallerService();
+  inline  ::capnp::Text::Builder getCallerService();
+  inline void setCallerService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCallerService(unsigned int size);
+  inline void adoptCallerService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCallerService();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1147,6 +1167,74 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Call::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool Call::Reader::hasCallerService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasCallerService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Call::Reader::getCallerService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Call::Builder::getCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::setCallerService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Call::Builder::initCallerService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Call::Builder::adoptCallerService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t LoadHint::Reader::getRunning() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/proto/control.capnp
+++ b/src/proto/control.capnp
@@ -112,6 +112,7 @@
 struct Configuration {
   version @0 :UInt64;
   text @1 :Text;
+  baseVersion @2 :UInt64;
 }
 
 struct Key {
--- a/src/proto/control.capnp.h
+++ b/src/proto/control.capnp.h
@@ -296,7 +296,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de299b0a9f3b0446, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(de299b0a9f3b0446, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2005,6 +2005,8 @@
   inline bool hasText() const;
   inline  ::capnp::Text::Reader getText() const;
 
+  inline  ::uint64_t getBaseVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2043,6 +2045,9 @@
   inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownText();
 
+  inline  ::uint64_t getBaseVersion();
+  inline void setBaseVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4812,6 +4817,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Configuration::Reader::getBaseVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Configuration::Builder::getBaseVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Configuration::Builder::setBaseVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Key::Reader::hasKeyId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/unit/route_and_header_test.cpp
+++ b/tests/unit/route_and_header_test.cpp
@@ -16,9 +16,12 @@
     { .name = "share", .pathPrefix = "/share" },
     { .name = "share-detail", .pathPrefix = "/share/detail" },
     { .name = "order", .method = "POST", .pathPrefix = "/share" },
+    { .name = "guide", .method = "", .host = "guide.example", .pathPrefix = "/share" },
+    { .name = "guide-lookup", .method = "", .host = "guide.example", .pathPrefix = "/share/lookup/" },
 } };
 
 struct MatchRow {
+    const char* host;
     const char* method;
     const char* target;
     const char* route; ///< Empty: none.
@@ -26,18 +29,25 @@
 
 std::ostream& operator<<(std::ostream& out, const MatchRow& row)
 {
-    return out << row.method << ' ' << row.target;
+    return out << row.host << ' ' << row.method << ' ' << row.target;
 }
 
 const std::vector<MatchRow> matchRows {
-    { "GET", "/share", "share" },
-    { "GET", "/share?member=1", "share" },
-    { "GET", "/share/7", "share" },
-    { "GET", "/shared", "root" },
-    { "GET", "/share/detail/7", "share-detail" },
-    { "POST", "/share/detail", "order" },
-    { "DELETE", "/share", "" },
-    { "get", "/share", "" },
+    { "", "GET", "/share", "share" },
+    { "x", "GET", "/share?member=1", "share" },
+    { "x:8080", "GET", "/share/7", "share" },
+    { "x", "GET", "/shared", "root" },
+    { "x", "GET", "/share/detail/7", "share-detail" },
+    { "x", "POST", "/share/detail", "order" },
+    { "x", "DELETE", "/share", "" },
+    { "x", "get", "/share", "" },
+    { "guide.example", "GET", "/share", "guide" },
+    { "GUIDE.example:80", "DELETE", "/share/7", "guide" },
+    { "guide.example", "GET", "/share/detail/7", "share-detail" },
+    { "guide.example", "GET", "/share/lookup/7?x=/", "guide-lookup" },
+    { "guide.example", "GET", "/share/lookup", "guide" },
+    { "guide.example", "GET", "/other", "root" },
+    { "[2001:db8::1]:80", "GET", "/share", "share" },
 };
 
 struct HeaderRow {
@@ -91,13 +101,13 @@
 
 BOOST_DATA_TEST_CASE(longestPrefixAtASegmentBorderWins, data::make(matchRows), row)
 {
-    const auto* route = table.match(row.method, row.target);
+    const auto* route = table.match(row.host, row.method, row.target);
     BOOST_TEST((route ? route->name : "") == row.route);
 }
 
 BOOST_DATA_TEST_CASE(onlyEndToEndHeadersAreForwarded, data::make(headerRows), row)
 {
-    auto forwarded = pw::forwardedHeaders({ { row.name, "value" }, { "Connection", "close, x-named" } });
+    auto forwarded = pw::forwardedHeaders({ { row.name, "value" }, { "Connection", "close, x-named" } }, pw::header::ownPrefix);
     BOOST_TEST(pw::countHeader(forwarded, row.name) == (row.forwarded ? 1U : 0U));
 }
 
