--- a/tools/measure-transport/main.cpp
+++ b/tools/measure-transport/main.cpp
@@ -89,8 +89,9 @@
 {
     NoLog log;
     pw::TimersLibevent timers(base);
-    pw::PeerNetworkLibevent near({ base, &log, "127.0.0.1:47311", { "secret" } }, timers);
-    pw::PeerNetworkLibevent far({ base, &log, "127.0.0.1:47312", { "secret" } }, timers);
+    pw::StreamLoop loop(base);
+    pw::PeerNetworkLibevent near({ &loop, &log, "127.0.0.1:47311", { "secret" } }, timers);
+    pw::PeerNetworkLibevent far({ &loop, &log, "127.0.0.1:47312", { "secret" } }, timers);
     std::string reason;
     if (!near.init(reason) || !far.init(reason)) {
         std::cerr << reason << '\n';
--- a/tools/pistachiowheeld/main.cpp
+++ b/tools/pistachiowheeld/main.cpp
@@ -4,6 +4,7 @@
 #include "app/daemon.h"
 #include "app/secret_file.h"
 #include "app/settings.h"
+#include "platform_interface.h"
 
 #include <cxxopts.hpp>
 
@@ -90,11 +91,14 @@
 
 std::optional<pw::Secrets> readSecrets(const pw::Settings& settings, std::string& reason)
 {
-    auto fleet = pw::readSecretFile(settings.fleetSecretFile, reason);
-    if (!fleet) {
-        return std::nullopt;
+    pw::Secrets secrets;
+    if (!settings.fleetSecretFile.empty()) {
+        auto fleet = pw::readSecretFile(settings.fleetSecretFile, reason);
+        if (!fleet) {
+            return std::nullopt;
+        }
+        secrets.fleet = std::move(*fleet);
     }
-    pw::Secrets secrets { std::move(*fleet), {} };
     if (!settings.operatorSecretFile.empty()) {
         auto operators = pw::readSecretFile(settings.operatorSecretFile, reason);
         if (!operators) {
@@ -110,7 +114,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     pw::detail::BasePtr base(event_base_new());
     pw::TimersLibevent timers(base.get());
-    pw::EasyloggingEventLog log({ levelNamed(settings.logLevel), settings.logFile, settings.decisionSampling }, &timers);
+    pw::EasyloggingEventLog log({ levelNamed(settings.logLevel), settings.logFile, settings.decisionSampling, pw::LogOutput::maxFileBytes, settings.logToOutput }, &timers);
     std::string reason;
     if (!log.open(reason)) {
         return refused(reason);
@@ -129,6 +133,7 @@
 
 int main(int argc, char** argv)
 {
+    pw::platform::registerPlatform();
     auto arguments = parseArguments(argc, argv);
     if (!arguments) {
         return exitUsage;
