--- a/include/pistachiowheel/pistachiowheel.h
+++ b/include/pistachiowheel/pistachiowheel.h
@@ -19,6 +19,26 @@
     Count
 };
 
+/// Place of a request in the order of service: the least one goes first, and is shed last.
+struct Rank {
+    std::uint16_t workspace = 0; ///< Priority of its workspace, compared first.
+    std::uint16_t route = 0; ///< Priority of its route.
+
+    constexpr Rank() = default;
+    constexpr Rank(std::uint16_t workspacePriority, std::uint16_t routePriority)
+        : workspace(workspacePriority)
+        , route(routePriority)
+    {
+    }
+    /// The named levels as priorities of a route: Critical is 0.
+    constexpr Rank(Importance importance) // NOLINT(google-explicit-constructor): a level is a rank.
+        : route(static_cast<std::uint16_t>(static_cast<unsigned>(Importance::Critical) - static_cast<unsigned>(importance)))
+    {
+    }
+
+    auto operator<=>(const Rank&) const = default;
+};
+
 /// A group of backend servers that answer the same routes.
 struct Service {
     std::string name;
@@ -43,6 +63,7 @@
     std::string service; ///< Name of the service that answers; empty when services are given.
     std::vector<WeightedService> services; ///< Services among which the requests are divided.
     Importance importance = Importance::Normal;
+    std::optional<std::uint16_t> priority; ///< Instead of importance: 0 goes first.
     bool idempotent = true; ///< False: runs at most once, never re-sent once it may have run.
     bool open = false; ///< True: served without a key.
     bool nestedOnly = false; ///< True: only for calls of backend servers, never for callers.
@@ -57,6 +78,7 @@
     std::string name;
     double rate = 100; ///< Requests a second.
     double burst = 100; ///< Requests above the rate that may come at once.
+    std::uint16_t priority = 0; ///< 0 goes first; compared before the priority of routes.
     bool limited = true; ///< False: rate and burst do not bound it.
     std::vector<std::string> keyDigests; ///< SHA-256 of keys that are valid beside the issued ones, in hexadecimal.
 };
@@ -77,6 +99,12 @@
     CallerLimits limits;
 };
 
+/// \returns the rank of requests of \p route from a workspace of \p workspacePriority.
+inline Rank rankOf(const Route& route, std::uint16_t workspacePriority)
+{
+    return { workspacePriority, route.priority.value_or(Rank(route.importance).route) };
+}
+
 /// \returns the name of \p importance in the configuration.
 std::string_view importanceName(Importance importance);
 
--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -69,9 +69,10 @@
         call.workspace = fromText(message.getWorkspace());
         call.callerService = fromText(message.getCallerService());
         call.requestId = fromText(message.getRequestId());
-        call.importance = readEnum<Importance>(message.getImportance());
+        call.rank = { message.getWorkspacePriority(), message.getRoutePriority() };
         call.idempotent = message.getIdempotent();
         call.nested = message.getNested();
+        call.repeated = message.getRepeated();
         call.depth = message.getDepth();
         call.attempts = message.getAttempts();
         call.timeLeft = std::chrono::microseconds(message.getTimeLeftMicros());
@@ -89,6 +90,7 @@
         answer.headers = readHeaders(message);
         answer.body = fromData(message.getBody());
         answer.attemptsUnused = message.getAttemptsUnused();
+        answer.arrived = message.getArrived();
         answer.load = readLoad(message.getLoad());
         for (auto name : message.getDownstream()) {
             answer.downstream.push_back(fromText(name));
@@ -114,9 +116,11 @@
     message.setWorkspace(toText(call.workspace));
     message.setCallerService(toText(call.callerService));
     message.setRequestId(toText(call.requestId));
-    message.setImportance(static_cast<std::uint8_t>(call.importance));
+    message.setWorkspacePriority(call.rank.workspace);
+    message.setRoutePriority(call.rank.route);
     message.setIdempotent(call.idempotent);
     message.setNested(call.nested);
+    message.setRepeated(call.repeated);
     message.setDepth(call.depth);
     message.setAttempts(call.attempts);
     message.setTimeLeftMicros(static_cast<std::uint32_t>(std::max<std::int64_t>(call.timeLeft.count(), 0)));
@@ -135,6 +139,7 @@
     writeHeaders(message, answer.headers);
     message.setBody(toData(answer.body));
     message.setAttemptsUnused(answer.attemptsUnused);
+    message.setArrived(answer.arrived);
     writeLoad(message.initLoad(), answer.load);
     auto list = message.initDownstream(static_cast<unsigned>(answer.downstream.size()));
     for (unsigned n = 0; n < answer.downstream.size(); ++n) {
--- a/src/app/backend_edge.cpp
+++ b/src/app/backend_edge.cpp
@@ -114,10 +114,11 @@
     DispatchRequest job;
     job.deadline = std::min<TimePoint>(grant.deadline, m_timers.now() + route.deadline);
     job.attempts = grant.attempts;
+    job.maxServers = route.maxServers;
     job.call = callFor(request, route, m_split.next(route), forwardedHeaders(request.headers, header::ownPrefix));
     job.call.callerService = m_server.entry().service;
     job.call.workspace = grant.workspace;
-    job.call.importance = grant.importance;
+    job.call.rank = grant.rank;
     job.call.nested = true;
     job.call.depth = grant.depth;
     return job;
--- a/src/app/caller_edge.cpp
+++ b/src/app/caller_edge.cpp
@@ -41,6 +41,9 @@
     const auto& deployment = m_parts.fleet.deployment();
     m_routes = RouteTable(deployment.routes);
     m_split.configure(deployment.routes);
+    m_priorities.clear();
+    std::ranges::transform(deployment.workspaces, std::inserter(m_priorities, m_priorities.end()),
+        [](const Workspace& it) { return std::pair(it.name, it.priority); });
     const auto& limits = deployment.limits;
     m_http.setLimits({ { limits.headerBytes, std::min(limits.bodyBytes, config::maxBodyBytes) }, limits.headerTimeout, limits.idleTimeout });
 }
@@ -55,7 +58,7 @@
     auto incoming = std::make_shared<Incoming>();
     incoming->exchange = std::move(exchange);
     incoming->started = m_parts.timers.now();
-    using Check = std::optional<Refusal> (CallerEdge::*)(Incoming&) const;
+    using Check = std::optional<Refusal> (CallerEdge::*)(Incoming&);
     constexpr std::array<Check, 3> checks { &CallerEdge::readAsk, &CallerEdge::findRoute, &CallerEdge::checkKey };
     for (auto check : checks) {
         if (auto refusal = (this->*check)(*incoming)) {
@@ -64,7 +67,7 @@
         }
     }
     const auto& route = incoming->route;
-    if (auto refusal = m_gate.check(route.name, route.importance, incoming->workspace, m_parts.timers.now())) {
+    if (auto refusal = m_gate.check(route.name, incoming->rank, incoming->workspace, m_parts.timers.now())) {
         refuse(incoming, *refusal);
         return;
     }
@@ -76,7 +79,7 @@
     takeToken(incoming);
 }
 
-std::optional<Refusal> CallerEdge::readAsk(Incoming& incoming) const
+std::optional<Refusal> CallerEdge::readAsk(Incoming& incoming)
 {
     if (auto refusal = m_parts.protocol.read(incoming.exchange->request(), incoming.ask)) {
         return refusal;
@@ -85,7 +88,7 @@
     return std::nullopt;
 }
 
-std::optional<Refusal> CallerEdge::findRoute(Incoming& incoming) const
+std::optional<Refusal> CallerEdge::findRoute(Incoming& incoming)
 {
     if (m_parts.fleet.version() == 0) {
         return Refusal { Verdict::NotRun, Reason::NoConfiguration, config::noServerRetryAfter };
@@ -104,9 +107,10 @@
     return std::nullopt;
 }
 
-std::optional<Refusal> CallerEdge::checkKey(Incoming& incoming) const
+std::optional<Refusal> CallerEdge::checkKey(Incoming& incoming)
 {
-    if (incoming.route.open || incoming.ask.nested) {
+    if (incoming.route.open) {
+        incoming.rank = incoming.ask.nested ? Rank {} : rankOf(incoming.route, 0);
         return std::nullopt;
     }
     if (!m_parts.fleet.keysValid(m_parts.timers.now())) {
@@ -118,6 +122,7 @@
         return Refusal { Verdict::NotRun, Reason::UnknownKey, {} };
     }
     incoming.workspace = *workspace;
+    incoming.rank = rankOf(incoming.route, m_priorities[*workspace]);
     return std::nullopt;
 }
 
@@ -171,9 +176,11 @@
     DispatchRequest job;
     job.deadline = incoming->deadline;
     job.attempts = route.attempts;
+    job.maxServers = route.maxServers;
     job.call = callFor(request, route, m_split.next(route), m_parts.protocol.forwarded(request));
-    job.call.callerService = m_parts.localService;
-    job.call.nested = incoming->ask.nested;
+    job.call.callerService = m_parts.settings.localService;
+    job.call.nested = incoming->ask.nested && route.open;
+    job.call.rank = incoming->rank;
     job.call.workspace = incoming->workspace;
     job.call.requestId = incoming->ask.requestId;
     auto answeredAtOnce = std::make_shared<bool>(false);
@@ -188,7 +195,7 @@
 {
     incoming->job = 0;
     const auto& route = incoming->route;
-    m_gate.onAnswer(route.name, route.importance, incoming->workspace, answer, m_parts.timers.now());
+    m_gate.onAnswer(route.name, incoming->rank, incoming->workspace, answer, m_parts.timers.now());
     auto response = m_parts.protocol.answer(answer);
     if (incoming->claimed) {
         m_parts.claims.finish(incoming->workspace, incoming->ask.requestId, toKept(answer, response));
@@ -218,7 +225,7 @@
 
 void CallerEdge::reply(const IncomingPtr& incoming, const Refusal& refusal, const HttpResponse& response)
 {
-    RequestRecord record { incoming->route.name, incoming->workspace, incoming->route.importance, refusal, response.status,
+    RequestRecord record { incoming->route.name, incoming->workspace, incoming->rank, refusal, response.status,
         m_parts.timers.now() - incoming->started };
     auto event = refusal.reason == Reason::None ? Event::RequestDone : Event::RequestRefused;
     PW_EVENT(m_parts.log, event, { "route", record.route }, { "workspace", record.workspace }, { "status", record.status },
--- a/src/app/caller_edge.h
+++ b/src/app/caller_edge.h
@@ -13,6 +13,7 @@
 #include <sigc++/sigc++.h>
 
 #include <memory>
+#include <unordered_map>
 
 namespace pw {
 
@@ -30,7 +31,7 @@
         ClaimGate& claims;
         Dispatcher& dispatcher;
         const CallerProtocol& protocol;
-        std::string localService; ///< Service of the backend server beside, empty when there is none.
+        const Settings& settings;
     };
 
     explicit CallerEdge(Parts parts);
@@ -58,6 +59,7 @@
         CallerAsk ask;
         Route route;
         std::string workspace;
+        Rank rank;
         TimePoint started {};
         TimePoint deadline {};
         bool claimed = false;
@@ -67,9 +69,9 @@
     using IncomingPtr = std::shared_ptr<Incoming>;
 
     void onRequest(std::shared_ptr<HttpExchange> exchange);
-    std::optional<Refusal> readAsk(Incoming& incoming) const;
-    std::optional<Refusal> findRoute(Incoming& incoming) const;
-    std::optional<Refusal> checkKey(Incoming& incoming) const;
+    std::optional<Refusal> readAsk(Incoming& incoming);
+    std::optional<Refusal> findRoute(Incoming& incoming);
+    std::optional<Refusal> checkKey(Incoming& incoming);
     void takeToken(const IncomingPtr& incoming);
     void claim(const IncomingPtr& incoming);
     void claimed(const IncomingPtr& incoming, ClaimOutcome outcome, const std::optional<KeptAnswer>& kept);
@@ -84,6 +86,7 @@
     DownstreamGate m_gate;
     RouteTable m_routes;
     ServiceSplit m_split;
+    std::unordered_map<std::string, std::uint16_t> m_priorities; ///< Of workspaces.
     HttpServer m_http;
     sigc::signal<void(const RequestRecord&)> m_finished;
 };
--- a/src/app/cluster_join.cpp
+++ b/src/app/cluster_join.cpp
@@ -11,17 +11,23 @@
     : m_network(network)
     , m_timers(timers)
     , m_raft(raft)
-    , m_name(settings.name)
+    , m_settings(settings)
     , m_seeded(settings.controlMembers.empty())
     , m_founds(m_seeded && settings.firstStart && !settings.controlSeeds.empty() && settings.controlSeeds.front() == network.self())
-    , m_known(controlPeers(settings))
 {
-    std::erase(m_known, network.self());
+}
+
+/// \returns the other members that the settings name.
+std::vector<PeerAddress> ClusterJoin::configured() const
+{
+    auto result = controlPeers(m_settings);
+    std::erase(result, m_network.self());
+    return result;
 }
 
 std::vector<PeerAddress> ClusterJoin::others() const
 {
-    auto result = m_known;
+    auto result = configured();
     for (const auto& it : m_raft.members()) {
         if (it.address != m_network.self() && std::ranges::find(result, it.address) == result.end()) {
             result.push_back(it.address);
@@ -47,7 +53,7 @@
 
 void ClusterJoin::ask(const PeerAddress& address)
 {
-    m_network.send(address, MessageKind::Raft, encodeRaftMessage({ 0, m_raft.identity(), 0, m_raft.term(), JoinAsk { m_name } }));
+    m_network.send(address, MessageKind::Raft, encodeRaftMessage({ 0, m_raft.identity(), 0, m_raft.term(), JoinAsk { m_settings.name } }));
 }
 
 bool ClusterJoin::receive(const PeerAddress& from, const RaftMessage& message)
@@ -89,7 +95,7 @@
         return "this member is stopped or belongs to a cluster already";
     }
     const auto freshFrom = m_timers.now() - 3 * config::joinInterval;
-    for (const auto& address : m_known) {
+    for (const auto& address : configured()) {
         const auto it = m_emptyMembers.find(address);
         if (it == m_emptyMembers.end() || it->second <= freshFrom) {
             return "control member " + address + " has not said lately that it is empty too";
--- a/src/app/cluster_join.h
+++ b/src/app/cluster_join.h
@@ -26,15 +26,15 @@
 private:
     void ask(const PeerAddress& address);
     void answer(const PeerAddress& from, const RaftMessage& message, const JoinAsk& ask);
+    std::vector<PeerAddress> configured() const;
     std::vector<PeerAddress> others() const;
 
     PeerNetwork& m_network;
     Timers& m_timers;
     Raft& m_raft;
-    std::string m_name;
+    const Settings& m_settings;
     bool m_seeded; ///< Members are learned, not set.
     bool m_founds; ///< Founds by itself when nobody has anything.
-    std::vector<PeerAddress> m_known; ///< From the settings.
     TimePoint m_askDue {};
     std::map<PeerAddress, TimePoint> m_emptyMembers; ///< When each said that it belongs to no cluster.
 };
--- a/src/app/control_log_impl.h
+++ b/src/app/control_log_impl.h
@@ -64,7 +64,7 @@
     ControlRole role() const;
     SessionServer::Completeness completeness() const;
 
-    Settings m_settings;
+    const Settings& m_settings;
     PeerNetwork& m_network;
     Timers& m_timers;
     EventLog& m_events;
--- a/src/app/control_session.cpp
+++ b/src/app/control_session.cpp
@@ -72,7 +72,7 @@
     void publishMembers();
     void watchValidity();
 
-    Settings m_settings;
+    const Settings& m_settings;
     PeerNetwork& m_network;
     Timers& m_timers;
     EventLog& m_events;
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -86,7 +86,7 @@
     m_grants = std::make_unique<DaemonGrants>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log, *m_session);
     m_claims = std::make_unique<DaemonClaims>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log);
     m_callerEdge = std::make_unique<CallerEdge>(CallerEdge::Parts { m_loop, m_timers, m_log, *m_session, *m_grants, *m_claims,
-        *m_dispatcher, m_interface->callers(), m_settings.localService });
+        *m_dispatcher, m_interface->callers(), m_settings });
     m_callerEdge->finished().connect([this](const RequestRecord& record) { m_metrics->count(record); });
     if (!m_callerEdge->init(m_settings.callerAddress, reason)) {
         return false;
@@ -148,6 +148,11 @@
     }
 }
 
+void Daemon::reloaded()
+{
+    followMembers(m_session->controlMembers());
+}
+
 void Daemon::applyConfiguration()
 {
     if (!m_server) {
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -50,6 +50,9 @@
     /// \param reason receives what went wrong when false is returned.
     bool init(std::string& reason);
 
+    /// Takes note that the settings have changed.
+    void reloaded();
+
     /// Begins a planned stop: announces it, finishes every request, hands back what is held, then ends the loop.
     void stop();
 
--- a/src/app/daemon_view.cpp
+++ b/src/app/daemon_view.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace pw {
 
@@ -40,8 +41,9 @@
 
     void publish(const ServerEntry& entry)
     {
-        const bool same = m_own && m_own->incarnation == entry.incarnation && m_own->sequence == entry.sequence;
+        const bool same = m_own && m_own->incarnation == std::max(entry.incarnation, m_leastIncarnation) && m_own->sequence == entry.sequence;
         m_own = entry;
+        m_own->incarnation = std::max(entry.incarnation, m_leastIncarnation);
         if (!same) {
             m_ownKnown = false;
             sendReport();
@@ -137,6 +139,20 @@
             std::ranges::for_each(handlers, [&service](const auto& handler) { handler(service); });
         }
         noteOwn(delta->wantEntry);
+        outgrowPredecessor();
+    }
+
+    /// An earlier process here may have started later by the time of day, which can jump: the view would keep its entry.
+    void outgrowPredecessor()
+    {
+        const auto* seen = m_own ? m_mirror.find(m_own->name) : nullptr;
+        if (!seen || std::pair(seen->incarnation, seen->sequence) <= std::pair(m_own->incarnation, m_own->sequence)) {
+            return;
+        }
+        m_leastIncarnation = seen->incarnation + 1;
+        m_own->incarnation = m_leastIncarnation;
+        m_ownKnown = false;
+        sendReport();
     }
 
     /// A member that was restarted is a new attachment: it vouches for this server anew.
@@ -175,6 +191,7 @@
     PeerAddress m_member; ///< Whose stream is followed.
     std::uint64_t m_stream = 0;
     std::optional<ServerEntry> m_own;
+    std::uint64_t m_leastIncarnation = 0; ///< Above those of earlier processes here, as far as the view showed them.
     bool m_ownKnown = false; ///< The member has confirmed the latest version.
     ViewMirror m_mirror;
     std::vector<std::function<void(const std::string&)>> m_handlers;
@@ -209,6 +226,11 @@
     m_impl->publish(entry);
 }
 
+std::size_t DaemonView::serverCount() const
+{
+    return m_impl->mirror().size();
+}
+
 void DaemonView::onChanged(std::function<void(const std::string& service)> handler)
 {
     m_impl->onChanged(std::move(handler));
--- a/src/app/daemon_view.h
+++ b/src/app/daemon_view.h
@@ -29,6 +29,7 @@
 
     /// \returns whether a control member has sent the view since the start.
     bool known() const;
+    std::size_t serverCount() const override;
     void onChanged(std::function<void(const std::string& service)> handler) override;
 
 private:
--- a/src/app/deployment_yaml.cpp
+++ b/src/app/deployment_yaml.cpp
@@ -79,6 +79,9 @@
         if (auto n = map.choice("importance", allImportanceNames())) {
             route.importance = static_cast<Importance>(*n);
         }
+        if (auto n = map.integer("priority", { 0, config::maxPriority })) {
+            route.priority = static_cast<std::uint16_t>(*n);
+        }
         if (mustStateIdempotency(route.method)) {
             map.require("idempotent", "true or false, stated for each route with POST or PATCH");
         }
@@ -98,6 +101,9 @@
         take(map.boolean("limited"), workspace.limited);
         take(map.number("rate", { config::minRate, config::maxRate }), workspace.rate);
         take(map.number("burst", { config::minBurst, config::maxBurst }), workspace.burst);
+        if (auto n = map.integer("priority", { 0, config::maxPriority })) {
+            workspace.priority = static_cast<std::uint16_t>(*n);
+        }
         for (const auto& node : map.list("keyDigests", "a list of SHA-256 digests in hexadecimal")) {
             workspace.keyDigests.push_back(node.IsScalar() ? node.Scalar() : "");
         }
--- a/src/app/deployment_yaml_write.cpp
+++ b/src/app/deployment_yaml_write.cpp
@@ -55,6 +55,9 @@
         out << YAML::Key << "pathPrefix" << YAML::Value << route.pathPrefix;
         emitServices(out, route);
         out << YAML::Key << "importance" << YAML::Value << std::string(importanceName(route.importance));
+        if (route.priority) {
+            out << YAML::Key << "priority" << YAML::Value << *route.priority;
+        }
         out << YAML::Key << "idempotent" << YAML::Value << route.idempotent;
         out << YAML::Key << "open" << YAML::Value << route.open;
         out << YAML::Key << "nestedOnly" << YAML::Value << route.nestedOnly;
@@ -76,6 +79,9 @@
         }
         out << YAML::Key << "rate" << YAML::Value << numberText(workspace.rate);
         out << YAML::Key << "burst" << YAML::Value << numberText(workspace.burst);
+        if (workspace.priority != 0) {
+            out << YAML::Key << "priority" << YAML::Value << workspace.priority;
+        }
         if (!workspace.keyDigests.empty()) {
             out << YAML::Key << "keyDigests" << YAML::Value << workspace.keyDigests;
         }
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -44,7 +44,16 @@
     , m_directory(directory)
     , m_random(seed)
     , m_picker(seed + 1)
+    , m_budget(settings.retryBudget.ratio, settings.retryBudget.extra)
 {
+    directory.onChanged([this](const std::string&) { followDirectory(); });
+}
+
+/// Each backend server stands beside a daemon, so their number is known from the view.
+void Dispatcher::followDirectory()
+{
+    m_budget.configure(m_settings.retryBudget.ratio, m_settings.retryBudget.extra);
+    m_budget.setDaemons(m_directory.serverCount());
 }
 
 Dispatcher::~Dispatcher()
@@ -110,6 +119,9 @@
     job.sent = now;
     job.tried.push_back(server->name);
     m_picker.started(server->name, now);
+    if (job.tries == 1) {
+        m_budget.sentFirst(job.request.call.service);
+    }
     auto call = callFor(job);
     job.lent = call.attempts;
     job.request.attempts -= 1 + job.lent;
@@ -127,6 +139,9 @@
     m_picker.finished(job.server, outcomeOf(answer), now - job.sent, heard ? &answer.load : nullptr, now);
     auto neverArrived = answer.refusal.verdict == Verdict::NotRun && answer.refusal.reason == Reason::Unreachable;
     job.request.attempts += neverArrived ? job.lent : std::min(answer.attemptsUnused, job.lent);
+    if (answer.arrived || answer.refusal.verdict == Verdict::MayHaveRun) {
+        ++job.reached;
+    }
     if (answer.whole()) {
         m_retries.onWhole();
         end(id, std::move(answer));
@@ -140,15 +155,51 @@
     auto& job = m_jobs.at(id);
     job.last = answer.refusal;
     job.mayHaveRun = job.mayHaveRun || answer.refusal.verdict != Verdict::NotRun;
-    auto timeLeft = job.request.deadline - m_timers.now();
-    auto backoff = m_retries.next({ answer.refusal, job.request.call.idempotent, job.request.attempts, timeLeft, job.tries }, m_random);
-    PW_EVENT(m_log, Event::RetryDecision, { "route", job.request.call.route }, { "reason", reasonInfo(answer.refusal.reason).name },
-        { "verdict", verdictName(answer.refusal.verdict) }, { "retry", backoff.has_value() });
-    if (!backoff) {
+    const auto wait = backoff(job, answer);
+    PW_EVENT(m_log, Event::RetryDecision, { "request", job.request.call.requestId }, { "route", job.request.call.route },
+        { "server", job.server }, { "reason", reasonInfo(answer.refusal.reason).name }, { "verdict", verdictName(answer.refusal.verdict) },
+        { "reached", job.reached }, { "budget", m_budget.left(job.request.call.service) }, { "retry", wait.has_value() });
+    if (!wait) {
         end(id, std::move(answer));
         return;
     }
-    job.backoff = m_timers.after(*backoff, [this, id] { attempt(id); });
+    if (*wait == Duration::zero()) {
+        attempt(id);
+        return;
+    }
+    job.backoff = m_timers.after(*wait, [this, id] { attempt(id); });
+}
+
+/// \returns the time after which the request is tried again, or nothing when it is not.
+std::optional<Duration> Dispatcher::backoff(Job& job, const Answer& answer)
+{
+    const auto& call = job.request.call;
+    if (answer.refusal.verdict == Verdict::NotRun && !answer.arrived && job.reached == 0) {
+        // No backend server has seen it: another daemon may take it over as if it had been asked first.
+        return canHandOver(job, answer.refusal) ? std::optional(Duration::zero()) : std::nullopt;
+    }
+    if (job.reached >= job.request.maxServers || m_budget.left(call.service) < 1) {
+        return std::nullopt;
+    }
+    const auto timeLeft = job.request.deadline - m_timers.now();
+    auto wait = m_retries.next({ answer.refusal, call.idempotent, job.request.attempts, timeLeft, job.tries }, m_random);
+    if (wait) {
+        m_budget.take(call.service);
+        job.request.call.repeated = true;
+    }
+    return wait;
+}
+
+bool Dispatcher::canHandOver(const Job& job, const Refusal& refusal)
+{
+    if (!retryCanHelp(refusal.reason) || job.tries >= config::maxHandOvers || job.request.attempts == 0) {
+        return false;
+    }
+    const auto& servers = m_directory.servers(job.request.call.service);
+    const PickContext context { m_settings.failureDomain, m_settings.region, job.tried };
+    const auto next = m_picker.pick(servers, context, m_timers.now());
+    // One that is as full as the one that refused would refuse as well.
+    return next && (refusal.reason != Reason::Overloaded || m_picker.hasRoom(servers[*next], m_timers.now()));
 }
 
 void Dispatcher::end(std::uint64_t id, Answer answer)
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -4,6 +4,7 @@
 #include "app/settings.h"
 #include "core/picker.h"
 #include "core/retry.h"
+#include "core/retry_budget.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
 #include "ports/random.h"
@@ -20,6 +21,7 @@
     Call call; ///< id, attempts and timeLeft are filled in for each attempt.
     TimePoint deadline {};
     std::uint32_t attempts = 0; ///< Budget for every attempt here and below.
+    std::uint32_t maxServers = 3; ///< Backend servers that it may reach.
 };
 
 /// Brings a request to a backend server: picks one, sends the call, and tries again where the verdict, the budget and
@@ -50,6 +52,7 @@
         DispatchRequest request;
         Done done;
         std::uint32_t tries = 0;
+        std::uint32_t reached = 0; ///< Backend servers that it may have reached.
         std::uint32_t lent = 0; ///< Attempts that the call under way may spend below.
         std::vector<std::string> tried; ///< Servers asked already.
         Refusal last { Verdict::NotRun, Reason::NoBackendServer, {} };
@@ -65,6 +68,9 @@
     Call callFor(const Job& job) const;
     void answered(std::uint64_t id, Answer answer);
     void tryAgainOrEnd(std::uint64_t id, Answer answer);
+    std::optional<Duration> backoff(Job& job, const Answer& answer);
+    bool canHandOver(const Job& job, const Refusal& refusal);
+    void followDirectory();
     void end(std::uint64_t id, Answer answer);
     void endWith(std::uint64_t id, Refusal refusal);
 
@@ -76,6 +82,7 @@
     Random m_random;
     Picker m_picker;
     RetryPolicy m_retries;
+    RetryBudget m_budget;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, Job> m_jobs;
 };
--- a/src/app/request_call.cpp
+++ b/src/app/request_call.cpp
@@ -16,7 +16,7 @@
     call.host = singleHeader(request.headers, "Host").value_or("");
     call.headers = std::move(headers);
     call.body = request.body;
-    call.importance = route.importance;
+    call.rank = rankOf(route, 0);
     call.idempotent = route.idempotent;
     return call;
 }
--- a/src/app/request_record.h
+++ b/src/app/request_record.h
@@ -10,7 +10,7 @@
 struct RequestRecord {
     std::string route; ///< Empty when none matched.
     std::string workspace;
-    Importance importance = Importance::Normal;
+    Rank rank;
     Refusal refusal; ///< Reason::None for a whole answer.
     int status = 0;
     Duration latency { 0 };
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -49,8 +49,7 @@
     , m_log(log)
     , m_directory(directory)
     , m_protocol(protocol)
-    , m_lease(settings.announcementLease)
-    , m_leaveGrace(settings.drainTime / 2)
+    , m_settings(settings)
     , m_client(loop, timers, protocol)
     , m_admission(limitFrom(settings))
     , m_contexts(randomToken)
@@ -134,7 +133,7 @@
 void ServerRole::renewLease()
 {
     m_timers.cancel(m_leaseTimer);
-    m_leaseTimer = m_timers.after(m_lease, [this] { lapsed(); });
+    m_leaseTimer = m_timers.after(m_settings.announcementLease, [this] { lapsed(); });
 }
 
 void ServerRole::lapsed()
@@ -175,7 +174,7 @@
     m_entry.leaving = true;
     PW_EVENT(m_log, Event::BackendLeft, { "service", m_entry.service }, { "instance", m_latest.instance }, { "pending", m_work.size() });
     publish();
-    m_leaveTimer = m_timers.after(m_leaveGrace, [this] { stopAdmitting(); });
+    m_leaveTimer = m_timers.after(leaveGrace(), [this] { stopAdmitting(); });
 }
 
 void ServerRole::stopAdmitting()
@@ -265,7 +264,7 @@
 void ServerRole::offer(std::uint64_t id)
 {
     const auto& work = m_work.at(id);
-    AdmissionItem item { id, work.call.importance, work.call.nested, work.call.workspace, work.deadline };
+    AdmissionItem item { id, work.call.rank, work.call.nested, work.call.workspace, work.deadline };
     auto result = m_admission.offer(item, m_timers.now());
     if (result.outcome == AdmissionOutcome::Started) {
         begin(id);
@@ -319,6 +318,7 @@
     m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
     Answer reply;
     reply.refusal = result.refusal;
+    reply.arrived = result.sent;
     reply.status = result.response.status;
     reply.headers = std::move(result.response.headers);
     reply.body = std::move(result.response.body);
@@ -338,7 +338,7 @@
 {
     const auto& call = m_work.at(id).call;
     PW_EVENT(m_log, Event::AdmissionRefused, { "route", call.route }, { "workspace", call.workspace },
-        { "importance", static_cast<int>(call.importance) }, { "reason", reasonInfo(refusal.reason).name });
+        { "rank", std::to_string(call.rank.workspace) + "." + std::to_string(call.rank.route) }, { "reason", reasonInfo(refusal.reason).name });
     Answer reply;
     reply.refusal = refusal;
     reply.attemptsUnused = call.attempts;
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -114,14 +114,15 @@
     void lapsed();
     void publish();
     void stopAdmitting();
+    /// \returns for how long a leaving server still takes new work.
+    Duration leaveGrace() const { return m_settings.drainTime / 2; }
 
     PeerNetwork& m_network;
     Timers& m_timers;
     EventLog& m_log;
     ServerDirectory& m_directory;
     const BackendProtocol& m_protocol;
-    std::chrono::milliseconds m_lease;
-    std::chrono::milliseconds m_leaveGrace; ///< For which a leaving server still takes new work.
+    const Settings& m_settings;
     BackendClient m_client;
     Admission m_admission;
     ContextTable m_contexts;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pw {
@@ -15,6 +16,8 @@
     std::string name;
     PeerAddress peerAddress;
     std::string operatorAddress; ///< HTTP address for operators, "ip:port".
+
+    bool operator==(const ControlMember&) const = default;
 };
 
 /// Bound of what is sent again, for each service over the whole fleet.
@@ -22,6 +25,8 @@
     double ratio = 0.1; ///< Repeats for each request.
     double extra = 10; ///< Repeats in each window besides, shared by all daemons.
     std::chrono::milliseconds window { 10000 };
+
+    bool operator==(const RetryBudgetSettings&) const = default;
 };
 
 /// The settings file of one daemon.
@@ -66,6 +71,13 @@
     std::uint32_t decisionSampling = 1; ///< One decision line in this many is written; zero writes none.
 };
 
+/// Takes over into \p settings what may change while the daemon runs.
+/// \returns the keys that were taken over.
+std::vector<std::string_view> takeChanges(Settings& settings, const Settings& fresh);
+
+/// \returns the keys that differ and only take effect at the next start.
+std::vector<std::string_view> changesForRestart(const Settings& settings, const Settings& fresh);
+
 /// \returns the links' addresses of the control members that \p settings name.
 std::vector<PeerAddress> controlPeers(const Settings& settings);
 
--- a/src/config.h
+++ b/src/config.h
@@ -171,11 +171,15 @@
 inline constexpr double maxRetryTokens = 10.0;
 /// Retries that a daemon starts with.
 inline constexpr double initialRetryTokens = 3.0;
+/// Part of the fleet's bound of repeats that is used; the rest is for the calls that repeated requests make again.
+inline constexpr double retryBudgetShare = 0.6;
 /// Price of a retry after a server shed the request, in retries.
 inline constexpr double overloadedRetryCost = 3.0;
 /// First and longest backoff before a retry.
 inline constexpr milliseconds minRetryBackoff { 5 };
 inline constexpr milliseconds maxRetryBackoff { 250 };
+/// Daemons that one call is offered to, where none before passed it on to its backend server.
+inline constexpr std::uint32_t maxHandOvers = 4;
 /// Tries of one call at its hop, the first included.
 inline constexpr std::uint32_t maxTriesPerHop = 3;
 /// Share of the time left that a backoff may use.
@@ -198,6 +202,8 @@
 inline constexpr milliseconds leaveGrace { 1000 };
 /// Time for which a server that said it is leaving is not picked, while the membership view is late.
 inline constexpr milliseconds leavingHintMemory { 2000 };
+/// Interval at which a daemon looks whether its settings file has changed.
+inline constexpr milliseconds settingsPollInterval { 500 };
 /// Interval at which a stopping daemon looks whether its requests have ended.
 inline constexpr milliseconds stopPollInterval { 20 };
 /// Time that a stopping daemon leaves its last messages to go out.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -14,6 +14,13 @@
         return Duration(static_cast<Duration::rep>(static_cast<double>(value.count()) * factor));
     }
 
+    /// \returns the named level of a rank's route; ranks below the last level count as that.
+    Importance importanceOf(const Rank& rank)
+    {
+        constexpr auto top = static_cast<unsigned>(Importance::Critical);
+        return static_cast<Importance>(top - std::min<unsigned>(rank.route, top));
+    }
+
 } // namespace
 
 Admission::Admission(std::unique_ptr<Limit> limit)
@@ -39,11 +46,11 @@
         return {};
     }
     if (!canFinish(item, expectedWait(item, now), now)) {
-        noteShed(item.importance, now);
+        noteShed(item.rank, now);
         return { AdmissionOutcome::Refused, refusal(Reason::Overloaded, now) };
     }
-    if (m_queue.size() >= queueBound(m_standing) && !makeRoom(item, now)) {
-        noteShed(item.importance, now);
+    if (!item.nested && m_queue.roots() >= queueBound(m_standing) && !makeRoom(item, now)) {
+        noteShed(item.rank, now);
         return { AdmissionOutcome::Refused, refusal(Reason::Overloaded, now) };
     }
     m_queue.push(item, now);
@@ -89,7 +96,7 @@
     work.shed.swap(m_shed);
     auto needed = scaled(m_serviceTime.estimate(now), config::startServiceShare);
     for (const auto& waiting : m_queue.expire(now + needed)) {
-        noteShed(waiting.item.importance, now);
+        noteShed(waiting.item.rank, now);
         work.shed.push_back({ waiting.item.id, refusal(Reason::Overloaded, now) });
     }
     while (running() < m_limit->current()) {
@@ -140,7 +147,7 @@
 {
     assert(!m_running.contains(item.id));
     m_running.emplace(item.id, Running { now, now - queuedAt });
-    noteStarted(item.importance, now);
+    noteStarted(item.rank, now);
 }
 
 bool Admission::canFinish(const AdmissionItem& item, Duration wait, TimePoint now) const
@@ -158,12 +165,12 @@
 bool Admission::makeRoom(const AdmissionItem& item, TimePoint now)
 {
     if (auto victim = m_queue.displace(item)) {
-        noteShed(victim->item.importance, now);
+        noteShed(victim->item.rank, now);
         m_shed.push_back({ victim->item.id, refusal(Reason::Overloaded, now) });
         return true;
     }
     // A workspace that sends seldom needs one request waiting to be there when its turn comes.
-    return !m_queue.waits(item) && m_queue.size() < queueBound(false);
+    return !m_queue.waits(item) && m_queue.roots() < queueBound(false);
 }
 
 std::size_t Admission::queueBound(bool standing) const
@@ -192,17 +199,17 @@
     return { Verdict::NotRun, reason, std::clamp(rounded, config::minRetryAfter, config::maxRetryAfter) };
 }
 
-void Admission::noteShed(Importance importance, TimePoint now)
+void Admission::noteShed(const Rank& rank, TimePoint now)
 {
     rollInterval(now);
     m_lastShed = now;
-    ++m_tally.at(static_cast<std::size_t>(importance)).shed;
+    ++m_tally.at(static_cast<std::size_t>(importanceOf(rank))).shed;
 }
 
-void Admission::noteStarted(Importance importance, TimePoint now)
+void Admission::noteStarted(const Rank& rank, TimePoint now)
 {
     rollInterval(now);
-    ++m_tally.at(static_cast<std::size_t>(importance)).started;
+    ++m_tally.at(static_cast<std::size_t>(importanceOf(rank))).started;
 }
 
 void Admission::rollInterval(TimePoint now)
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -102,8 +102,8 @@
     std::size_t queueBound(bool standing) const;
     void watchQueue(TimePoint now);
     Refusal refusal(Reason reason, TimePoint now) const;
-    void noteShed(Importance importance, TimePoint now);
-    void noteStarted(Importance importance, TimePoint now);
+    void noteShed(const Rank& rank, TimePoint now);
+    void noteStarted(const Rank& rank, TimePoint now);
     void rollInterval(TimePoint now);
 
     std::unique_ptr<Limit> m_limit;
--- a/src/core/admission_queue.cpp
+++ b/src/core/admission_queue.cpp
@@ -5,21 +5,23 @@
 #include <algorithm>
 #include <cassert>
 #include <numeric>
+#include <ranges>
 
 namespace pw {
 
-AdmissionQueue::Rank AdmissionQueue::rankOf(const AdmissionItem& item)
+AdmissionQueue::Level AdmissionQueue::levelOf(const AdmissionItem& item)
 {
-    return static_cast<Rank>(2 * static_cast<Rank>(item.importance) + (item.nested ? 1 : 0));
+    return { item.rank, !item.nested };
 }
 
 void AdmissionQueue::push(const AdmissionItem& item, TimePoint now)
 {
     assert(!m_places.contains(item.id));
-    auto rank = rankOf(item);
-    auto& waiting = m_classes[rank][item.workspace];
+    auto level = levelOf(item);
+    auto& waiting = m_classes[level][item.workspace];
     auto it = waiting.insert(waiting.end(), { item, now });
-    m_places.emplace(item.id, Place { rank, it });
+    m_places.emplace(item.id, Place { level, it });
+    m_roots += item.nested ? 0 : 1;
     m_deadlines.emplace(item.deadline, item.id);
 }
 
@@ -29,23 +31,23 @@
         return std::nullopt;
     }
     auto best = m_classes.begin();
-    auto rank = best->first;
+    auto level = best->first;
     auto result = take(firstServed(best)->second.front().item.id);
-    auto from = startTag(rank, result.item.workspace);
-    m_clocks.at(rank).time = from;
-    pay(rank, result.item.workspace, from);
+    auto from = startTag(level, result.item.workspace);
+    m_clocks[level].time = from;
+    pay(level, result.item.workspace, from);
     return result;
 }
 
 void AdmissionQueue::charge(const AdmissionItem& item)
 {
-    auto rank = rankOf(item);
-    pay(rank, item.workspace, startTag(rank, item.workspace));
+    auto level = levelOf(item);
+    pay(level, item.workspace, startTag(level, item.workspace));
 }
 
-void AdmissionQueue::pay(Rank rank, const std::string& workspace, double from)
+void AdmissionQueue::pay(const Level& level, const std::string& workspace, double from)
 {
-    auto& clock = m_clocks.at(rank);
+    auto& clock = m_clocks[level];
     clock.paidUntil[workspace] = from + 1 / weight(workspace);
     if (clock.paidUntil.size() > config::maxRememberedWorkspaces) {
         std::erase_if(clock.paidUntil, [&clock](const auto& entry) { return entry.second <= clock.time; });
@@ -54,14 +56,15 @@
 
 std::optional<WaitingItem> AdmissionQueue::displace(const AdmissionItem& newcomer)
 {
-    if (m_classes.empty()) {
+    auto roots = m_classes | std::views::reverse | std::views::filter([](const auto& entry) { return entry.first.second; });
+    if (roots.empty()) {
         return std::nullopt;
     }
-    auto lowest = std::prev(m_classes.end());
-    if (lowest->first > rankOf(newcomer)) {
+    auto lowest = m_classes.find(roots.front().first);
+    if (lowest->first < levelOf(newcomer)) {
         return std::nullopt;
     }
-    if (lowest->first < rankOf(newcomer)) {
+    if (lowest->first > levelOf(newcomer)) {
         return take(lastServed(lowest, 1)->second.back().item.id);
     }
     // Of equal rank: the one whose turn would come last makes room, but a workspace keeps one that waits for its turn.
@@ -80,7 +83,7 @@
 
 bool AdmissionQueue::waits(const AdmissionItem& item) const
 {
-    auto it = m_classes.find(rankOf(item));
+    auto it = m_classes.find(levelOf(item));
     return it != m_classes.end() && it->second.contains(item.workspace);
 }
 
@@ -109,20 +112,20 @@
 
 std::size_t AdmissionQueue::ahead(const AdmissionItem& item) const
 {
-    auto own = rankOf(item);
+    auto own = levelOf(item);
     std::size_t count = 0;
-    for (const auto& [rank, waiting] : m_classes) {
-        if (rank < own) {
+    for (const auto& [level, waiting] : m_classes) {
+        if (level > own) {
             break;
         }
         auto mine = waiting.find(item.workspace);
-        if (rank == own && mine != waiting.end()) {
+        if (level == own && mine != waiting.end()) {
             // Fair order: each workspace goes about as often as this one until this request's turn.
             auto turns = static_cast<double>(mine->second.size() + 1) / weight(item.workspace);
             for (const auto& [name, items] : waiting) {
                 count += static_cast<std::size_t>(std::min(static_cast<double>(items.size()), turns * weight(name)));
             }
-        } else if (rank == own) {
+        } else if (level == own) {
             count += std::min(waiting.size(), static_cast<std::size_t>(1));
         } else {
             count = std::accumulate(waiting.begin(), waiting.end(), count,
@@ -148,9 +151,13 @@
     return it == m_weights.end() ? m_averageWeight : it->second;
 }
 
-double AdmissionQueue::startTag(Rank rank, const std::string& workspace) const
+double AdmissionQueue::startTag(const Level& level, const std::string& workspace) const
 {
-    const auto& clock = m_clocks.at(rank);
+    const auto found = m_clocks.find(level);
+    if (found == m_clocks.end()) {
+        return 0;
+    }
+    const auto& clock = found->second;
     auto it = clock.paidUntil.find(workspace);
     if (it == clock.paidUntil.end()) {
         return clock.time;
@@ -161,7 +168,7 @@
 
 AdmissionQueue::Class::iterator AdmissionQueue::firstServed(Classes::iterator waiting) const
 {
-    auto tag = [this, rank = waiting->first](const auto& entry) { return startTag(rank, entry.first); };
+    auto tag = [this, level = waiting->first](const auto& entry) { return startTag(level, entry.first); };
     return std::ranges::min_element(waiting->second, {}, tag);
 }
 
@@ -177,16 +184,16 @@
     return result;
 }
 
-double AdmissionQueue::lastTurn(Rank rank, const Class::value_type& entry) const
+double AdmissionQueue::lastTurn(const Level& level, const Class::value_type& entry) const
 {
-    return startTag(rank, entry.first) + static_cast<double>(entry.second.size() - 1) / weight(entry.first);
+    return startTag(level, entry.first) + static_cast<double>(entry.second.size() - 1) / weight(entry.first);
 }
 
 WaitingItem AdmissionQueue::take(std::uint64_t id)
 {
     auto place = m_places.find(id);
     assert(place != m_places.end());
-    auto classIt = m_classes.find(place->second.rank);
+    auto classIt = m_classes.find(place->second.level);
     auto result = *place->second.it;
     auto workspace = classIt->second.find(result.item.workspace);
     workspace->second.erase(place->second.it);
@@ -198,6 +205,7 @@
     }
     m_deadlines.erase({ result.item.deadline, id });
     m_places.erase(place);
+    m_roots -= result.item.nested ? 0 : 1;
     return result;
 }
 
--- a/src/core/admission_queue.h
+++ b/src/core/admission_queue.h
@@ -2,9 +2,7 @@
 
 #include "core/types.h"
 
-#include <array>
 #include <cstdint>
-#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -19,7 +17,7 @@
 /// A request that asks to run at a backend server.
 struct AdmissionItem {
     std::uint64_t id = 0;
-    Importance importance = Importance::Normal;
+    Rank rank = Importance::Normal;
     bool nested = false; ///< Made for a root request that already runs elsewhere.
     std::string workspace; ///< Empty on open routes.
     TimePoint deadline {};
@@ -31,7 +29,7 @@
     TimePoint since {};
 };
 
-/// Waiting requests: by importance, nested before new roots of equal importance, then weighted fair by workspace.
+/// Waiting requests: by rank, nested before new roots of equal rank, then weighted fair by workspace.
 class AdmissionQueue {
 public:
     void push(const AdmissionItem& item, TimePoint now);
@@ -42,7 +40,8 @@
     /// Charges the workspace of a request that starts without waiting.
     void charge(const AdmissionItem& item);
 
-    /// \returns the request to shed to make room for \p newcomer, or nothing when \p newcomer itself ranks lowest.
+    /// \returns the root to shed to make room for \p newcomer, or nothing when \p newcomer itself ranks lowest.
+    /// Nested calls are never shed for others: the work done for their roots would be lost.
     std::optional<WaitingItem> displace(const AdmissionItem& newcomer);
 
     /// \returns whether a request of the same rank and workspace as \p item waits.
@@ -64,46 +63,48 @@
     void setWeights(std::map<std::string, double> weights);
 
     std::size_t size() const { return m_places.size(); }
+    /// \returns how many of the waiting requests are roots.
+    std::size_t roots() const { return m_roots; }
 
 private:
-    /// Requests of one rank by workspace.
+    /// Requests of one level by workspace.
     using Waiting = std::list<WaitingItem>;
     using Class = std::map<std::string, Waiting>;
-    /// Rank of a class: importance first, then nested; the highest goes first.
-    using Rank = std::uint8_t;
-
-    using Classes = std::map<Rank, Class, std::greater<>>;
+    /// Rank first, then whether it is a root; the least goes first.
+    using Level = std::pair<Rank, bool>;
+    using Classes = std::map<Level, Class>;
 
     /// Where a waiting request is.
     struct Place {
-        Rank rank;
+        Level level;
         Waiting::iterator it;
     };
 
-    /// Virtual time of one rank, by start-time fair queueing. Each rank has its own: one that is served out of turn
+    /// Virtual time of one level, by start-time fair queueing. Each level has its own: one that is served out of turn
     /// because it ranks higher must not take the credit of those that wait.
     struct FairClock {
         double time = 0; ///< Start of the latest request that waited for its turn.
         std::unordered_map<std::string, double> paidUntil; ///< Virtual time that a workspace has used up.
     };
 
-    static Rank rankOf(const AdmissionItem& item);
+    static Level levelOf(const AdmissionItem& item);
     double weight(const std::string& workspace) const;
-    double startTag(Rank rank, const std::string& workspace) const;
-    void pay(Rank rank, const std::string& workspace, double from);
+    double startTag(const Level& level, const std::string& workspace) const;
+    void pay(const Level& level, const std::string& workspace, double from);
     Class::iterator firstServed(Classes::iterator waiting) const;
     /// \returns the workspace whose last request has the last turn, of those with at least \p least waiting.
     Class::iterator lastServed(Classes::iterator waiting, std::size_t least) const;
     /// \returns the virtual time at which the last waiting request of a workspace has its turn.
-    double lastTurn(Rank rank, const Class::value_type& entry) const;
+    double lastTurn(const Level& level, const Class::value_type& entry) const;
     WaitingItem take(std::uint64_t id);
 
     Classes m_classes;
     std::unordered_map<std::uint64_t, Place> m_places;
+    std::size_t m_roots = 0;
     std::set<std::pair<TimePoint, std::uint64_t>> m_deadlines;
     std::map<std::string, double> m_weights;
     double m_averageWeight = 1;
-    std::array<FairClock, 2 * static_cast<std::size_t>(Importance::Count)> m_clocks;
+    std::map<Level, FairClock> m_clocks; ///< Of the levels that were seen lately.
 };
 
 } // namespace pw
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -22,8 +22,9 @@
     std::string workspace; ///< Empty on open routes.
     std::string callerService; ///< Service of the backend server beside the entry daemon, empty when there is none.
     std::string requestId; ///< As the caller chose it; empty when it sent none.
-    Importance importance = Importance::Normal; ///< The root's.
+    Rank rank; ///< The root's.
     bool idempotent = true;
+    bool repeated = false; ///< Sent to another backend server before.
     bool nested = false; ///< Made by a backend server while it worked on another request.
     std::uint8_t depth = 0; ///< Zero for a root.
     std::uint32_t attempts = 0; ///< Attempt budget that this call may spend on nested calls.
@@ -46,6 +47,7 @@
     int status = 0; ///< HTTP status of a whole answer.
     std::vector<HeaderLine> headers;
     std::string body;
+    bool arrived = false; ///< The call may have reached the backend server, run or not.
     std::uint32_t attemptsUnused = 0; ///< Part of Call::attempts that goes back.
     LoadHint load;
     std::vector<std::string> downstream; ///< Services that nested calls reached, each once.
--- a/src/core/context_table.cpp
+++ b/src/core/context_table.cpp
@@ -37,7 +37,7 @@
 std::string ContextTable::open(const Call& call, TimePoint now)
 {
     Context context;
-    context.base = { call.id, call.workspace, call.route, call.importance, now + call.timeLeft, call.attempts, call.depth };
+    context.base = { call.id, call.workspace, call.route, call.rank, now + call.timeLeft, call.attempts, call.depth };
     context.remaining = call.attempts;
     auto token = toHex(m_source());
     auto [it, inserted] = m_contexts.emplace(token, std::move(context));
--- a/src/core/context_table.h
+++ b/src/core/context_table.h
@@ -22,7 +22,7 @@
     std::uint64_t parent = 0; ///< Call::id of the running request.
     std::string workspace;
     std::string route; ///< Of the running request.
-    Importance importance = Importance::Normal;
+    Rank rank;
     TimePoint deadline {};
     std::uint32_t attempts = 0; ///< Share of the budget, at least one: every attempt at the nested call costs one.
     std::uint8_t depth = 0; ///< Of the nested call.
--- a/src/core/deployment_check.h
+++ b/src/core/deployment_check.h
@@ -25,6 +25,7 @@
     /// Requests. A burst below one would never let a request pass.
     inline constexpr double minBurst = 1;
     inline constexpr double maxBurst = 1e7;
+    inline constexpr std::uint32_t maxPriority = 65535;
     inline constexpr std::uint32_t maxWeight = 1'000'000;
     inline constexpr std::size_t maxHostBytes = 253;
     inline constexpr std::size_t digestHexBytes = 64;
--- a/src/core/downstream_gate.cpp
+++ b/src/core/downstream_gate.cpp
@@ -8,7 +8,7 @@
 namespace pw {
 
 std::optional<Refusal> DownstreamGate::check(
-    const std::string& route, Importance importance, const std::string& workspace, TimePoint now)
+    const std::string& route, Rank rank, const std::string& workspace, TimePoint now)
 {
     auto it = m_routes.find(route);
     if (it == m_routes.end()) {
@@ -17,7 +17,7 @@
     std::erase_if(it->second, [now](const auto& entry) { return now - entry.second > config::downstreamMemory; });
     auto refused = false;
     for (const auto& [service, seen] : it->second) {
-        auto& entry = flow(service, importance, workspace, now);
+        auto& entry = flow(service, rank, workspace, now);
         entry.wanted += 1;
         entry.credit = std::min(2.0, entry.credit + entry.share);
         refused = refused || entry.credit < 1;
@@ -26,13 +26,13 @@
         return Refusal { Verdict::NotRun, Reason::DownstreamOverloaded, config::minRetryAfter };
     }
     for (const auto& [service, seen] : it->second) {
-        flow(service, importance, workspace, now).credit -= 1;
+        flow(service, rank, workspace, now).credit -= 1;
     }
     return std::nullopt;
 }
 
 void DownstreamGate::onAnswer(
-    const std::string& route, Importance importance, const std::string& workspace, const Answer& answer, TimePoint now)
+    const std::string& route, Rank rank, const std::string& workspace, const Answer& answer, TimePoint now)
 {
     if (answer.downstream.empty() && answer.saturated.empty()) {
         return;
@@ -41,20 +41,20 @@
     for (const auto& service : answer.downstream) {
         known[service] = now;
         if (service != answer.saturated) {
-            flow(service, importance, workspace, now).taken += 1;
-            ++m_levels[{ service, importance }].takenSince;
+            flow(service, rank, workspace, now).taken += 1;
+            ++m_levels[{ service, rank }].takenSince;
         }
     }
     if (!answer.saturated.empty()) {
         known[answer.saturated] = now;
-        noteShed(answer.saturated, importance, workspace, now);
+        noteShed(answer.saturated, rank, workspace, now);
     }
 }
 
-void DownstreamGate::noteShed(const std::string& service, Importance importance, const std::string& workspace, TimePoint now)
+void DownstreamGate::noteShed(const std::string& service, Rank rank, const std::string& workspace, TimePoint now)
 {
-    m_levels[{ service, importance }] = { 0, now };
-    auto& entry = flow(service, importance, workspace, now);
+    m_levels[{ service, rank }] = { 0, now };
+    auto& entry = flow(service, rank, workspace, now);
     entry.shed += 1;
     if (entry.share >= 1 && entry.shed <= config::gateQuietShare * (entry.taken + entry.shed)) {
         return;
@@ -64,12 +64,12 @@
 }
 
 DownstreamGate::Flow& DownstreamGate::flow(
-    const std::string& service, Importance importance, const std::string& workspace, TimePoint now)
+    const std::string& service, Rank rank, const std::string& workspace, TimePoint now)
 {
     if (m_flows.size() >= config::maxGateKeys) {
         forget(now);
     }
-    FlowKey key { { service, importance }, workspace };
+    FlowKey key { { service, rank }, workspace };
     auto& entry = m_flows[key];
     if (now - entry.last >= config::gateInterval) {
         update(key, entry, now);
--- a/src/core/downstream_gate.h
+++ b/src/core/downstream_gate.h
@@ -14,22 +14,22 @@
 /// Refuses requests at the root that a service further down their route's chain would shed, before any work is done.
 ///
 /// Learns each route's downstream services from finished answers and forgets them slowly. For each downstream service,
-/// importance and workspace it lets through little more than that service lately took, so that its own order of
+/// rank and workspace it lets through little more than that service lately took, so that its own order of
 /// shedding and its own shares apply here as well, and probes always get through.
 class DownstreamGate {
 public:
     /// Judges a request before it is sent.
     /// \returns the refusal, or nothing when it may go.
-    std::optional<Refusal> check(const std::string& route, Importance importance, const std::string& workspace, TimePoint now);
+    std::optional<Refusal> check(const std::string& route, Rank rank, const std::string& workspace, TimePoint now);
 
     /// Learns from the answer, whole or not, to a request of \p route that was sent.
-    void onAnswer(const std::string& route, Importance importance, const std::string& workspace, const Answer& answer, TimePoint now);
+    void onAnswer(const std::string& route, Rank rank, const std::string& workspace, const Answer& answer, TimePoint now);
 
 private:
-    /// A downstream service as requests of one importance meet it.
+    /// A downstream service as requests of one rank meet it.
     struct LevelKey {
         std::string service;
-        Importance importance;
+        Rank rank;
         auto operator<=>(const LevelKey&) const = default;
     };
     struct FlowKey {
@@ -57,10 +57,10 @@
     /// Services seen downstream of a route, with the time they were last seen.
     using Downstream = std::map<std::string, TimePoint>;
 
-    Flow& flow(const std::string& service, Importance importance, const std::string& workspace, TimePoint now);
+    Flow& flow(const std::string& service, Rank rank, const std::string& workspace, TimePoint now);
     bool quiet(const LevelKey& key, TimePoint now) const;
     void update(const FlowKey& key, Flow& flow, TimePoint now) const;
-    void noteShed(const std::string& service, Importance importance, const std::string& workspace, TimePoint now);
+    void noteShed(const std::string& service, Rank rank, const std::string& workspace, TimePoint now);
     void forget(TimePoint now);
 
     std::unordered_map<std::string, Downstream> m_routes;
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace pw {
 
@@ -38,6 +39,11 @@
     return twoChoices(scene, all);
 }
 
+bool Picker::hasRoom(const ServerEntry& server, TimePoint now) const
+{
+    return load({ { server }, std::numeric_limits<double>::max(), now }, 0) <= 1;
+}
+
 void Picker::started(const std::string& server, TimePoint now)
 {
     auto& seen = m_observations[server];
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -30,6 +30,9 @@
     /// \returns the index of the server to use, or nothing when there is none.
     std::optional<std::size_t> pick(const std::vector<ServerEntry>& servers, const PickContext& context, TimePoint now);
 
+    /// \returns whether \p server could start another call at once, as far as is known here.
+    bool hasRoom(const ServerEntry& server, TimePoint now) const;
+
     /// Notes that a call was sent to \p server.
     void started(const std::string& server, TimePoint now);
 
--- a/src/core/types.cpp
+++ b/src/core/types.cpp
@@ -1,6 +1,7 @@
 #include "core/types.h"
 
 #include <array>
+#include <ctime>
 
 namespace pw {
 namespace {
@@ -39,6 +40,13 @@
 
 } // namespace
 
+MonotonicClock::time_point MonotonicClock::now() noexcept
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 const ReasonInfo& reasonInfo(Reason reason)
 {
     return reasonTable.at(static_cast<std::size_t>(reason));
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -9,8 +9,17 @@
 
 namespace pw {
 
-/// The only clock of the decision code: monotonic, so that steps of the wall clock do not matter.
-using MonotonicClock = std::chrono::steady_clock;
+/// The only clock of the decision code: steps of the wall clock do not matter to it, and it goes on while the VM is
+/// suspended, so that a lease is over after a suspension that outlasted it.
+struct MonotonicClock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<MonotonicClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
 using TimePoint = MonotonicClock::time_point;
 using Duration = MonotonicClock::duration;
 
--- a/src/core/view_mirror.cpp
+++ b/src/core/view_mirror.cpp
@@ -94,6 +94,12 @@
     }
 }
 
+const ServerEntry* ViewMirror::find(const std::string& name) const
+{
+    const auto it = m_entries.find(name);
+    return it == m_entries.end() ? nullptr : &it->second;
+}
+
 const std::vector<ServerEntry>& ViewMirror::servers(const std::string& service) const
 {
     const auto it = m_services.find(service);
--- a/src/core/view_mirror.h
+++ b/src/core/view_mirror.h
@@ -27,6 +27,9 @@
     /// \returns the digest of all servers known here.
     std::uint64_t digest() const { return m_digest; }
 
+    /// \returns the server called \p name, null when it is not known here.
+    const ServerEntry* find(const std::string& name) const;
+
     /// \returns how many servers are known here.
     std::size_t size() const { return m_entries.size(); }
 
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -8,6 +8,7 @@
         { 101, "daemon-stopping", Level::Info, false },
         { 102, "daemon-stopped", Level::Info, false },
         { 103, "settings-refused", Level::Error, false },
+        { 105, "settings-reloaded", Level::Info, false },
         { 104, "log-lines-lost", Level::Warning, false },
         { 110, "operator-refused", Level::Warning, false },
         { 111, "operator-change", Level::Info, false },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -23,6 +23,7 @@
     DaemonStopping,
     DaemonStopped,
     SettingsRefused,
+    SettingsReloaded,
     LogLinesLost,
     OperatorRefused,
     OperatorChange,
--- a/src/ports/fleet.h
+++ b/src/ports/fleet.h
@@ -102,6 +102,9 @@
     /// \returns the servers of \p service that are not leaving; valid until the next change.
     virtual const std::vector<ServerEntry>& servers(const std::string& service) const = 0;
 
+    /// \returns the number of servers of all services.
+    virtual std::size_t serverCount() const = 0;
+
     /// Publishes the state of the backend server beside this daemon; repeated while it lives.
     virtual void publish(const ServerEntry& entry) = 0;
 
--- a/src/proto/call.capnp
+++ b/src/proto/call.capnp
@@ -18,7 +18,7 @@
   body @6 :Data;
   workspace @7 :Text;
   requestId @8 :Text;
-  importance @9 :UInt8;
+  workspacePriority @9 :UInt16;
   idempotent @10 :Bool;
   nested @11 :Bool;
   depth @12 :UInt8;
@@ -26,6 +26,8 @@
   timeLeftMicros @14 :UInt32;
   host @15 :Text;
   callerService @16 :Text;
+  routePriority @17 :UInt16;
+  repeated @18 :Bool;
 }
 
 struct LoadHint {
@@ -48,6 +50,7 @@
   load @8 :LoadHint;
   downstream @9 :List(Text);
   saturated @10 :Text;
+  arrived @11 :Bool;
 }
 
 struct Cancel {
--- a/src/proto/call.capnp.h
+++ b/src/proto/call.capnp.h
@@ -239,7 +239,7 @@
   inline bool hasRequestId() const;
   inline  ::capnp::Text::Reader getRequestId() const;
 
-  inline  ::uint8_t getImportance() const;
+  inline  ::uint16_t getWorkspacePriority() const;
 
   inline bool getIdempotent() const;
 
@@ -257,6 +257,10 @@
   inline bool hasCallerService() const;
   inline  ::capnp::Text::Reader getCallerService() const;
 
+  inline  ::uint16_t getRoutePriority() const;
+
+  inline bool getRepeated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -344,8 +348,8 @@
   inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
-  inline  ::uint8_t getImportance();
-  inline void setImportance( ::uint8_t value);
+  inline  ::uint16_t getWorkspacePriority();
+  inline void setWorkspacePriority( ::uint16_t value);
 
   inline bool getIdempotent();
   inline void setIdempotent(bool value);
@@ -376,6 +380,12 @@
   inline void adoptCallerService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownCallerService();
 
+  inline  ::uint16_t getRoutePriority();
+  inline void setRoutePriority( ::uint16_t value);
+
+  inline bool getRepeated();
+  inline void setRepeated(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -542,6 +552,8 @@
   inline bool hasSaturated() const;
   inline  ::capnp::Text::Reader getSaturated() const;
 
+  inline bool getArrived() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -624,6 +636,9 @@
   inline void adoptSaturated(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSaturated();
 
+  inline bool getArrived();
+  inline void setArrived(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1083,60 +1098,60 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Call::Reader::getImportance() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Call::Reader::getWorkspacePriority() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Call::Builder::getImportance() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Call::Builder::getWorkspacePriority() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setImportance( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Call::Builder::setWorkspacePriority( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Call::Reader::getIdempotent() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
 
 inline bool Call::Builder::getIdempotent() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setIdempotent(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Call::Reader::getNested() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
 }
 
 inline bool Call::Builder::getNested() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setNested(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<73>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint8_t Call::Reader::getDepth() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint8_t Call::Builder::getDepth() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setDepth( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t Call::Reader::getAttempts() const {
@@ -1235,6 +1250,34 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t Call::Reader::getRoutePriority() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Call::Builder::getRoutePriority() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setRoutePriority( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Call::Reader::getRepeated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+}
+
+inline bool Call::Builder::getRepeated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setRepeated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t LoadHint::Reader::getRunning() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1568,6 +1611,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Answer::Reader::getArrived() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+
+inline bool Answer::Builder::getArrived() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+inline void Answer::Builder::setArrived(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Cancel::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/context_table_test.cpp
+++ b/tests/unit/context_table_test.cpp
@@ -33,7 +33,7 @@
     result.id = 7;
     result.route = "r";
     result.workspace = "a";
-    result.importance = pw::Importance::High;
+    result.rank = pw::Importance::High;
     result.attempts = attempts;
     result.depth = depth;
     result.timeLeft = 1s;
@@ -52,7 +52,7 @@
     auto result = table.beginNested(token, now + 10ms);
     BOOST_REQUIRE(result.grant.has_value());
     BOOST_TEST(result.grant->workspace == "a");
-    BOOST_TEST((result.grant->importance == pw::Importance::High));
+    BOOST_TEST((result.grant->rank == pw::Rank(pw::Importance::High)));
     BOOST_TEST((result.grant->deadline == now + 1s));
     BOOST_TEST(result.grant->depth == 1);
     BOOST_TEST(result.grant->parent == 7U);
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -20,6 +20,7 @@
 class FixedDirectory : public pw::ServerDirectory {
 public:
     const std::vector<pw::ServerEntry>& servers(const std::string&) const override { return entries; }
+    std::size_t serverCount() const override { return entries.size(); }
     void publish(const pw::ServerEntry&) override { }
     void onChanged(std::function<void(const std::string&)>) override { }
 
--- a/tools/measure-overload/hop.cpp
+++ b/tools/measure-overload/hop.cpp
@@ -45,7 +45,7 @@
         if (m_request.nested || !world().strategy.gate) {
             return false;
         }
-        auto refusal = m_node.m_gate.check(route().name, m_request.importance, m_request.workspace, events().now());
+        auto refusal = m_node.m_gate.check(route().name, m_request.rank, m_request.workspace, events().now());
         if (!refusal) {
             return false;
         }
@@ -100,7 +100,7 @@
         m_server = nullptr;
         m_request.attempts = answer.attemptsUnused;
         if (!m_request.nested) {
-            m_node.m_gate.onAnswer(route().name, m_request.importance, m_request.workspace, answer, events().now());
+            m_node.m_gate.onAnswer(route().name, m_request.rank, m_request.workspace, answer, events().now());
         }
         if (answer.whole()) {
             m_node.m_retry.onWhole();
--- a/tools/measure-overload/node.cpp
+++ b/tools/measure-overload/node.cpp
@@ -114,7 +114,7 @@
         begin(id);
         return;
     }
-    AdmissionItem item { id, request.importance, request.nested, request.workspace, request.deadline };
+    AdmissionItem item { id, request.rank, request.nested, request.workspace, request.deadline };
     if (!m_world.strategy.importance) {
         item = { id, Importance::Normal, false, {}, request.deadline };
     }
@@ -208,7 +208,7 @@
     call.id = id;
     call.route = m_world.deployment.routes[run->request.route].name;
     call.workspace = run->request.workspace;
-    call.importance = run->request.importance;
+    call.rank = run->request.rank;
     call.attempts = run->request.attempts - 1;
     call.depth = run->request.depth;
     call.timeLeft = std::chrono::duration_cast<std::chrono::microseconds>(run->request.deadline - m_world.events.now());
@@ -222,7 +222,7 @@
             nestedDone(id, run, route, answer);
             return;
         }
-        Request request { route, run->request.workspace, run->request.importance, run->request.deadline, true,
+        Request request { route, run->request.workspace, run->request.rank, run->request.deadline, true,
             granted.grant->depth, granted.grant->attempts, run->request.root };
         run->cancelNested.push_back(
             send(request, [this, id, run, route](const Answer& answer) { nestedDone(id, run, route, answer); }));
--- a/tools/measure-overload/node.h
+++ b/tools/measure-overload/node.h
@@ -41,7 +41,7 @@
 struct Request {
     std::size_t route = 0;
     std::string workspace;
-    Importance importance = Importance::Normal;
+    Rank rank;
     TimePoint deadline {};
     bool nested = false;
     std::uint8_t depth = 0;
--- a/tools/pistachiowheeld/main.cpp
+++ b/tools/pistachiowheeld/main.cpp
@@ -4,14 +4,18 @@
 #include "app/daemon.h"
 #include "app/secret_file.h"
 #include "app/settings.h"
+#include "app/yaml_reader.h"
+#include "config.h"
 #include "platform_interface.h"
 
 #include <cxxopts.hpp>
+#include <sys/stat.h>
 
 #include <algorithm>
 #include <array>
 #include <csignal>
 #include <iostream>
+#include <tuple>
 
 namespace {
 
@@ -83,6 +87,71 @@
     std::array<pw::detail::EventPtr, 2> m_events;
 };
 
+/// Follows changes of the settings file, told by SIGHUP or not.
+class SettingsWatch {
+public:
+    SettingsWatch(event_base* base, pw::Timers& timers, pw::EventLog& log, std::string file, pw::Settings& settings, pw::Daemon& daemon)
+        : m_timers(timers)
+        , m_log(log)
+        , m_file(std::move(file))
+        , m_settings(settings)
+        , m_daemon(daemon)
+        , m_stamp(stamp())
+        , m_signal(evsignal_new(base, SIGHUP, onSignal, this))
+    {
+        event_add(m_signal.get(), nullptr);
+        poll();
+    }
+
+    ~SettingsWatch() { m_timers.cancel(m_timer); }
+    SettingsWatch(const SettingsWatch&) = delete;
+    SettingsWatch& operator=(const SettingsWatch&) = delete;
+
+private:
+    /// Changes with every change of the file that matters.
+    using Stamp = std::tuple<ino_t, off_t, time_t, long>;
+
+    static void onSignal(evutil_socket_t, short, void* argument) { static_cast<SettingsWatch*>(argument)->reload("signal"); }
+
+    Stamp stamp() const
+    {
+        struct stat info { };
+        return stat(m_file.c_str(), &info) == 0 ? Stamp { info.st_ino, info.st_size, info.st_mtim.tv_sec, info.st_mtim.tv_nsec } : Stamp {};
+    }
+
+    void poll()
+    {
+        if (const auto now = stamp(); now != m_stamp) {
+            reload("file");
+        }
+        m_timer = m_timers.after(pw::config::settingsPollInterval, [this] { poll(); });
+    }
+
+    void reload(std::string_view cause)
+    {
+        m_stamp = stamp();
+        std::string reason;
+        const auto fresh = pw::loadSettings(m_file, reason);
+        if (!fresh) {
+            PW_EVENT(m_log, pw::Event::SettingsRefused, { "cause", cause }, { "reason", reason });
+            return;
+        }
+        const auto waiting = pw::joinNames(pw::changesForRestart(m_settings, *fresh));
+        const auto taken = pw::joinNames(pw::takeChanges(m_settings, *fresh));
+        PW_EVENT(m_log, pw::Event::SettingsReloaded, { "cause", cause }, { "taken", taken }, { "atNextStart", waiting });
+        m_daemon.reloaded();
+    }
+
+    pw::Timers& m_timers;
+    pw::EventLog& m_log;
+    std::string m_file;
+    pw::Settings& m_settings;
+    pw::Daemon& m_daemon;
+    Stamp m_stamp;
+    pw::detail::EventPtr m_signal;
+    pw::TimerId m_timer = 0;
+};
+
 int refused(const std::string& reason)
 {
     std::cerr << "pistachiowheeld: " << reason << '\n';
@@ -109,7 +178,7 @@
     return secrets;
 }
 
-int run(const pw::Settings& settings, pw::Secrets secrets)
+int run(const std::string& file, pw::Settings& settings, pw::Secrets secrets)
 {
     std::signal(SIGPIPE, SIG_IGN);
     pw::detail::BasePtr base(event_base_new());
@@ -125,6 +194,7 @@
         return refused(reason);
     }
     StopSignals signals(base.get(), daemon);
+    SettingsWatch watch(base.get(), timers, log, file, settings, daemon);
     event_base_dispatch(base.get());
     return 0;
 }
@@ -147,5 +217,5 @@
     if (!secrets) {
         return refused(reason);
     }
-    return arguments->checkOnly ? 0 : run(*settings, std::move(*secrets));
+    return arguments->checkOnly ? 0 : run(arguments->config, *settings, std::move(*secrets));
 }
