Hold back roots by the price of the slots that their calls need

Cause: callers upstream of a saturated deep service began work whose calls then waited or were refused. Each daemon beside a backend server keeps a price of its slots, moved by the nested work that arrives over what it can do; answers carry prices and the work that a request of a route costs down the chain (calls are divided among the running routes); the entry lets through worth over burden. Idle callers' connections are closed when there are many: one daemon ran out of files, spun on accept and missed a configuration.

--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -55,6 +55,15 @@
             readEnum<Importance>(message.getAdmissionFloor()), message.getLeaving() };
     }
 
+    void writeDemands(capnp::List<proto::ServiceDemand>::Builder list, const std::vector<ServiceDemand>& demands)
+    {
+        for (unsigned n = 0; n < demands.size(); ++n) {
+            list[n].setService(toText(demands[n].service));
+            list[n].setPrice(static_cast<float>(demands[n].price));
+            list[n].setWorkMicros(static_cast<std::uint32_t>(demands[n].work.count()));
+        }
+    }
+
     Call readCall(proto::Call::Reader message)
     {
         Call call;
@@ -96,6 +105,9 @@
             answer.downstream.push_back(fromText(name));
         }
         answer.saturated = fromText(message.getSaturated());
+        for (auto demand : message.getDemands()) {
+            answer.demands.push_back({ fromText(demand.getService()), demand.getPrice(), std::chrono::microseconds(demand.getWorkMicros()) });
+        }
         return answer;
     }
 
@@ -146,6 +158,9 @@
         list.set(n, toText(answer.downstream[n]));
     }
     message.setSaturated(toText(answer.saturated));
+    if (!answer.demands.empty()) {
+        writeDemands(message.initDemands(static_cast<unsigned>(answer.demands.size())), answer.demands);
+    }
     return detail::toBytes(builder);
 }
 
--- a/src/adapters/http_connection.h
+++ b/src/adapters/http_connection.h
@@ -23,6 +23,8 @@
     /// \returns whether nothing is being received, worked on or sent.
     bool idle() const;
 
+    TimePoint lastProgress() const { return m_lastProgress; }
+
     /// Drops the connection and tells the requests under way.
     void drop();
 
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -51,7 +51,8 @@
     , m_timers(timers)
     , m_handler(std::move(handler))
     , m_faultAnswer(std::move(faultAnswer))
-    , m_limits({ { config::maxHeaderBytes, config::maxBodyBytes }, config::callerIdleTimeout, config::callerIdleTimeout })
+    , m_limits({ { config::maxHeaderBytes, config::maxBodyBytes }, config::callerIdleTimeout, config::callerIdleTimeout,
+          config::maxCallerConnections })
 {
 }
 
@@ -60,6 +61,7 @@
     shutdown();
     m_timers.cancel(m_sweepTimer);
     m_timers.cancel(m_releaseTimer);
+    m_timers.cancel(m_acceptTimer);
 }
 
 bool HttpServer::init(const std::string& address, std::string& reason)
@@ -76,6 +78,7 @@
         reason = "cannot listen on " + address + ": " + std::strerror(errno);
         return false;
     }
+    evconnlistener_set_error_cb(m_listener.get(), onAcceptFailed);
     return true;
 }
 
@@ -115,8 +118,38 @@
     static_cast<HttpServer*>(argument)->accept(fd);
 }
 
+/// Out of descriptors, or of another resource that comes back: new connections wait in the system's queue.
+void HttpServer::onAcceptFailed(evconnlistener* listener, void* argument)
+{
+    auto* server = static_cast<HttpServer*>(argument);
+    server->makeRoom();
+    evconnlistener_disable(listener);
+    server->m_acceptTimer = server->m_timers.after(config::acceptPause, [server] {
+        server->m_acceptTimer = 0;
+        server->pauseListening(false);
+    });
+}
+
+/// Closes the connections that were idle longest, several at once.
+void HttpServer::makeRoom()
+{
+    std::vector<detail::HttpConnection*> idle;
+    for (const auto& [connection, owned] : m_connections) {
+        if (connection->idle()) {
+            idle.push_back(connection);
+        }
+    }
+    const auto wanted = std::min(idle.size(), m_connections.size() / config::idleCloseDivisor + 1);
+    const auto last = idle.begin() + static_cast<std::ptrdiff_t>(wanted);
+    std::ranges::partial_sort(idle, last, {}, &detail::HttpConnection::lastProgress);
+    std::for_each(idle.begin(), last, [](auto* it) { it->drop(); });
+}
+
 void HttpServer::accept(evutil_socket_t fd)
 {
+    if (m_connections.size() >= m_limits.connections) {
+        makeRoom();
+    }
     auto connection = std::make_unique<detail::HttpConnection>(*this, fd);
     auto* raw = connection.get();
     m_connections.emplace(raw, std::move(connection));
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http_reader.h"
 #include "adapters/tcp_stream.h"
+#include "config.h"
 #include "core/http_message.h"
 #include "core/types.h"
 #include "ports/timers.h"
@@ -55,6 +56,7 @@
     HttpSizeLimits sizes;
     std::chrono::milliseconds headerTimeout { 0 }; ///< From the first byte of a request to the end of its header.
     std::chrono::milliseconds idleTimeout { 0 }; ///< Between requests, and without progress within a body.
+    std::size_t connections = config::maxCallerConnections; ///< Above which those that were idle longest are closed.
 };
 
 /// HTTP/1.1 server on one address. Requests that a caller sends behind each other on one connection are handed out side
@@ -95,8 +97,10 @@
     friend class detail::HttpConnection;
 
     static void onAccepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* argument);
+    static void onAcceptFailed(evconnlistener*, void* argument);
 
     void accept(evutil_socket_t fd);
+    void makeRoom();
     void remove(detail::HttpConnection* connection);
     void sweep();
     void scheduleSweep();
@@ -110,6 +114,7 @@
     bool m_leaving = false;
     std::shared_ptr<std::size_t> m_pending = std::make_shared<std::size_t>(0);
     TimerId m_sweepTimer = 0;
+    TimerId m_acceptTimer = 0; ///< Pending while no connection can be accepted.
     TimerId m_releaseTimer = 0;
     std::unordered_map<detail::HttpConnection*, std::unique_ptr<detail::HttpConnection>> m_connections;
     std::vector<std::unique_ptr<detail::HttpConnection>> m_removed; ///< Freed outside their own callbacks.
--- a/src/app/backend_edge.cpp
+++ b/src/app/backend_edge.cpp
@@ -104,6 +104,7 @@
         refuse(begun.refusal);
         return;
     }
+    m_server.noteNestedCall(route->name);
     auto job = requestFor(request, *route, *begun.grant);
     auto state = std::make_shared<Nested>(Nested { exchange, std::string(*token), job.call.service, route->idempotent, 0 });
     start(state, std::move(job));
--- a/src/app/caller_edge.cpp
+++ b/src/app/caller_edge.cpp
@@ -3,6 +3,7 @@
 #include "adapters/crypto.h"
 #include "app/http_answer.h"
 #include "app/request_call.h"
+#include "app/server_role.h"
 #include "config.h"
 #include "core/header_rules.h"
 
@@ -41,11 +42,13 @@
     const auto& deployment = m_parts.fleet.deployment();
     m_routes = RouteTable(deployment.routes);
     m_split.configure(deployment.routes);
+    m_gate.configure(deployment);
     m_priorities.clear();
     std::ranges::transform(deployment.workspaces, std::inserter(m_priorities, m_priorities.end()),
         [](const Workspace& it) { return std::pair(it.name, it.priority); });
     const auto& limits = deployment.limits;
-    m_http.setLimits({ { limits.headerBytes, std::min(limits.bodyBytes, config::maxBodyBytes) }, limits.headerTimeout, limits.idleTimeout });
+    m_http.setLimits({ { limits.headerBytes, std::min(limits.bodyBytes, config::maxBodyBytes) }, limits.headerTimeout, limits.idleTimeout,
+        m_parts.maxConnections });
 }
 
 bool CallerEdge::init(const std::string& address, std::string& reason)
@@ -66,8 +69,7 @@
             return;
         }
     }
-    const auto& route = incoming->route;
-    if (auto refusal = m_gate.check(route.name, incoming->rank, incoming->workspace, m_parts.timers.now())) {
+    if (auto refusal = weigh(*incoming)) {
         refuse(incoming, *refusal);
         return;
     }
@@ -126,6 +128,22 @@
     return std::nullopt;
 }
 
+/// Holds back a root that would cost more at the services below than it is worth.
+std::optional<Refusal> CallerEdge::weigh(const Incoming& incoming)
+{
+    if (incoming.ask.nested && incoming.route.open) {
+        if (m_parts.server) {
+            m_parts.server->noteNestedCall(incoming.route.name);
+        }
+        return std::nullopt;
+    }
+    const auto demands = m_parts.board.of(incoming.route.name, m_parts.timers.now());
+    if (m_gate.lets(incoming.route.name, incoming.workspace, incoming.rank, demands)) {
+        return std::nullopt;
+    }
+    return Refusal { Verdict::NotRun, Reason::DownstreamOverloaded, config::gateRetryAfter };
+}
+
 void CallerEdge::takeToken(const IncomingPtr& incoming)
 {
     if (incoming->workspace.empty()) {
@@ -195,7 +213,7 @@
 {
     incoming->job = 0;
     const auto& route = incoming->route;
-    m_gate.onAnswer(route.name, incoming->rank, incoming->workspace, answer, m_parts.timers.now());
+    m_parts.board.learn(route.name, answer.demands, m_parts.timers.now());
     auto response = m_parts.protocol.answer(answer);
     if (incoming->claimed) {
         m_parts.claims.finish(incoming->workspace, incoming->ask.requestId, toKept(answer, response));
--- a/src/app/caller_edge.h
+++ b/src/app/caller_edge.h
@@ -3,7 +3,8 @@
 #include "adapters/http_server.h"
 #include "app/dispatcher.h"
 #include "app/request_record.h"
-#include "core/downstream_gate.h"
+#include "core/demand_board.h"
+#include "core/root_gate.h"
 #include "core/route_table.h"
 #include "core/service_split.h"
 #include "ports/caller_protocol.h"
@@ -32,6 +33,9 @@
         Dispatcher& dispatcher;
         const CallerProtocol& protocol;
         const Settings& settings;
+        DemandBoard& board;
+        ServerRole* server; ///< Null without the server role.
+        std::size_t maxConnections; ///< Of callers, above which idle ones are closed.
     };
 
     explicit CallerEdge(Parts parts);
@@ -72,6 +76,7 @@
     std::optional<Refusal> readAsk(Incoming& incoming);
     std::optional<Refusal> findRoute(Incoming& incoming);
     std::optional<Refusal> checkKey(Incoming& incoming);
+    std::optional<Refusal> weigh(const Incoming& incoming);
     void takeToken(const IncomingPtr& incoming);
     void claim(const IncomingPtr& incoming);
     void claimed(const IncomingPtr& incoming, ClaimOutcome outcome, const std::optional<KeptAnswer>& kept);
@@ -83,7 +88,7 @@
     void reply(const IncomingPtr& incoming, const Refusal& refusal, const HttpResponse& response);
 
     Parts m_parts;
-    DownstreamGate m_gate;
+    RootGate m_gate;
     RouteTable m_routes;
     ServiceSplit m_split;
     std::unordered_map<std::string, std::uint16_t> m_priorities; ///< Of workspaces.
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -69,7 +69,7 @@
 void Daemon::makeServer()
 {
     if (m_settings.server) {
-        m_server = std::make_unique<ServerRole>(m_loop, m_settings, m_network, m_timers, m_log, *m_view, m_interface->backends());
+        m_server = std::make_unique<ServerRole>(m_loop, m_settings, m_network, m_timers, m_log, *m_view, m_interface->backends(), m_board);
     }
     if (!m_settings.server && !m_settings.entry) {
         return;
@@ -85,14 +85,16 @@
     }
     m_grants = std::make_unique<DaemonGrants>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log, *m_session);
     m_claims = std::make_unique<DaemonClaims>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log);
+    // Some files stay free for links and for the backend server.
+    const auto files = raiseOpenFileLimit(config::maxOpenFiles + config::reservedOpenFiles);
+    const auto maxConnections = std::min(m_settings.callerConnections, files / 2);
     m_callerEdge = std::make_unique<CallerEdge>(CallerEdge::Parts { m_loop, m_timers, m_log, *m_session, *m_grants, *m_claims,
-        *m_dispatcher, m_interface->callers(), m_settings });
+        *m_dispatcher, m_interface->callers(), m_settings, m_board, m_server.get(),
+        maxConnections });
     m_callerEdge->finished().connect([this](const RequestRecord& record) { m_metrics->count(record); });
     if (!m_callerEdge->init(m_settings.callerAddress, reason)) {
         return false;
     }
-    // Some files stay free for links and for the backend server.
-    auto files = raiseOpenFileLimit(config::maxOpenFiles + config::reservedOpenFiles);
     auto limit = files - std::min(files / 2, config::reservedOpenFiles);
     m_connectionBound = std::make_unique<ConnectionBound>(m_timers, m_log, limit, countOpenFiles,
         [this](bool pause) { m_callerEdge->pauseListening(pause); });
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -4,6 +4,7 @@
 #include "adapters/peer_network_libevent.h"
 #include "adapters/timers_libevent.h"
 #include "app/settings.h"
+#include "core/demand_board.h"
 #include "ports/events.h"
 
 #include <memory>
@@ -85,6 +86,7 @@
     std::unique_ptr<ControlServices> m_control;
     std::unique_ptr<DaemonGrants> m_grants;
     std::unique_ptr<DaemonClaims> m_claims;
+    DemandBoard m_board;
     std::unique_ptr<ServerRole> m_server;
     std::unique_ptr<CallTransport> m_transport;
     std::unique_ptr<Dispatcher> m_dispatcher;
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -43,7 +43,7 @@
 } // namespace
 
 ServerRole::ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-    ServerDirectory& directory, const BackendProtocol& protocol)
+    ServerDirectory& directory, const BackendProtocol& protocol, const DemandBoard& board)
     : m_network(network)
     , m_timers(timers)
     , m_log(log)
@@ -52,6 +52,7 @@
     , m_settings(settings)
     , m_client(loop, timers, protocol)
     , m_admission(limitFrom(settings))
+    , m_demand(board)
     , m_contexts(randomToken)
 {
     m_entry.name = settings.name;
@@ -257,10 +258,19 @@
         refuse(id, *refusal);
         return;
     }
+    if (m_work.at(id).call.nested) {
+        m_demand.nestedArrived(m_work.at(id).call.route, m_timers.now());
+    }
     offer(id);
     pump();
 }
 
+void ServerRole::updateDemand()
+{
+    const auto now = m_timers.now();
+    m_demand.update(m_admission.capacity(), m_admission.nestedWait(now), now);
+}
+
 void ServerRole::offer(std::uint64_t id)
 {
     const auto& work = m_work.at(id);
@@ -293,6 +303,8 @@
 {
     auto& work = m_work.at(id);
     work.running = true;
+    work.began = m_timers.now();
+    m_demand.started(work.call.route);
     if (m_protocol.usesContextTokens()) {
         work.token = m_contexts.open(work.call, m_timers.now());
     }
@@ -315,6 +327,7 @@
     auto& work = m_work.at(id);
     auto now = m_timers.now();
     auto context = closeContext(work);
+    m_demand.ended(work.call.route, now - work.began, now);
     m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
     Answer reply;
     reply.refusal = result.refusal;
@@ -351,6 +364,8 @@
     m_names.erase(node.mapped().name);
     answer.id = node.mapped().call.id;
     answer.load = load();
+    updateDemand();
+    answer.demands = m_demand.tell(node.mapped().name.first, node.mapped().call.route, m_entry.service, m_timers.now());
     node.mapped().done(std::move(answer));
 }
 
@@ -365,6 +380,7 @@
     m_names.erase(name);
     const auto& work = node.mapped();
     if (work.running) {
+        m_demand.ended(work.call.route, m_timers.now() - work.began, m_timers.now());
         m_client.cancel(work.exchange);
         closeContext(work);
     }
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/backend_client.h"
+#include "app/server_demand.h"
 #include "app/settings.h"
 #include "core/admission.h"
 #include "core/call.h"
@@ -38,7 +39,7 @@
     using Done = std::function<void(Answer)>;
 
     ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-        ServerDirectory& directory, const BackendProtocol& protocol);
+        ServerDirectory& directory, const BackendProtocol& protocol, const DemandBoard& board);
     ~ServerRole();
     ServerRole(const ServerRole&) = delete;
     ServerRole& operator=(const ServerRole&) = delete;
@@ -69,6 +70,8 @@
     void setWorkspaceWeights(std::map<std::string, double> rates);
 
     ContextTable& contexts() { return m_contexts; }
+    /// Takes note of a nested call of the backend server.
+    void noteNestedCall(const std::string& route) { m_demand.called(route); }
     /// Emitted with the context token of a request that has ended; nested calls made for it are orphans from then on.
     sigc::signal<void(const std::string& token)>& contextClosed() { return m_contextClosed; }
     /// \returns calls that are queued or running.
@@ -87,6 +90,7 @@
         Done done;
         TimePoint deadline {};
         bool running = false; ///< Otherwise it is queued.
+        TimePoint began {}; ///< When it began to run.
         std::string token; ///< Of a running one, when the protocol has tokens.
         std::uint64_t exchange = 0;
     };
@@ -113,6 +117,7 @@
     void renewLease();
     void lapsed();
     void publish();
+    void updateDemand();
     void stopAdmitting();
     /// \returns for how long a leaving server still takes new work.
     Duration leaveGrace() const { return m_settings.drainTime / 2; }
@@ -125,6 +130,7 @@
     const Settings& m_settings;
     BackendClient m_client;
     Admission m_admission;
+    ServerDemand m_demand;
     ContextTable m_contexts;
     ServerEntry m_entry;
     Announcement m_latest;
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -32,6 +32,8 @@
     constexpr std::uint32_t maxToleratedLosses = 3;
     constexpr Range<std::chrono::milliseconds> boundRange { std::chrono::milliseconds(100), std::chrono::minutes(10) };
     constexpr Range<std::chrono::milliseconds> windowRange { std::chrono::seconds(1), std::chrono::minutes(10) };
+    constexpr std::uint32_t minCallerConnections = 16;
+    constexpr std::uint32_t maxCallerConnections = 1'000'000;
     constexpr double maxRetryRatio = 1;
     constexpr double maxRetryExtra = 1e6;
 
@@ -261,6 +263,11 @@
             map.require("address", bindAccepted);
         }
         readBindAddress(map, "address", settings.*(row.member));
+        if (row.member == &Settings::callerAddress) {
+            if (auto n = map.integer("connections", { minCallerConnections, maxCallerConnections })) {
+                settings.callerConnections = *n;
+            }
+        }
         if (row.member == &Settings::backendSideAddress) {
             readBackend(map, settings);
         }
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config.h"
 #include "ports/peer_network.h"
 
 #include <chrono>
@@ -60,6 +61,7 @@
     std::string operatorSecretFile;
 
     std::string limitStrategy; ///< Concurrency limit of the server role; empty takes the default.
+    std::size_t callerConnections = config::maxCallerConnections; ///< Above which idle ones of callers are closed.
     std::chrono::milliseconds drainTime { 2000 }; ///< From the word that a backend server leaves until it gets no new work.
     std::chrono::milliseconds stopTime { 60000 }; ///< From the signal to stop until the process must have ended.
     std::chrono::milliseconds announcementLease { 3000 }; ///< Silence after which a backend server counts as gone.
--- a/src/config.h
+++ b/src/config.h
@@ -33,6 +33,12 @@
 inline constexpr milliseconds lingerTimeout { 1000 };
 /// Interval at which a server looks for callers that are idle or too slow.
 inline constexpr milliseconds httpSweepInterval { 250 };
+/// Connections of callers to one address above which those that were idle longest are closed.
+inline constexpr std::size_t maxCallerConnections = 2000;
+/// One in this many connections is closed at once when there are too many.
+inline constexpr std::size_t idleCloseDivisor = 16;
+/// Time for which no connection is accepted after one could not be.
+inline constexpr milliseconds acceptPause { 20 };
 /// New connections that may wait to be accepted.
 inline constexpr int listenBacklog = 1024;
 /// Time to connect to another daemon and to prove the fleet's secret.
@@ -144,6 +150,36 @@
 /// Keys that one downstream gate counts at most.
 inline constexpr std::size_t maxGateKeys = 16384;
 
+/// Time over which arriving work is averaged for the price of slots.
+inline constexpr milliseconds pressureWindow { 200 };
+/// Arriving work over what the server can do at which the price stays as it is.
+inline constexpr double pressureTarget = 0.9;
+/// Wait of nested calls that counts like nearly three times the work that the server can do, as does any longer one.
+inline constexpr milliseconds pressureWait { 100 };
+/// Change of the price's logarithm a second for each unit of the excess's logarithm, and its bounds a second. Callers
+/// answer after a few hundred milliseconds, so a gain of a few a second does not swing.
+inline constexpr double pressureGain = 2.0;
+inline constexpr double pressureRise = 4.0;
+inline constexpr double pressureFall = 6.0;
+/// Bounds of the price's logarithm; at the least one slots are not scarce.
+inline constexpr double leastLogPrice = -2.0;
+inline constexpr double mostLogPrice = 12.0;
+/// Interval at which learned calls are weighed down, and the factor.
+inline constexpr milliseconds callGraphInterval { 1000 };
+inline constexpr double callGraphDecay = 0.9;
+/// Interval at which an answer to one daemon tells what requests of a route cost.
+inline constexpr milliseconds demandInterval { 50 };
+/// Weight of a new word on what a request costs.
+inline constexpr double demandWeight = 0.3;
+/// Age from which a price fades by half in the same time again, and age at which it is forgotten.
+inline constexpr milliseconds demandFresh { 500 };
+inline constexpr milliseconds demandMemory { 5000 };
+/// Work that counts as itself in a request's burden; more counts less, less counts more, by the square root.
+inline constexpr milliseconds referenceWork { 50 };
+/// What a request is worth over one of the next lower rank.
+inline constexpr double rankWorth = 16.0;
+/// When a caller may ask again after its request was held back.
+inline constexpr milliseconds gateRetryAfter { 300 };
 /// Load over limit from which a backend server counts as loaded.
 inline constexpr double loadedShare = 0.8;
 /// Age past which a load hint of a backend server is not used.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -128,6 +128,12 @@
     return { running(), queued(), m_limit->current(), m_floor, m_leaving };
 }
 
+Duration Admission::nestedWait(TimePoint now) const
+{
+    const auto nested = static_cast<double>(m_queue.size() - m_queue.roots());
+    return scaled(m_serviceTime.estimate(now), nested / m_limit->current());
+}
+
 void Admission::setCapacity(std::uint32_t slots, std::uint32_t connections)
 {
     m_limit->setCapacity(slots, connections);
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -77,6 +77,9 @@
     /// \returns the load to send with each answer.
     LoadHint hint() const;
 
+    /// \returns the time in which the nested calls that wait will have been started.
+    Duration nestedWait(TimePoint now) const;
+
     void setCapacity(std::uint32_t slots, std::uint32_t connections);
 
     /// While leaving, new requests are refused; queued and running ones finish.
@@ -88,6 +91,8 @@
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::uint32_t queued() const { return static_cast<std::uint32_t>(m_queue.size()); }
     std::uint32_t limit() const { return m_limit->current(); }
+    /// \returns the slots that the backend server announced, as far as its connections allow.
+    double capacity() const { return m_limit->announced(); }
 
 private:
     struct Running {
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -31,6 +31,13 @@
     std::chrono::microseconds timeLeft { 0 }; ///< Until the root's deadline.
 };
 
+/// What one request costs at a service, itself or by the calls made for it.
+struct ServiceDemand {
+    std::string service;
+    double price = 0; ///< For a second of a slot there; zero while slots are not scarce.
+    std::chrono::microseconds work { 0 }; ///< Time that it holds slots there.
+};
+
 /// What a server-side daemon sees of its backend server, sent with every answer.
 struct LoadHint {
     std::uint32_t running = 0;
@@ -52,6 +59,7 @@
     LoadHint load;
     std::vector<std::string> downstream; ///< Services that nested calls reached, each once.
     std::string saturated; ///< Downstream service that shed work of this call, if any.
+    std::vector<ServiceDemand> demands; ///< What a request of this route costs; only now and then.
 
     /// \returns whether the backend server gave a whole answer.
     bool whole() const { return refusal.reason == Reason::None; }
--- a/src/core/limit.h
+++ b/src/core/limit.h
@@ -44,6 +44,9 @@
     /// \returns the limit now, at least one.
     std::uint32_t current() const;
 
+    /// \returns the announced capacity: the smaller of slots and connections.
+    double announced() const { return m_capacity; }
+
     /// Learns from a finished run.
     void onSample(const LimitSample& sample, TimePoint now);
 
--- a/src/proto/call.capnp
+++ b/src/proto/call.capnp
@@ -30,6 +30,12 @@
   repeated @18 :Bool;
 }
 
+struct ServiceDemand {
+  service @0 :Text;
+  price @1 :Float32;
+  workMicros @2 :UInt32;
+}
+
 struct LoadHint {
   running @0 :UInt32;
   queued @1 :UInt32;
@@ -51,6 +57,7 @@
   downstream @9 :List(Text);
   saturated @10 :Text;
   arrived @11 :Bool;
+  demands @12 :List(ServiceDemand);
 }
 
 struct Cancel {
--- a/src/proto/call.capnp.h
+++ b/src/proto/call.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(d24398d9a473503c);
 CAPNP_DECLARE_SCHEMA(8e8cc65576cde28b);
+CAPNP_DECLARE_SCHEMA(8d51672daaad5fbf);
 CAPNP_DECLARE_SCHEMA(b3b418a10b9ac5f3);
 CAPNP_DECLARE_SCHEMA(9fba8f84f39cb111);
 CAPNP_DECLARE_SCHEMA(8e455b42f5c5fb76);
@@ -58,6 +59,21 @@
   };
 };
 
+struct ServiceDemand {
+  ServiceDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8d51672daaad5fbf, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadHint {
   LoadHint() = delete;
 
@@ -81,7 +97,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9fba8f84f39cb111, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9fba8f84f39cb111, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -412,6 +428,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceDemand::Reader {
+public:
+  typedef ServiceDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline float getPrice() const;
+
+  inline  ::uint32_t getWorkMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceDemand::Builder {
+public:
+  typedef ServiceDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline float getPrice();
+  inline void setPrice(float value);
+
+  inline  ::uint32_t getWorkMicros();
+  inline void setWorkMicros( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceDemand::Pipeline {
+public:
+  typedef ServiceDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadHint::Reader {
 public:
   typedef LoadHint Reads;
@@ -554,6 +661,9 @@
 
   inline bool getArrived() const;
 
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -639,6 +749,13 @@
   inline bool getArrived();
   inline void setArrived(bool value);
 
+  inline bool hasDemands();
+  inline  ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1278,6 +1395,68 @@
       ::capnp::bounded<82>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServiceDemand::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceDemand::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceDemand::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceDemand::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceDemand::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceDemand::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceDemand::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceDemand::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float ServiceDemand::Reader::getPrice() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float ServiceDemand::Builder::getPrice() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setPrice(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceDemand::Reader::getWorkMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceDemand::Builder::getWorkMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setWorkMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t LoadHint::Reader::getRunning() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1625,6 +1804,40 @@
       ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Answer::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Answer::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader Answer::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Answer::Builder::setDemands( ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Answer::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>> Answer::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Cancel::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
