--- a/src/core/types.h
+++ b/src/core/types.h
@@ -16,7 +16,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<MonotonicClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): required of a clock
 
     static time_point now() noexcept;
 };
--- /dev/null
+++ b/tests/unit/platform_configuration_test.cpp
@@ -0,0 +1,172 @@
+#include "configuration_document.h"
+
+#include "adapters/crypto.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <ostream>
+
+namespace {
+
+namespace data = boost::unit_test::data;
+using namespace std::chrono_literals;
+
+const std::string validText = R"({"config_version":7,
+"routes":{
+ "r-read":{"host":"h.example","path_prefix":"/read/","kind":"idempotent","timeout_s":6,"target_latency_s":1.5,"priority":2,
+  "weighted_backends":[{"service":"guide","weight":90},{"service":"archive","weight":10}],"max_attempts":2,"public":false},
+ "r-sale":{"host":"h.example","path_prefix":"/sale/","kind":"non_idempotent","timeout_s":0.8,"target_latency_s":1.5,"priority":0,
+  "service":"ledger","max_attempts":2,"public":true}},
+"services":{
+ "guide":{"health_path":"/healthz","max_connections":622,"protocol":"h1","tls":false},
+ "archive":{"health_path":"/healthz","max_connections":214,"protocol":"h1","tls":false},
+ "ledger":{"health_path":"/healthz","max_connections":622,"protocol":"h1","tls":false}},
+"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_s":3,"idle_timeout_s":15},
+"tenants":{
+ "shop":{"api_keys":["key-one","key-two"],"priority":1,"rate_per_s":72,"burst":80},
+ "office":{"api_keys":["key-three"]}}})";
+
+struct Row {
+    std::string from; ///< Part of the valid text.
+    std::string to; ///< What stands there instead.
+    std::string expected; ///< Part of the reason.
+};
+
+std::ostream& operator<<(std::ostream& out, const Row& row)
+{
+    return out << row.from << " -> " << row.to;
+}
+
+const std::vector<Row> wrongRows {
+    { R"("service":"ledger")", R"("service":"nobody")", "unknown service" },
+    { R"("service":"archive")", R"("service":"nobody")", "unknown service" },
+    { R"("service":"ledger",)", "", "unknown service" },
+    { R"("max_attempts":2,"public":false)", R"("max_attempts":0,"public":false)", "routes.r-read.max_attempts: not a whole number in range" },
+    { R"("max_attempts":2,"public":true)", R"("max_attempts":"2","public":true)", "routes.r-sale.max_attempts" },
+    { R"("/read/")", R"("read/")", "not a path prefix" },
+    { R"("path_prefix":"/read/",)", "", "routes.r-read.path_prefix: not a text" },
+    { R"("/sale/")", R"("/read/")", "same host, method and prefix" },
+    { R"("kind":"idempotent")", R"("kind":"sometimes")", "routes.r-read.kind: unknown kind" },
+    { R"("kind":"idempotent",)", "", "routes.r-read.kind" },
+    { R"("timeout_s":6)", R"("timeout_s":0)", "routes.r-read.timeout_s: no time at all" },
+    { R"("timeout_s":6)", R"("timeout_s":-1)", "routes.r-read.timeout_s: not a number in range" },
+    { R"("timeout_s":6)", R"("timeout_s":"6")", "routes.r-read.timeout_s" },
+    { R"("weight":90},{"service":"archive","weight":10})", R"("weight":0},{"service":"archive","weight":0})", "no part has a weight" },
+    { R"([{"service":"guide","weight":90},{"service":"archive","weight":10}])", "[]", "weighted_backends" },
+    { R"("weight":10)", R"("weight":-1)", "weight" },
+    { R"("public":true)", R"("public":"yes")", "routes.r-sale.public" },
+    { R"("key-three")", R"("key-one")", "a key is given twice" },
+    { R"(["key-three"])", R"("key-three")", "tenants.office.api_keys: not a list of texts" },
+    { R"(["key-three"])", "[3]", "tenants.office.api_keys: not a list of texts" },
+    { R"("rate_per_s":72)", R"("rate_per_s":-1)", "tenants.shop.rate_per_s" },
+    { R"("config_version":7)", R"("config_version":"7")", "config_version" },
+    { R"("config_version":7)", R"("config_version":0)", "config_version" },
+    { R"("config_version":7,)", "", "config_version: missing" },
+    { R"("routes":{)", R"("routes":[],"other":{)", "routes: not a table" },
+    { R"("services":{)", R"("other":{)", "services: not a table" },
+    { R"("limits":{)", R"("limits":7,"other":{)", "limits: not a table" },
+    { R"("shop":{)", R"("shop":7,"till":{)", "tenants.shop: not a table" },
+    { "]}}}", "]}}", "cannot be read in full" },
+};
+
+std::string replaced(const Row& row)
+{
+    auto text = validText;
+    const auto at = text.find(row.from);
+    BOOST_TEST_REQUIRE(at != std::string::npos, row.from);
+    return text.replace(at, row.from.size(), row.to);
+}
+
+pw::platform::ConfigurationDocument valid(const std::string& text = validText)
+{
+    std::string reason;
+    auto document = pw::platform::decodeConfiguration(text, reason);
+    BOOST_TEST_REQUIRE(document.has_value(), reason);
+    return *document;
+}
+
+const pw::Route& routeOf(const pw::Deployment& deployment, const std::string& name)
+{
+    const auto it = std::ranges::find(deployment.routes, name, &pw::Route::name);
+    BOOST_TEST_REQUIRE((it != deployment.routes.end()));
+    return *it;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformConfiguration)
+
+BOOST_AUTO_TEST_CASE(routesAreDecoded)
+{
+    const auto document = valid();
+    BOOST_TEST(document.version == 7U);
+    const auto& read = routeOf(document.deployment, "r-read");
+    BOOST_TEST(read.host == "h.example");
+    BOOST_TEST(read.method.empty());
+    BOOST_TEST(read.pathPrefix == "/read/");
+    BOOST_TEST(read.idempotent);
+    BOOST_TEST((read.deadline == 6s));
+    BOOST_TEST((read.targetLatency == 1500ms));
+    BOOST_TEST(read.priority.value() == 2U);
+    BOOST_TEST(read.maxServers == 2U);
+    BOOST_TEST(!read.open);
+    const std::vector<pw::WeightedService> parts { { "guide", 90 }, { "archive", 10 } };
+    BOOST_TEST((read.services == parts));
+    const auto& sale = routeOf(document.deployment, "r-sale");
+    BOOST_TEST(!sale.idempotent);
+    BOOST_TEST(sale.open);
+    BOOST_TEST(sale.service == "ledger");
+    BOOST_TEST((sale.deadline == 800ms));
+}
+
+BOOST_AUTO_TEST_CASE(aDownloadMayBeRepeated)
+{
+    const auto document = valid(replaced({ R"("kind":"non_idempotent")", R"("kind":"download")", "" }));
+    BOOST_TEST(routeOf(document.deployment, "r-sale").idempotent);
+}
+
+BOOST_AUTO_TEST_CASE(limitsAndWorkspacesAreDecoded)
+{
+    const auto deployment = valid().deployment;
+    BOOST_TEST(deployment.limits.headerBytes == 16384U);
+    BOOST_TEST(deployment.limits.bodyBytes == 65536U);
+    BOOST_TEST((deployment.limits.headerTimeout == 3s));
+    BOOST_TEST((deployment.limits.idleTimeout == 15s));
+    const auto shop = std::ranges::find(deployment.workspaces, "shop", &pw::Workspace::name);
+    BOOST_TEST_REQUIRE((shop != deployment.workspaces.end()));
+    BOOST_TEST(shop->limited);
+    BOOST_TEST(shop->rate == 72);
+    BOOST_TEST(shop->burst == 80);
+    BOOST_TEST(shop->priority == 1U);
+    const std::vector<std::string> digests { pw::crypto::toHex(pw::crypto::digest("key-one")),
+        pw::crypto::toHex(pw::crypto::digest("key-two")) };
+    BOOST_TEST(shop->keyDigests == digests, boost::test_tools::per_element());
+    const auto office = std::ranges::find(deployment.workspaces, "office", &pw::Workspace::name);
+    BOOST_TEST_REQUIRE((office != deployment.workspaces.end()));
+    BOOST_TEST(!office->limited);
+}
+
+BOOST_AUTO_TEST_CASE(partsWithoutWeightGetNothing)
+{
+    const auto document = valid(replaced({ R"("weight":10)", R"("weight":0)", "" }));
+    const std::vector<pw::WeightedService> parts { { "guide", 90 } };
+    BOOST_TEST((routeOf(document.deployment, "r-read").services == parts));
+}
+
+BOOST_AUTO_TEST_CASE(unknownFieldsDoNotMatter)
+{
+    BOOST_TEST(valid(replaced({ R"("config_version":7)", R"("config_version":8,"colour":{"a":[1]})", "" })).version == 8U);
+}
+
+BOOST_DATA_TEST_CASE(whatIsWrongIsNamed, data::make(wrongRows))
+{
+    std::string reason;
+    BOOST_TEST(!pw::platform::decodeConfiguration(replaced(sample), reason).has_value());
+    BOOST_TEST(reason.find(sample.expected) != std::string::npos, reason);
+    BOOST_TEST(reason.find("key-") == std::string::npos, "a key stands in the reason");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
