Prefer near backend servers by load, try again from the loop, name the request in every line

Cause: the own failure domain was left as soon as its server was four fifths full, so under load nearly every call crossed domains. A nearer server is now taken unless the farther one is less loaded by more than distanceShare. An answer that comes from within attempt() could end the job that attempt() still used; a repeat now starts from the loop.

--- a/src/app/caller_edge.cpp
+++ b/src/app/caller_edge.cpp
@@ -246,8 +246,8 @@
     RequestRecord record { incoming->route.name, incoming->workspace, incoming->rank, refusal, response.status,
         m_parts.timers.now() - incoming->started };
     auto event = refusal.reason == Reason::None ? Event::RequestDone : Event::RequestRefused;
-    PW_EVENT(m_parts.log, event, { "route", record.route }, { "workspace", record.workspace }, { "status", record.status },
-        { "reason", reasonInfo(refusal.reason).name }, { "verdict", verdictName(refusal.verdict) },
+    PW_EVENT(m_parts.log, event, { "request", incoming->ask.requestId }, { "route", record.route }, { "workspace", record.workspace },
+        { "status", record.status }, { "configuration", m_parts.fleet.version() }, { "reason", reasonInfo(refusal.reason).name }, { "verdict", verdictName(refusal.verdict) },
         { "micros", std::chrono::duration_cast<std::chrono::microseconds>(record.latency).count() });
     incoming->exchange->reply(response);
     m_finished.emit(record);
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -112,8 +112,8 @@
         endWith(id, { Verdict::NotRun, Reason::NoBackendServer, config::noServerRetryAfter });
         return;
     }
-    PW_EVENT(m_log, Event::RouteDecision, { "route", job.request.call.route }, { "server", server->name },
-        { "workspace", job.request.call.workspace }, { "depth", job.request.call.depth }, { "try", job.tries + 1 });
+    PW_EVENT(m_log, Event::RouteDecision, { "request", job.request.call.requestId }, { "route", job.request.call.route },
+        { "server", server->name }, { "workspace", job.request.call.workspace }, { "depth", job.request.call.depth }, { "try", job.tries + 1 });
     ++job.tries;
     job.server = server->name;
     job.sent = now;
@@ -163,10 +163,7 @@
         end(id, std::move(answer));
         return;
     }
-    if (*wait == Duration::zero()) {
-        attempt(id);
-        return;
-    }
+    // From the loop also when at once: the answer may have come from within attempt().
     job.backoff = m_timers.after(*wait, [this, id] { attempt(id); });
 }
 
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -350,7 +350,7 @@
 void ServerRole::refuse(std::uint64_t id, Refusal refusal)
 {
     const auto& call = m_work.at(id).call;
-    PW_EVENT(m_log, Event::AdmissionRefused, { "route", call.route }, { "workspace", call.workspace },
+    PW_EVENT(m_log, Event::AdmissionRefused, { "request", call.requestId }, { "route", call.route }, { "workspace", call.workspace },
         { "rank", std::to_string(call.rank.workspace) + "." + std::to_string(call.rank.route) }, { "reason", reasonInfo(refusal.reason).name });
     Answer reply;
     reply.refusal = refusal;
--- a/src/config.h
+++ b/src/config.h
@@ -182,6 +182,8 @@
 inline constexpr milliseconds gateRetryAfter { 300 };
 /// Load over limit from which a backend server counts as loaded.
 inline constexpr double loadedShare = 0.8;
+/// Load by which a server in a nearer failure domain or region may exceed a farther one.
+inline constexpr double distanceShare = 0.3;
 /// Age past which a load hint of a backend server is not used.
 inline constexpr milliseconds loadHintMemory { 500 };
 /// Outstanding requests allowed at a backend server that has not answered yet.
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <ranges>
 
 namespace pw {
 
@@ -25,18 +26,21 @@
         [](const ServerEntry& server, const PickContext& place) { return server.failureDomain == place.failureDomain; },
         [](const ServerEntry& server, const PickContext& place) { return server.region == place.region; },
     };
-    for (auto near : circles) {
+    auto choice = twoChoices(scene, all);
+    // From the widest circle to the narrowest: a nearer server is taken unless the farther one is much less loaded.
+    for (auto near : circles | std::views::reverse) {
         Candidates candidates;
         std::ranges::copy_if(all, std::back_inserter(candidates), [&](std::size_t n) { return near(servers[n], context); });
         if (candidates.empty()) {
-            continue;
+            break;
         }
-        auto choice = twoChoices(scene, candidates);
-        if (load(scene, choice) < config::loadedShare) {
-            return choice;
+        const auto nearer = twoChoices(scene, candidates);
+        const auto nearerLoad = load(scene, nearer);
+        if (nearerLoad < config::loadedShare || nearerLoad <= load(scene, choice) + config::distanceShare) {
+            choice = nearer;
         }
     }
-    return twoChoices(scene, all);
+    return choice;
 }
 
 bool Picker::hasRoom(const ServerEntry& server, TimePoint now) const
