Bound repeats by what was sent first in the last window

Cause: each daemon's tokens were capped at its part of the fixed number (49 x 0.6 / 13 = 2.3 on the platform, 1.5 by default), so what its own requests earned was lost, and a burst of failures after calm traffic was not repeated. The process test anIdempotentRequestIsTriedElsewhereWhenItsServerDiesMidAnswer failed for that (4 of 20 answered 502). Ruled out: chance (it failed in each of three runs, and passes in each of three now).

--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -15,11 +15,11 @@
     {
         switch (fault) {
         case HttpFault::HeaderTooLarge:
-            return httpStatus::headersTooLarge;
+            return http_status::headersTooLarge;
         case HttpFault::BodyTooLarge:
-            return httpStatus::bodyTooLarge;
+            return http_status::bodyTooLarge;
         default:
-            return httpStatus::badRequest;
+            return http_status::badRequest;
         }
     }
 
@@ -37,7 +37,7 @@
 
     bool hasNoBody(int status)
     {
-        return status == httpStatus::noContent || status == httpStatus::notModified;
+        return status == http_status::noContent || status == http_status::notModified;
     }
 
 } // namespace
@@ -200,7 +200,7 @@
         m_lastProgress = m_stream.backlog() > 0 ? m_lastProgress : now;
     }
     if (m_requestBegan && now - *m_requestBegan >= limits.headerTimeout && !m_reader.headerDone()) {
-        refuse(httpStatus::requestTimeout, "header not received in time");
+        refuse(http_status::requestTimeout, "header not received in time");
     } else if (now - m_lastProgress >= limits.idleTimeout) {
         drop();
     }
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -22,7 +22,7 @@
 
 HttpExchange::~HttpExchange()
 {
-    reply({ httpStatus::internalError, {}, "" });
+    reply({ http_status::internalError, {}, "" });
 }
 
 void HttpExchange::reply(const HttpResponse& response)
--- a/src/adapters/http_status.h
+++ b/src/adapters/http_status.h
@@ -4,7 +4,7 @@
 
 namespace pw {
 
-namespace httpStatus {
+namespace http_status {
     inline constexpr int ok = 200;
     inline constexpr int noContent = 204;
     inline constexpr int notModified = 304;
@@ -15,7 +15,7 @@
     inline constexpr int headersTooLarge = 431;
     inline constexpr int internalError = 500;
     inline constexpr int unavailable = 503;
-} // namespace httpStatus
+} // namespace http_status
 
 /// \returns the reason phrase of an HTTP status; "Status" for one without a phrase here.
 std::string_view reasonPhrase(int status);
--- a/src/adapters/tcp_stream.cpp
+++ b/src/adapters/tcp_stream.cpp
@@ -69,8 +69,8 @@
 void StreamLoop::flush()
 {
     m_flushing.swap(m_dirty);
-    for (std::size_t n = 0; n < m_flushing.size(); ++n) {
-        if (auto* stream = m_flushing[n]) {
+    for (auto* stream : m_flushing) {
+        if (stream) {
             stream->m_dirty = false;
             stream->flush();
         }
--- a/src/app/caller_edge.cpp
+++ b/src/app/caller_edge.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-CallerEdge::CallerEdge(Parts parts)
-    : m_parts(std::move(parts))
+CallerEdge::CallerEdge(const Parts& parts)
+    : m_parts(parts)
     , m_http(
           m_parts.loop, m_parts.timers, [this](std::shared_ptr<HttpExchange> exchange) { onRequest(std::move(exchange)); },
           [&protocol = m_parts.protocol](int status, std::string_view what) { return protocol.fault(status, what); })
--- a/src/app/caller_edge.h
+++ b/src/app/caller_edge.h
@@ -38,7 +38,7 @@
         std::size_t maxConnections; ///< Of callers, above which idle ones are closed.
     };
 
-    explicit CallerEdge(Parts parts);
+    explicit CallerEdge(const Parts& parts);
 
     /// \param reason receives what went wrong when false is returned.
     bool init(const std::string& address, std::string& reason);
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -44,7 +44,7 @@
     , m_directory(directory)
     , m_random(seed)
     , m_picker(seed + 1)
-    , m_budget(settings.retryBudget.ratio, settings.retryBudget.extra)
+    , m_budget(settings.retryBudget.ratio, settings.retryBudget.extra, settings.retryBudget.window)
 {
     directory.onChanged([this](const std::string&) { followDirectory(); });
 }
@@ -52,7 +52,7 @@
 /// Each backend server stands beside a daemon, so their number is known from the view.
 void Dispatcher::followDirectory()
 {
-    m_budget.configure(m_settings.retryBudget.ratio, m_settings.retryBudget.extra);
+    m_budget.configure(m_settings.retryBudget.ratio, m_settings.retryBudget.extra, m_settings.retryBudget.window);
     m_budget.setDaemons(m_directory.serverCount());
 }
 
@@ -120,7 +120,7 @@
     job.tried.push_back(server->name);
     m_picker.started(server->name, now);
     if (job.tries == 1) {
-        m_budget.sentFirst(job.request.call.service);
+        m_budget.sentFirst(job.request.call.service, now);
     }
     auto call = callFor(job);
     job.lent = call.attempts;
@@ -158,7 +158,7 @@
     const auto wait = backoff(job, answer);
     PW_EVENT(m_log, Event::RetryDecision, { "request", job.request.call.requestId }, { "route", job.request.call.route },
         { "server", job.server }, { "reason", reasonInfo(answer.refusal.reason).name }, { "verdict", verdictName(answer.refusal.verdict) },
-        { "reached", job.reached }, { "budget", m_budget.left(job.request.call.service) }, { "retry", wait.has_value() });
+        { "reached", job.reached }, { "budget", m_budget.left(job.request.call.service, m_timers.now()) }, { "retry", wait.has_value() });
     if (!wait) {
         end(id, std::move(answer));
         return;
@@ -175,13 +175,13 @@
         // No backend server has seen it: another daemon may take it over as if it had been asked first.
         return canHandOver(job, answer.refusal) ? std::optional(Duration::zero()) : std::nullopt;
     }
-    if (job.reached >= job.request.maxServers || m_budget.left(call.service) < 1) {
+    if (job.reached >= job.request.maxServers || m_budget.left(call.service, m_timers.now()) < 1) {
         return std::nullopt;
     }
     const auto timeLeft = job.request.deadline - m_timers.now();
     auto wait = m_retries.next({ answer.refusal, call.idempotent, job.request.attempts, timeLeft, job.tries }, m_random);
     if (wait) {
-        m_budget.take(call.service);
+        m_budget.take(call.service, m_timers.now());
         job.request.call.repeated = true;
     }
     return wait;
--- a/src/app/http_answer.cpp
+++ b/src/app/http_answer.cpp
@@ -26,7 +26,7 @@
 HttpResponse refusalToHttp(const Refusal& refusal)
 {
     const auto& info = reasonInfo(refusal.reason);
-    HttpResponse response { info.httpStatus, {}, refusalBody(refusal) };
+    HttpResponse response { info.http_status, {}, refusalBody(refusal) };
     response.headers.push_back(line(header::verdict, verdictName(refusal.verdict)));
     response.headers.push_back(line(header::reason, info.name));
     response.headers.push_back(line("Content-Type", "application/json"));
--- a/src/app/native_protocol.cpp
+++ b/src/app/native_protocol.cpp
@@ -81,7 +81,7 @@
 
 HttpResponse NativeCallerProtocol::fault(int status, std::string_view what) const
 {
-    const auto reason = status == httpStatus::bodyTooLarge ? Reason::TooLarge : Reason::Malformed;
+    const auto reason = status == http_status::bodyTooLarge ? Reason::TooLarge : Reason::Malformed;
     return { status,
         { line(header::verdict, verdictName(Verdict::NotRun)), line(header::reason, reasonInfo(reason).name),
             line("Content-Type", "text/plain") },
@@ -116,7 +116,7 @@
     if (echoesAnother) {
         return AnswerMeaning::Broken;
     }
-    if (answer.status == httpStatus::unavailable && countHeader(answer.headers, header::notRun) > 0) {
+    if (answer.status == http_status::unavailable && countHeader(answer.headers, header::notRun) > 0) {
         return AnswerMeaning::NotRun;
     }
     return request.method == "HEAD" || endIsMarked(answer) ? AnswerMeaning::Whole : AnswerMeaning::Broken;
--- a/src/app/readiness_edge.cpp
+++ b/src/app/readiness_edge.cpp
@@ -10,7 +10,7 @@
     : m_isReady(std::move(isReady))
     , m_http(loop, timers, [this](const std::shared_ptr<HttpExchange>& exchange) {
         const auto ready = m_isReady();
-        exchange->reply({ ready ? httpStatus::ok : httpStatus::unavailable, {}, ready ? "ready\n" : "not ready\n" });
+        exchange->reply({ ready ? http_status::ok : http_status::unavailable, {}, ready ? "ready\n" : "not ready\n" });
     })
 {
 }
@@ -18,7 +18,7 @@
 MetricsEdge::MetricsEdge(StreamLoop& loop, Timers& timers, std::function<std::string()> render)
     : m_render(std::move(render))
     , m_http(loop, timers, [this](const std::shared_ptr<HttpExchange>& exchange) {
-        exchange->reply({ httpStatus::ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_render() });
+        exchange->reply({ http_status::ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_render() });
     })
 {
 }
--- a/src/core/retry_budget.cpp
+++ b/src/core/retry_budget.cpp
@@ -6,16 +6,21 @@
 
 namespace pw {
 
-RetryBudget::RetryBudget(double ratio, double extra)
+RetryBudget::RetryBudget(double ratio, double extra, Duration window)
     : m_ratio(ratio)
     , m_extra(extra)
+    , m_window(window)
 {
 }
 
-void RetryBudget::configure(double ratio, double extra)
+void RetryBudget::configure(double ratio, double extra, Duration window)
 {
     m_ratio = ratio;
     m_extra = extra;
+    if (window != m_window) {
+        m_window = window;
+        m_services.clear();
+    }
 }
 
 void RetryBudget::setDaemons(std::size_t daemons)
@@ -23,33 +28,51 @@
     m_daemons = std::max<std::size_t>(daemons, 1);
 }
 
-/// A part is left for the calls that repeated requests make again at other services.
-double RetryBudget::most() const
+std::int64_t RetryBudget::partAt(TimePoint now) const
+{
+    return now.time_since_epoch() / std::max<Duration>(m_window / parts, Duration(1));
+}
+
+RetryBudget::Part& RetryBudget::current(const std::string& service, TimePoint now)
 {
-    return m_extra * config::retryBudgetShare / static_cast<double>(m_daemons);
+    const auto number = partAt(now);
+    auto& part = m_services[service].at(static_cast<std::size_t>(number % (parts + 1)));
+    if (part.number != number) {
+        part = { number, 0, 0 };
+    }
+    return part;
 }
 
-void RetryBudget::sentFirst(const std::string& service)
+void RetryBudget::sentFirst(const std::string& service, TimePoint now)
 {
-    auto& tokens = m_tokens.try_emplace(service, most()).first->second;
-    tokens = std::min(tokens + m_ratio * config::retryBudgetShare, most());
+    ++current(service, now).firsts;
 }
 
-bool RetryBudget::take(const std::string& service)
+bool RetryBudget::take(const std::string& service, TimePoint now)
 {
-    auto& tokens = m_tokens.try_emplace(service, most()).first->second;
-    tokens = std::min(tokens, most());
-    if (tokens < 1) {
+    if (left(service, now) < 1) {
         return false;
     }
-    tokens -= 1;
+    ++current(service, now).repeats;
     return true;
 }
 
-double RetryBudget::left(const std::string& service) const
+/// A share is left for the calls that repeated requests make again at other services.
+double RetryBudget::left(const std::string& service, TimePoint now) const
 {
-    const auto it = m_tokens.find(service);
-    return it == m_tokens.end() ? most() : std::min(it->second, most());
+    double firsts = 0;
+    double repeats = 0;
+    if (const auto it = m_services.find(service); it != m_services.end()) {
+        const auto oldest = partAt(now) - parts;
+        for (const auto& part : it->second) {
+            if (part.number >= oldest) {
+                firsts += part.firsts;
+                repeats += part.repeats;
+            }
+        }
+    }
+    const auto allowed = m_ratio * firsts + m_extra / static_cast<double>(m_daemons);
+    return allowed * config::retryBudgetShare - repeats;
 }
 
 } // namespace pw
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -64,7 +64,7 @@
 /// Row of the reason table.
 struct ReasonInfo {
     std::string_view name; ///< Stable code shown to callers.
-    int httpStatus; ///< Status of an answer that carries it.
+    int http_status; ///< Status of an answer that carries it.
 };
 
 /// \returns the code and the HTTP status of \p reason.
--- a/tests/unit/types_test.cpp
+++ b/tests/unit/types_test.cpp
@@ -12,7 +12,7 @@
     for (auto n = 0; n < static_cast<int>(pw::Reason::Count); ++n) {
         const auto& info = pw::reasonInfo(static_cast<pw::Reason>(n));
         BOOST_TEST(names.insert(info.name).second);
-        BOOST_TEST(info.httpStatus >= 200);
+        BOOST_TEST(info.http_status >= 200);
     }
 }
 
