Let a server's limit follow the slots it announces, and ramp only where it does not say that it is slow

Cause: the daemon makes the limit before its server has announced itself, with one slot. A server that tells how long it is slow takes its slots from the start; the ramp stays for those that do not tell. Ruled out: the ramp itself (it was over at once, as the one slot counted as a cold start that had ended).

--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -86,9 +86,11 @@
         reason = "not an ip:port address: " + announcement.address;
         return false;
     }
+    const auto isFirst = m_entry.service.empty();
     auto changed = !m_announced || m_entry.service != announcement.service || m_entry.slots != announcement.slots
         || m_entry.connections != announcement.connections;
-    if (announcement.started != m_latest.started || announcement.instance != m_latest.instance) {
+    const auto isAnotherStart = announcement.started != m_latest.started || announcement.instance != m_latest.instance;
+    if (isAnotherStart) {
         takeIncarnation(announcement);
         changed = true;
     }
@@ -103,6 +105,10 @@
     }
     if (changed) {
         m_admission.setCapacity(announcement.slots, announcement.connections);
+        // One that tells its slots and for how long it is slow can be taken at its word.
+        if ((isFirst || isAnotherStart) && !announcement.coldTime) {
+            m_admission.beginColdStart();
+        }
         PW_EVENT(m_log, Event::BackendAnnounced, { "service", m_entry.service }, { "address", announcement.address }, { "slots", m_entry.slots });
         publish();
         pump();
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -30,7 +30,7 @@
     std::uint64_t started = 0; ///< When it started, in ms since the epoch; zero when it does not say.
     std::uint64_t sequence = 0; ///< Grows with each announcement of one start; zero when it does not say.
     bool leaving = false;
-    std::chrono::milliseconds coldTime { 0 }; ///< For how long it will still be slow.
+    std::optional<std::chrono::milliseconds> coldTime; ///< For how long it will still be slow, when it says so.
 };
 
 /// The daemon's part beside a backend server: the only one that connects to it. Admits, queues, runs and cancels calls.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -139,6 +139,11 @@
     m_limit->setCapacity(slots, connections);
 }
 
+void Admission::beginColdStart()
+{
+    m_limit->beginColdStart();
+}
+
 void Admission::setLeaving(bool leaving)
 {
     m_leaving = leaving;
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -82,6 +82,9 @@
 
     void setCapacity(std::uint32_t slots, std::uint32_t connections);
 
+    /// Another start of the backend server has the place, which may be slow at first.
+    void beginColdStart();
+
     /// While leaving, new requests are refused; queued and running ones finish.
     void setLeaving(bool leaving);
 
--- a/src/core/limit.cpp
+++ b/src/core/limit.cpp
@@ -59,10 +59,16 @@
         // Past its cold start, the server gets what it announces at once.
         m_ramp = capacity;
     }
+    rescale(capacity / m_capacity);
     m_capacity = capacity;
     m_ramp = std::min(m_ramp, capacity);
 }
 
+void Limit::beginColdStart()
+{
+    m_ramp = rampStart(m_capacity);
+}
+
 bool Limit::limitInUse(const LimitSample& sample) const
 {
     return sample.running >= config::limitInUseShare * current();
--- a/src/core/limit.h
+++ b/src/core/limit.h
@@ -50,14 +50,19 @@
     /// Learns from a finished run.
     void onSample(const LimitSample& sample, TimePoint now);
 
-    /// Takes a new announcement of the backend server.
+    /// Takes a new announcement of the backend server; the limit keeps its share of the capacity.
     void setCapacity(std::uint32_t slots, std::uint32_t connections);
 
+    /// Begins low again: another start of the backend server has the place, and it does not say whether it is slow.
+    void beginColdStart();
+
 protected:
     /// \returns what the strategy would allow; bounded by current().
     virtual double wanted() const = 0;
     /// Adjusts the strategy's own state.
     virtual void learn(const LimitSample& sample, TimePoint now) = 0;
+    /// Follows a change of the capacity by \p factor.
+    virtual void rescale(double /*factor*/) { }
 
     /// \returns the announced capacity: the smaller of slots and connections.
     double capacity() const { return m_capacity; }
--- a/src/core/limit_gradient.cpp
+++ b/src/core/limit_gradient.cpp
@@ -18,6 +18,7 @@
 
     protected:
         double wanted() const override { return m_limit; }
+        void rescale(double factor) override { m_limit = std::max(1.0, m_limit * factor); }
 
         void learn(const LimitSample& sample, TimePoint /*now*/) override
         {
--- a/tests/unit/limit_test.cpp
+++ b/tests/unit/limit_test.cpp
@@ -35,6 +35,19 @@
     BOOST_TEST(limit->current() == 80U);
 }
 
+/// The daemon starts before its backend server has announced itself.
+BOOST_DATA_TEST_CASE(takesTheSlotsThatAreAnnouncedLater, data::make(pw::limitNames()), name)
+{
+    auto limit = pw::makeLimit(name, {});
+    limit->setCapacity(80, 1000);
+    BOOST_TEST(limit->current() == 80U);
+    limit->beginColdStart();
+    BOOST_TEST(limit->current() <= 10U);
+    TimePoint now {};
+    feed(*limit, now, 70, RunOutcome::Ok);
+    BOOST_TEST(limit->current() == 80U);
+}
+
 BOOST_DATA_TEST_CASE(neverPassesSlotsOrConnections, data::make(pw::limitNames()), name)
 {
     auto limit = pw::makeLimit(name, { 80, 30, false });
