Let a rare word on a price count more; log when the price of a slot changes

A word now weighs by the time since the last one. Ruled out: a collapsed concurrency limit (45 of 45 throughout), a price told by a dead server. Left: the price overshoots while calls that wait drain.

--- a/src/app/server_demand.h
+++ b/src/app/server_demand.h
@@ -34,6 +34,8 @@
     std::vector<ServiceDemand> tell(const PeerAddress& daemon, const std::string& route, const std::string& service, TimePoint now);
 
     double price() const { return m_meter.price(); }
+    /// \returns slots that the arriving nested calls would fill.
+    double offered(TimePoint now) const { return m_meter.offered(now); }
 
 private:
     std::vector<ServiceDemand> demandsOf(const std::string& route, const std::string& service, TimePoint now) const;
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -6,6 +6,7 @@
 #include "core/header_rules.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <vector>
 
@@ -275,6 +276,23 @@
 {
     const auto now = m_timers.now();
     m_demand.update(m_admission.capacity(), m_admission.nestedWait(now), now);
+    reportPrice(now);
+}
+
+/// Says when the price of a slot has changed by a factor, at a bounded rate.
+void ServerRole::reportPrice(TimePoint now)
+{
+    const auto price = m_demand.price();
+    const auto step = price > 0 ? static_cast<int>(std::floor(std::log2(price) / config::priceReportStep)) + 1 : 0;
+    if (step == m_priceStep || now - m_priceReported < config::priceReportInterval) {
+        return;
+    }
+    m_priceStep = step;
+    m_priceReported = now;
+    PW_EVENT(m_log, Event::PriceChanged, { "service", m_entry.service }, { "price", price }, { "offered", m_demand.offered(now) },
+        { "slots", m_admission.capacity() }, { "limit", m_admission.limit() }, { "running", m_admission.running() },
+        { "queued", m_admission.queued() },
+        { "nested_wait_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_admission.nestedWait(now)).count() });
 }
 
 void ServerRole::offer(std::uint64_t id)
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -118,6 +118,7 @@
     void lapsed();
     void publish();
     void updateDemand();
+    void reportPrice(TimePoint now);
     void stopAdmitting();
     /// \returns for how long a leaving server still takes new work.
     Duration leaveGrace() const { return m_settings.drainTime / 2; }
@@ -131,6 +132,8 @@
     BackendClient m_client;
     Admission m_admission;
     ServerDemand m_demand;
+    int m_priceStep = 0; ///< As last reported; zero while slots are not scarce.
+    TimePoint m_priceReported {};
     ContextTable m_contexts;
     ServerEntry m_entry;
     Announcement m_latest;
--- a/src/config.h
+++ b/src/config.h
@@ -164,13 +164,17 @@
 /// Bounds of the price's logarithm; at the least one slots are not scarce.
 inline constexpr double leastLogPrice = -2.0;
 inline constexpr double mostLogPrice = 12.0;
+/// Binary orders of magnitude by which a price changes between two log lines, and the shortest time between them.
+inline constexpr double priceReportStep = 2.0;
+inline constexpr milliseconds priceReportInterval { 250 };
 /// Interval at which learned calls are weighed down, and the factor.
 inline constexpr milliseconds callGraphInterval { 1000 };
 inline constexpr double callGraphDecay = 0.9;
 /// Interval at which an answer to one daemon tells what requests of a route cost.
 inline constexpr milliseconds demandInterval { 50 };
-/// Weight of a new word on what a request costs.
-inline constexpr double demandWeight = 0.3;
+/// Time over which the words of several backend servers on what a request costs are averaged, and the least weight of one.
+inline constexpr milliseconds demandAveraging { 150 };
+inline constexpr double demandWeight = 0.1;
 /// Age from which a price fades by half in the same time again, and age at which it is forgotten.
 inline constexpr milliseconds demandFresh { 500 };
 inline constexpr milliseconds demandMemory { 5000 };
--- a/src/core/demand_board.cpp
+++ b/src/core/demand_board.cpp
@@ -12,7 +12,9 @@
     auto& services = m_routes[route];
     for (const auto& it : demands) {
         auto& entry = services[it.service];
-        const auto weight = entry.heard == TimePoint {} ? 1.0 : config::demandWeight;
+        // Words come in as often as requests are let through: the rarer, the more each one counts.
+        const auto age = std::chrono::duration<double>(now - entry.heard) / std::chrono::duration<double>(config::demandAveraging);
+        const auto weight = entry.heard == TimePoint {} ? 1.0 : std::max(config::demandWeight, 1 - std::exp(-age));
         entry.work += (std::chrono::duration<double>(it.work).count() - entry.work) * weight;
         entry.price += (it.price - entry.price) * weight;
         entry.heard = now;
--- a/src/core/pressure_meter.h
+++ b/src/core/pressure_meter.h
@@ -24,10 +24,11 @@
     /// \returns the price; zero while slots are not scarce.
     double price() const;
 
-private:
+    /// \returns slots that the arriving work would fill, averaged over config::pressureWindow.
     double offered(TimePoint now) const;
 
-    double m_offered = 0; ///< Slots that the arriving work would fill, averaged over config::pressureWindow.
+private:
+    double m_offered = 0;
     TimePoint m_offeredAt {};
     double m_logPrice = config::leastLogPrice;
     TimePoint m_updated {};
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -38,6 +38,7 @@
     RouteDecision,
     RetryDecision,
     AdmissionRefused,
+    PriceChanged,
     AnnouncementRefused,
     BackendAnnounced,
     BackendStarted,
--- /dev/null
+++ b/tests/unit/demand_board_test.cpp
@@ -0,0 +1,58 @@
+#include "config.h"
+#include "core/demand_board.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace pw;
+using namespace std::chrono_literals;
+
+const TimePoint start { 1h };
+
+double priceOf(const DemandBoard& board, TimePoint now)
+{
+    const auto demands = board.of("read", now);
+    BOOST_TEST_REQUIRE(demands.size() == 1U);
+    return demands.front().price;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DemandBoards)
+
+/// The load: a deep service was short of slots, one request in twenty was let through, and then it had room again.
+BOOST_AUTO_TEST_CASE(aPriceThatHasEndedIsForgottenThoughFewRequestsTellIt)
+{
+    DemandBoard board;
+    auto now = start;
+    for (auto n = 0; n < 20; ++n, now += 500ms) {
+        board.learn("read", { { "deep", 1000, 15ms } }, now);
+    }
+    for (auto n = 0; n < 4; ++n, now += 500ms) {
+        board.learn("read", { { "deep", 0, 15ms } }, now);
+    }
+    BOOST_TEST(priceOf(board, now) < 1);
+}
+
+BOOST_AUTO_TEST_CASE(pricesOfSeveralServersAreAveraged)
+{
+    DemandBoard board;
+    auto now = start;
+    for (auto n = 0; n < 200; ++n, now += 25ms) {
+        board.learn("read", { { "deep", n % 2 ? 0.0 : 10.0, 15ms } }, now);
+    }
+    BOOST_TEST(priceOf(board, now) > 3);
+    BOOST_TEST(priceOf(board, now) < 7);
+}
+
+BOOST_AUTO_TEST_CASE(aPriceFadesWhenNothingIsHeard)
+{
+    DemandBoard board;
+    board.learn("read", { { "deep", 8, 15ms } }, start);
+    BOOST_TEST(priceOf(board, start + config::demandFresh) == 8);
+    BOOST_TEST(priceOf(board, start + 2 * config::demandFresh) <= 4);
+    BOOST_TEST(board.of("read", start + config::demandMemory).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
