--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -105,7 +105,7 @@
         serverLeaves();
     }
     if (changed) {
-        m_admission.setCapacity(announcement.slots, announcement.connections);
+        m_admission.setCapacity(usableSlots(announcement.slots), announcement.connections);
         // One that tells its slots and for how long it is slow can be taken at its word.
         if ((isFirst || isAnotherStart) && !announcement.coldTime) {
             m_admission.beginColdStart();
@@ -117,6 +117,13 @@
     return true;
 }
 
+/// A server that is nearly full may be slower; of few slots none is spared for that.
+std::uint32_t ServerRole::usableSlots(std::uint32_t slots) const
+{
+    const auto spared = std::ceil(slots * m_settings.limitHeadroom);
+    return slots < config::leastSlotsWithHeadroom ? slots : slots - static_cast<std::uint32_t>(spared);
+}
+
 bool ServerRole::isOutdated(const Announcement& announcement) const
 {
     const auto isOlder = std::pair(announcement.started, announcement.sequence) < std::pair(m_latest.started, m_latest.sequence);
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -100,6 +100,7 @@
     void onPeerLost(const PeerAddress& peer);
 
     std::optional<Refusal> refusedNow(const Call& call) const;
+    std::uint32_t usableSlots(std::uint32_t slots) const;
     bool isOutdated(const Announcement& announcement) const;
     void takeIncarnation(const Announcement& announcement);
     void startLeaving();
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -37,6 +37,7 @@
     constexpr double maxRetryRatio = 1;
     constexpr double maxRetryExtra = 1e6;
     constexpr double maxRateShare = 1;
+    constexpr double maxLimitHeadroom = 0.5;
     constexpr double maxRateExtra = 1e6;
 
     const std::vector<std::string_view> unreachableChoices { "refuse", "continue" };
@@ -338,6 +339,7 @@
         if (auto n = map.choice("strategy", names)) {
             settings.limitStrategy = names[*n];
         }
+        take(map.number("headroom", { 0, maxLimitHeadroom }), settings.limitHeadroom);
         map.finish();
     }
 
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -66,6 +66,7 @@
     std::chrono::milliseconds drainTime { 2000 }; ///< From the word that a backend server leaves until it gets no new work.
     std::chrono::milliseconds stopTime { 60000 }; ///< From the signal to stop until the process must have ended.
     std::chrono::milliseconds announcementLease { 3000 }; ///< Silence after which a backend server counts as gone.
+    double limitHeadroom = 0; ///< Part of the announced slots that is not used, as some servers slow down when nearly full.
     RetryBudgetSettings retryBudget;
     RateTolerance rateTolerance;
 
--- a/src/config.h
+++ b/src/config.h
@@ -82,6 +82,8 @@
 /// Longest caller request id, in bytes.
 inline constexpr std::size_t maxRequestIdBytes = 128;
 
+/// Announced slots below which no headroom is left: one slot would be too large a part.
+inline constexpr std::uint32_t leastSlotsWithHeadroom = 16;
 /// Share of the announced slots at which a new backend server's limit begins.
 inline constexpr double coldStartShare = 0.125;
 /// Share of a limit that must be in use before a sample may raise it.
@@ -156,9 +158,12 @@
 inline constexpr double pressureTarget = 0.9;
 /// Wait of nested calls that counts like nearly three times the work that the server can do, as does any longer one.
 inline constexpr milliseconds pressureWait { 100 };
+/// Weight of that wait beside the logarithm of the arriving work's excess.
+inline constexpr double pressureWaitShare = 0.4;
 /// Change of the price's logarithm a second for each unit of the excess's logarithm, and its bounds a second. Callers
 /// answer after a few hundred milliseconds, so a gain of a few a second does not swing.
 inline constexpr double pressureGain = 2.0;
+inline constexpr double pressureFallGain = 4.0;
 inline constexpr double pressureRise = 4.0;
 inline constexpr double pressureFall = 6.0;
 /// Bounds of the price's logarithm; at the least one slots are not scarce.
--- a/src/core/pressure_meter.cpp
+++ b/src/core/pressure_meter.cpp
@@ -33,7 +33,10 @@
     m_updated = now;
     const auto ratio = std::max(offered(now) / std::max(slots, 1.0) / config::pressureTarget, leastRatio);
     const auto waiting = std::min(seconds(wait) / seconds(config::pressureWait), 1.0);
-    const auto step = std::clamp((std::log(ratio) + waiting) * config::pressureGain, -config::pressureFall, config::pressureRise) * passed;
+    // While calls wait, what arrives is work that was let in earlier: the price must not go on rising for it.
+    const auto excess = std::log(ratio) + waiting * config::pressureWaitShare;
+    const auto gain = excess < 0 ? config::pressureFallGain : config::pressureGain;
+    const auto step = std::clamp(excess * gain, -config::pressureFall, config::pressureRise) * passed;
     m_logPrice = std::clamp(m_logPrice + step, config::leastLogPrice, config::mostLogPrice);
 }
 
