--- a/src/config.h
+++ b/src/config.h
@@ -111,8 +111,8 @@
 inline constexpr milliseconds serviceTimeHalfLife { 250 };
 /// Share of the expected service time that must be left before the deadline for a request to start.
 inline constexpr double startServiceShare = 1.0;
-/// Waiting requests for each one that may run.
-inline constexpr double queueLimitShare = 1.0;
+/// Roots that may wait for each request that may run, in a burst.
+inline constexpr double queueLimitShare = 4.0;
 /// Waiting requests that are always allowed, however low the limit.
 inline constexpr std::size_t minQueueBound = 8;
 /// Time for which a queue may stay without being empty before it counts as a standing one.
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -55,6 +55,17 @@
     BOOST_TEST(admission.running() == 2U);
 }
 
+/// The load: requests that waited for one token each come together once it is there.
+BOOST_AUTO_TEST_CASE(aBurstOfRootsThatCanAllFinishInTimeIsQueued)
+{
+    auto admission = makeAdmission(8);
+    learn(admission, 10ms, start);
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        BOOST_TEST((admission.offer(item(id), start).outcome != AdmissionOutcome::Refused));
+    }
+    BOOST_TEST(admission.poll(start).shed.empty());
+}
+
 struct RefusedRow {
     const char* name;
     bool leaving;
