--- a/src/config.h
+++ b/src/config.h
@@ -156,12 +156,13 @@
 inline constexpr milliseconds pressureWindow { 200 };
 /// Arriving work over what the server can do at which the price stays as it is.
 inline constexpr double pressureTarget = 0.9;
-/// Wait of nested calls that counts like nearly three times the work that the server can do, as does any longer one.
+/// Wait of nested calls from which it counts in full, and its full weight beside the logarithm of the arriving work's
+/// excess: like half as much work again.
 inline constexpr milliseconds pressureWait { 100 };
-/// Weight of that wait beside the logarithm of the arriving work's excess.
 inline constexpr double pressureWaitShare = 0.4;
 /// Change of the price's logarithm a second for each unit of the excess's logarithm, and its bounds a second. Callers
-/// answer after a few hundred milliseconds, so a gain of a few a second does not swing.
+/// answer after a few hundred milliseconds, so a gain of a few a second does not swing. It falls faster than it rises:
+/// a price that is too high costs whole requests.
 inline constexpr double pressureGain = 2.0;
 inline constexpr double pressureFallGain = 4.0;
 inline constexpr double pressureRise = 4.0;
