Measure overload by the price of slots; share what the gate lets through by workspace

Calls waited 120 ms at the archive and held the guide's slots meanwhile. The daemon judges by the price of slots. With the price in the program two faults of the gate showed: - it let through the same share of every workspace, so one that asked four times its part got twice its due of what is scarce (473 for 239; others 276 for 477); - a price had to rise from 0.14 to 16 (5 s) before it counted, where no request of a lower rank leads to the service.

Change: the program takes over ServerDemand (now in core, no network in it), DemandBoard and RootGate; the gate divides what a route and rank are let by the workspaces' rates (progressive filling); a service's price counts from the lowest rank that leads to it. Six tests; the old gate lets the greedy workspace have 200 of 400 and the modest one 40 of 80.

--- a/src/app/caller_edge.cpp
+++ b/src/app/caller_edge.cpp
@@ -138,7 +138,7 @@
         return std::nullopt;
     }
     const auto demands = m_parts.board.of(incoming.route.name, m_parts.timers.now());
-    if (m_gate.lets(incoming.route.name, incoming.workspace, incoming.rank, demands)) {
+    if (m_gate.lets(incoming.route.name, incoming.workspace, incoming.rank, demands, m_parts.timers.now())) {
         return std::nullopt;
     }
     return Refusal { Verdict::NotRun, Reason::DownstreamOverloaded, config::gateRetryAfter };
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "adapters/backend_client.h"
-#include "app/server_demand.h"
 #include "app/settings.h"
 #include "core/admission.h"
 #include "core/call.h"
 #include "core/context_table.h"
+#include "core/server_demand.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
 #include "ports/peer_network.h"
--- a/src/config.h
+++ b/src/config.h
@@ -147,7 +147,7 @@
 /// Growth of the share let through in each interval from then on, and the share from which it grows.
 inline constexpr double gateGrowth = 1.5;
 inline constexpr double gateLeastShare = 0.05;
-/// Time after which a route's downstream service that was not seen again is forgotten.
+/// Time after which a service that no request led to again is forgotten.
 inline constexpr milliseconds downstreamMemory { 60000 };
 /// Keys that one downstream gate counts at most.
 inline constexpr std::size_t maxGateKeys = 16384;
@@ -188,6 +188,11 @@
 inline constexpr milliseconds referenceWork { 50 };
 /// What a request is worth over one of the next lower rank.
 inline constexpr double rankWorth = 16.0;
+/// Time over which the gate averages what each workspace asks, and how often it shares anew; both well above the time
+/// between two requests of a busy workspace. A flow with fewer requests a second is forgotten.
+inline constexpr milliseconds gateDemandWindow { 2000 };
+inline constexpr milliseconds gateLevelInterval { 20 };
+inline constexpr double gateLeastRate = 0.001;
 /// When a caller may ask again after its request was held back.
 inline constexpr milliseconds gateRetryAfter { 300 };
 /// Load over limit from which a backend server counts as loaded.
--- a/src/core/root_gate.cpp
+++ b/src/core/root_gate.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <iterator>
 #include <numeric>
 #include <set>
 
@@ -22,6 +24,15 @@
         }
     }
     m_ranks.assign(ranks.begin(), ranks.end());
+    m_weights.clear();
+    std::ranges::transform(deployment.workspaces, std::inserter(m_weights, m_weights.end()),
+        [](const Workspace& it) { return std::pair(it.name, it.rate); });
+}
+
+double RootGate::weightOf(const std::string& workspace) const
+{
+    const auto it = m_weights.find(workspace);
+    return it == m_weights.end() || it->second <= 0 ? 1 : it->second;
 }
 
 double RootGate::worthOf(const Rank& rank) const
@@ -30,11 +41,27 @@
     return std::pow(config::rankWorth, static_cast<double>(lower));
 }
 
+void RootGate::noteRank(const Rank& rank, const std::vector<ServiceDemand>& demands, TimePoint now)
+{
+    for (const auto& it : demands) {
+        auto& lowest = m_lowest[it.service];
+        if (lowest.seen == TimePoint {} || lowest.rank <= rank || now - lowest.seen >= config::downstreamMemory) {
+            lowest = { rank, now };
+        }
+    }
+}
+
+double RootGate::scaleOf(const std::string& service) const
+{
+    const auto it = m_lowest.find(service);
+    return it == m_lowest.end() ? 1 : worthOf(it->second.rank);
+}
+
 double RootGate::shareOf(const Rank& rank, const std::vector<ServiceDemand>& demands) const
 {
-    const auto burden = std::accumulate(demands.begin(), demands.end(), 0.0, [](double sum, const ServiceDemand& it) {
+    const auto burden = std::accumulate(demands.begin(), demands.end(), 0.0, [this](double sum, const ServiceDemand& it) {
         const auto work = std::chrono::duration<double>(it.work) / std::chrono::duration<double>(config::referenceWork);
-        return sum + it.price * std::sqrt(work);
+        return sum + it.price * scaleOf(it.service) * std::sqrt(work);
     });
     if (burden <= 0) {
         return 1;
@@ -42,20 +69,55 @@
     return std::clamp(worthOf(rank) / burden, config::gateLeastShare, 1.0);
 }
 
-bool RootGate::lets(
-    const std::string& route, const std::string& workspace, const Rank& rank, const std::vector<ServiceDemand>& demands)
+bool RootGate::lets(const std::string& route, const std::string& workspace, const Rank& rank,
+    const std::vector<ServiceDemand>& demands, TimePoint now)
 {
+    auto& group = m_groups[{ route, rank }];
+    auto& flow = group.flows[workspace];
+    flow.demand.add(now);
+    noteRank(rank, demands, now);
     const auto share = shareOf(rank, demands);
     if (share >= 1) {
         return true;
     }
-    auto& credit = m_credits[{ route, workspace }];
-    credit = std::min(credit + share, 1 + share);
-    if (credit < 1) {
+    if (now >= group.levelDue) {
+        updateLevel(group, share, now);
+    }
+    const auto own = std::min(group.level * weightOf(workspace) / flow.demand.rate(now), 1.0);
+    flow.credit = std::min(flow.credit + own, 1 + own);
+    if (flow.credit < 1) {
         return false;
     }
-    credit -= 1;
+    flow.credit -= 1;
     return true;
 }
 
+/// Progressive filling: who asks for less than its part gets all, the others share the rest by weight.
+void RootGate::updateLevel(Group& group, double share, TimePoint now) const
+{
+    group.levelDue = now + config::gateLevelInterval;
+    std::erase_if(group.flows, [now](const auto& entry) { return entry.second.demand.rate(now) < config::gateLeastRate; });
+    struct Asked {
+        double rate;
+        double weight;
+    };
+    std::vector<Asked> asked;
+    std::ranges::transform(group.flows, std::back_inserter(asked),
+        [this, now](const auto& entry) { return Asked { entry.second.demand.rate(now), weightOf(entry.first) }; });
+    std::ranges::sort(asked, {}, [](const Asked& it) { return it.rate / it.weight; });
+    const auto sum = [&asked](auto member) {
+        return std::transform_reduce(asked.begin(), asked.end(), 0.0, std::plus<>(), std::mem_fn(member));
+    };
+    auto left = share * sum(&Asked::rate);
+    auto weight = sum(&Asked::weight);
+    for (const auto& it : asked) {
+        group.level = left / weight;
+        if (it.rate > group.level * it.weight) {
+            return;
+        }
+        left -= it.rate;
+        weight -= it.weight;
+    }
+}
+
 } // namespace pw
--- a/src/app/server_demand.cpp
+++ b/src/core/server_demand.cpp
@@ -1,4 +1,4 @@
-#include "app/server_demand.h"
+#include "core/server_demand.h"
 
 #include "config.h"
 
@@ -30,9 +30,14 @@
 }
 
 void ServerDemand::nestedArrived(const std::string& route, TimePoint now)
+{
+    m_meter.arrived(lengthOf(route, now), now);
+}
+
+Duration ServerDemand::lengthOf(const std::string& route, TimePoint now) const
 {
     const auto it = m_lengths.find(route);
-    m_meter.arrived(it == m_lengths.end() ? Duration(config::referenceWork) : it->second.estimate(now), now);
+    return it == m_lengths.end() ? Duration(config::referenceWork) : it->second.estimate(now);
 }
 
 void ServerDemand::started(const std::string& route)
@@ -68,9 +73,7 @@
 
 std::vector<ServiceDemand> ServerDemand::demandsOf(const std::string& route, const std::string& service, TimePoint now) const
 {
-    const auto it = m_lengths.find(route);
-    const auto length = it == m_lengths.end() ? Duration(config::referenceWork) : it->second.estimate(now);
-    std::vector<ServiceDemand> demands { { service, m_meter.price(), duration_cast<microseconds>(length) } };
+    std::vector<ServiceDemand> demands { { service, m_meter.price(), duration_cast<microseconds>(lengthOf(route, now)) } };
     for (const auto& calls : m_graph.callsOf(route)) {
         for (const auto& below : m_board.of(calls.route, now)) {
             add(demands, below, calls.count);
--- a/src/app/server_demand.h
+++ b/src/core/server_demand.h
@@ -39,6 +39,7 @@
 
 private:
     std::vector<ServiceDemand> demandsOf(const std::string& route, const std::string& service, TimePoint now) const;
+    Duration lengthOf(const std::string& route, TimePoint now) const;
 
     const DemandBoard& m_board;
     PressureMeter m_meter;
--- a/tests/unit/overload_play_test.cpp
+++ b/tests/unit/overload_play_test.cpp
@@ -71,7 +71,7 @@
     void rootArrives()
     {
         const std::vector<ServiceDemand> demands { { "deep", m_heard, work * callsOfARoot } };
-        if (m_gate.lets(route, "", m_rank, demands)) {
+        if (m_gate.lets(route, "", m_rank, demands, m_now)) {
             const auto id = ++m_lastRoot;
             m_roots[id] = { m_now + patience };
             call(id);
--- /dev/null
+++ b/tests/unit/root_gate_test.cpp
@@ -0,0 +1,116 @@
+#include "config.h"
+#include "core/root_gate.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <ostream>
+#include <vector>
+
+namespace {
+
+using namespace pw;
+using namespace std::chrono_literals;
+
+const Rank normal = Importance::Normal;
+
+/// Deployment with a route of each importance and two workspaces of the given rates.
+Deployment deploymentWith(double rateOfA, double rateOfB)
+{
+    Deployment deployment;
+    deployment.routes = { { .name = "critical", .importance = Importance::Critical, .open = true },
+        { .name = "read", .importance = Importance::Normal, .open = true }, { .name = "low", .importance = Importance::Low, .open = true } };
+    deployment.workspaces = { { .name = "a", .rate = rateOfA }, { .name = "b", .rate = rateOfB } };
+    return deployment;
+}
+
+std::vector<ServiceDemand> costing(double price)
+{
+    return { { "deep", price, config::referenceWork } };
+}
+
+/// Requests that come at a steady pace, by workspace.
+struct FairCase {
+    const char* name;
+    double rateOfA; ///< Weight.
+    double rateOfB;
+    int askedByA; ///< Requests a second.
+    int askedByB;
+    double price; ///< One over the share that is let through in all.
+    double leastOfA; ///< Requests a second that must be let through.
+    double leastOfB;
+};
+
+std::ostream& operator<<(std::ostream& out, const FairCase& it)
+{
+    return out << it.name;
+}
+
+// A tenth below the fair share is allowed for single requests and the averaging.
+const std::vector<FairCase> fairCases {
+    { "greedy beside modest: modest gets all", 1, 1, 400, 80, 2, 0.9 * 160, 0.9 * 80 },
+    { "equal asks, equal weights", 1, 1, 200, 200, 4, 0.9 * 50, 0.9 * 50 },
+    { "equal asks, weights of three to one", 3, 1, 200, 200, 4, 0.9 * 75, 0.9 * 25 },
+    { "greedy with the smaller weight", 1, 3, 800, 100, 4.5, 0.9 * 100, 0.9 * 100 },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RootGates)
+
+/// The load: a saturated service behind a route, one workspace asking for more than its part.
+BOOST_DATA_TEST_CASE(workspacesShareWhatIsLetThroughByTheirWeights, boost::unit_test::data::make(fairCases), it)
+{
+    RootGate gate;
+    gate.configure(deploymentWith(it.rateOfA, it.rateOfB));
+    std::map<std::string, int> passed;
+    const TimePoint begin(1h);
+    constexpr auto warmUp = 10s;
+    constexpr auto measured = 20s;
+    const auto ask = [&](const char* workspace, int perSecond, int millisecond) {
+        if ((millisecond * perSecond) / 1000 == ((millisecond + 1) * perSecond) / 1000) {
+            return;
+        }
+        const auto now = begin + std::chrono::milliseconds(millisecond);
+        const auto lets = gate.lets("read", workspace, normal, costing(it.price), now);
+        passed[workspace] += lets && now >= begin + warmUp ? 1 : 0;
+    };
+    for (auto millisecond = 0; millisecond < std::chrono::milliseconds(warmUp + measured).count(); ++millisecond) {
+        ask("a", it.askedByA, millisecond);
+        ask("b", it.askedByB, millisecond);
+    }
+    BOOST_TEST(passed["a"] >= it.leastOfA * measured.count());
+    BOOST_TEST(passed["b"] >= it.leastOfB * measured.count());
+    BOOST_TEST(passed["a"] + passed["b"] <= 1.1 * (it.askedByA + it.askedByB) / it.price * measured.count());
+}
+
+/// The load: a scarce service that only one rank leads to, between others that do not.
+BOOST_AUTO_TEST_CASE(aPriceCountsAtOnceWhereNoLowerRankLeadsToTheService)
+{
+    RootGate gate;
+    gate.configure(deploymentWith(1, 1));
+    const TimePoint now(1h);
+    gate.lets("read", "a", normal, costing(2), now);
+    BOOST_TEST(gate.shareOf(normal, costing(2)) == 0.5, boost::test_tools::tolerance(0.01));
+    // A lower rank that leads there is held back first.
+    gate.lets("low", "a", Importance::Low, costing(2), now);
+    BOOST_TEST(gate.shareOf(normal, costing(2)) == 1.0);
+    BOOST_TEST(gate.shareOf(Importance::Low, costing(2)) == 0.5, boost::test_tools::tolerance(0.01));
+}
+
+/// A lower rank that was not seen for long is no reason to let everything through.
+BOOST_AUTO_TEST_CASE(aLowerRankIsForgotten)
+{
+    RootGate gate;
+    gate.configure(deploymentWith(1, 1));
+    const TimePoint now(1h);
+    gate.lets("low", "a", Importance::Low, costing(2), now);
+    gate.lets("read", "a", normal, costing(2), now + config::downstreamMemory / 2);
+    BOOST_TEST(gate.shareOf(normal, costing(2)) == 1.0);
+    gate.lets("read", "a", normal, costing(2), now + config::downstreamMemory);
+    BOOST_TEST(gate.shareOf(normal, costing(2)) == 0.5, boost::test_tools::tolerance(0.01));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tools/measure-overload/hop.cpp
+++ b/tools/measure-overload/hop.cpp
@@ -14,6 +14,7 @@
         , m_request(request)
         , m_done(std::move(done))
     {
+        m_request.from = &m_node.entry().name;
     }
 
     void start()
@@ -45,12 +46,12 @@
         if (m_request.nested || !world().strategy.gate) {
             return false;
         }
-        auto refusal = m_node.m_gate.check(route().name, m_request.rank, m_request.workspace, events().now());
-        if (!refusal) {
+        const auto demands = m_node.m_board.of(route().name, events().now());
+        if (m_node.m_gate.lets(route().name, m_request.workspace, m_request.rank, demands, events().now())) {
             return false;
         }
         Answer answer;
-        answer.refusal = *refusal;
+        answer.refusal = { Verdict::NotRun, Reason::DownstreamOverloaded, config::gateRetryAfter };
         end(answer);
         return true;
     }
@@ -99,9 +100,7 @@
         m_node.m_picker.finished(m_server->entry().name, outcome, events().now() - m_sentAt, &answer.load, events().now());
         m_server = nullptr;
         m_request.attempts = answer.attemptsUnused;
-        if (!m_request.nested) {
-            m_node.m_gate.onAnswer(route().name, m_request.rank, m_request.workspace, answer, events().now());
-        }
+        m_node.m_board.learn(route().name, answer.demands, events().now());
         if (answer.whole()) {
             m_node.m_retry.onWhole();
             end(answer);
--- a/tools/measure-overload/node.cpp
+++ b/tools/measure-overload/node.cpp
@@ -75,12 +75,14 @@
     , m_entry(entry)
     , m_service(service)
     , m_picker(world.random())
+    , m_demand(m_board)
     , m_contexts([&world] {
         ContextTable::Token token;
         std::ranges::generate(token, [&world] { return static_cast<std::byte>(world.random()); });
         return token;
     })
 {
+    configureGate();
     if (world.strategy.limit.empty()) {
         return;
     }
@@ -94,14 +96,42 @@
     }
 }
 
+void Node::configureGate()
+{
+    Deployment deployment;
+    for (const auto& model : m_world.deployment.routes) {
+        deployment.routes.push_back({ .name = model.name, .importance = model.importance, .open = true });
+    }
+    for (std::size_t w = 0; w < m_world.deployment.workspaceRates.size(); ++w) {
+        deployment.workspaces.push_back({ .name = "w" + std::to_string(w), .rate = m_world.deployment.workspaceRates[w] });
+    }
+    m_gate.configure(deployment);
+}
+
+void Node::updateDemand()
+{
+    const auto now = m_world.events.now();
+    m_demand.update(std::min<double>(m_admission->capacity(), m_admission->limit()), m_admission->nestedWait(now), now);
+}
+
+Answer Node::signedAnswer(const Request& request, Answer answer)
+{
+    if (!m_admission) {
+        return answer;
+    }
+    updateDemand();
+    answer.load = m_admission->hint();
+    answer.demands = m_demand.tell(*request.from, m_world.deployment.routes[request.route].name, m_entry.service, m_world.events.now());
+    return answer;
+}
+
 void Node::receive(std::uint64_t id, const Request& request, Done done)
 {
     auto refuse = [&](const Refusal& refusal) {
         Answer answer;
         answer.refusal = refusal;
         answer.attemptsUnused = request.attempts - 1;
-        answer.load = m_admission ? m_admission->hint() : LoadHint {};
-        done(answer);
+        done(signedAnswer(request, answer));
     };
     auto now = m_world.events.now();
     if (!m_admission) {
@@ -118,6 +148,9 @@
     if (!m_world.strategy.importance) {
         item = { id, Importance::Normal, false, {}, request.deadline };
     }
+    if (request.nested) {
+        m_demand.nestedArrived(m_world.deployment.routes[request.route].name, now);
+    }
     auto result = m_admission->offer(item, now);
     if (result.outcome == AdmissionOutcome::Refused) {
         refuse(result.refusal);
@@ -181,6 +214,7 @@
     ++m_busy;
     run->working = true;
     run->began = m_world.events.now();
+    m_demand.started(m_world.deployment.routes[run->request.route].name);
     auto duration = m_world.sampleWork(run->request.route, m_busy);
     m_world.events.after(duration, [this, id, run, duration] {
         auto& root = *run->request.root;
@@ -222,6 +256,7 @@
             nestedDone(id, run, route, answer);
             return;
         }
+        m_demand.called(m_world.deployment.routes[route].name);
         Request request { route, run->request.workspace, run->request.rank, run->request.deadline, true,
             granted.grant->depth, granted.grant->attempts, run->request.root };
         run->cancelNested.push_back(
@@ -271,8 +306,7 @@
         answer.attemptsUnused = closed.attemptsUnused;
         answer.downstream = closed.downstream;
         answer.saturated = closed.saturated;
-        answer.load = m_admission ? m_admission->hint() : LoadHint {};
-        run->done(answer);
+        run->done(signedAnswer(run->request, answer));
     }
     if (m_admission) {
         m_world.events.after(Duration(0), [this] { pollAdmission(); });
@@ -290,6 +324,7 @@
         m_world.totals.wasted += m_world.events.now() - run->began;
     }
     std::chrono::duration<double> held = m_world.events.now() - run->began;
+    m_demand.ended(m_world.deployment.routes[run->request.route].name, m_world.events.now() - run->began, m_world.events.now());
     run->request.root->slotSeconds[m_service] += held.count();
     if (!m_backlog.empty()) {
         auto id = m_backlog.front();
--- a/tools/measure-overload/node.h
+++ b/tools/measure-overload/node.h
@@ -5,9 +5,11 @@
 
 #include "core/admission.h"
 #include "core/context_table.h"
-#include "core/downstream_gate.h"
+#include "core/demand_board.h"
 #include "core/picker.h"
 #include "core/retry.h"
+#include "core/root_gate.h"
+#include "core/server_demand.h"
 
 #include <deque>
 #include <functional>
@@ -47,6 +49,7 @@
     std::uint8_t depth = 0;
     std::uint32_t attempts = 0; ///< Including the one that is sent.
     RootPtr root;
+    const std::string* from = nullptr; ///< Daemon that sends it.
 };
 
 using Done = std::function<void(const Answer&)>;
@@ -115,6 +118,10 @@
     };
     using RunPtr = std::shared_ptr<Run>;
 
+    void configureGate();
+    void updateDemand();
+    /// Adds what every answer of this daemon says: the server's load and what a request of the route costs.
+    Answer signedAnswer(const Request& request, Answer answer);
     void pollAdmission();
     void scheduleWake();
     void begin(std::uint64_t id);
@@ -129,7 +136,9 @@
     ServerEntry m_entry;
     std::size_t m_service;
     Picker m_picker;
-    DownstreamGate m_gate;
+    DemandBoard m_board;
+    ServerDemand m_demand;
+    RootGate m_gate;
     RetryPolicy m_retry;
     ContextTable m_contexts;
     std::unique_ptr<Admission> m_admission; ///< Null without control.
