--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -116,6 +116,7 @@
 {
     if (m_server) {
         m_metrics->watch(*m_server);
+        m_server->runFinished().connect([this](const RunRecord& record) { m_metrics->count(record); });
     }
     m_metrics->watch(m_network.traffic());
     m_reporter = std::make_unique<DaemonReporter>(m_settings, *m_session, *m_view, m_timers, m_server.get());
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -1,5 +1,7 @@
 #include "app/daemon_metrics.h"
 
+#include "app/metric_catalogue.h"
+
 #include <array>
 
 namespace pw {
@@ -13,6 +15,14 @@
         "claim-fetch", "claim-fetched", "server-report", "view-delta", "operator-ask", "operator-reply"
     };
 
+    std::string outcomeOf(const Refusal& refusal)
+    {
+        if (refusal.reason == Reason::None) {
+            return "whole";
+        }
+        return refusal.verdict == Verdict::NotRun ? "refused" : "failed";
+    }
+
 } // namespace
 
 DaemonMetrics::DaemonMetrics(Timers& timers)
@@ -40,32 +50,49 @@
         { "verdict", std::string(verdictName(record.refusal.verdict)) },
         { "reason", std::string(reasonInfo(record.refusal.reason).name) },
     };
-    m_metrics.counter("pistachiowheel_requests_total", "Requests of callers, by their end.", labels).add();
-    auto micros = std::chrono::duration_cast<std::chrono::microseconds>(record.latency);
-    m_metrics.summary("pistachiowheel_request_seconds", "Time from a request to its answer.", { { "route", record.route } }).observe(micros);
+    const auto& requests = metricInfo(Metric::Requests);
+    m_metrics.counter(requests.name, requests.help, labels).add();
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(record.latency);
+    const auto& quantiles = metricInfo(Metric::RequestQuantiles);
+    m_metrics.summary(quantiles.name, quantiles.help, { { "route", record.route } }).observe(micros);
+    observe(Metric::RequestLatency, { { "route", record.route }, { "outcome", outcomeOf(record.refusal) } }, record.latency);
+}
+
+void DaemonMetrics::count(const RunRecord& record)
+{
+    observe(Metric::BackendWait, { { "route", record.route } }, record.wait);
+    observe(Metric::BackendRun, { { "route", record.route } }, record.run);
+}
+
+void DaemonMetrics::observe(Metric metric, const MetricLabels& labels, Duration time)
+{
+    const auto& info = metricInfo(metric);
+    m_metrics.histogram(info.name, info.help, labels).observe(std::chrono::duration_cast<std::chrono::microseconds>(time));
 }
 
 void DaemonMetrics::watch(const ServerRole& server)
 {
-    auto gauge = [&](std::string_view name, std::string_view help, std::uint32_t LoadHint::*member) {
-        m_metrics.gauge(name, help, {}, [&server, member] { return static_cast<double>(server.load().*member); });
+    auto gauge = [&](Metric metric, std::uint32_t LoadHint::*member) {
+        const auto& info = metricInfo(metric);
+        m_metrics.gauge(info.name, info.help, {}, [&server, member] { return static_cast<double>(server.load().*member); });
     };
-    gauge("pistachiowheel_backend_running", "Requests running at the backend server.", &LoadHint::running);
-    gauge("pistachiowheel_backend_queued", "Requests waiting for the backend server.", &LoadHint::queued);
-    gauge("pistachiowheel_backend_limit", "Concurrency limit of the backend server.", &LoadHint::limit);
+    gauge(Metric::BackendRunning, &LoadHint::running);
+    gauge(Metric::BackendQueued, &LoadHint::queued);
+    gauge(Metric::BackendLimit, &LoadHint::limit);
 }
 
 void DaemonMetrics::watch(const LinkTrafficTable& traffic)
 {
-    auto gauge = [&](std::string_view name, std::string_view help, std::uint64_t LinkTraffic::*member) {
+    auto gauge = [&](Metric metric, std::uint64_t LinkTraffic::*member) {
+        const auto& info = metricInfo(metric);
         for (std::size_t n = 0; n < traffic.size(); ++n) {
-            m_metrics.gauge(name, help, { { "kind", kindNames.at(n) } }, [&traffic, n, member] { return static_cast<double>(traffic.at(n).*member); });
+            m_metrics.gauge(info.name, info.help, { { "kind", kindNames.at(n) } }, [&traffic, n, member] { return static_cast<double>(traffic.at(n).*member); });
         }
     };
-    gauge("pistachiowheel_link_sent_bytes", "Bytes sent to other daemons.", &LinkTraffic::sentBytes);
-    gauge("pistachiowheel_link_received_bytes", "Bytes received from other daemons.", &LinkTraffic::receivedBytes);
-    gauge("pistachiowheel_link_sent_frames", "Messages sent to other daemons.", &LinkTraffic::sentFrames);
-    gauge("pistachiowheel_link_received_frames", "Messages received from other daemons.", &LinkTraffic::receivedFrames);
+    gauge(Metric::LinkSentBytes, &LinkTraffic::sentBytes);
+    gauge(Metric::LinkReceivedBytes, &LinkTraffic::receivedBytes);
+    gauge(Metric::LinkSentFrames, &LinkTraffic::sentFrames);
+    gauge(Metric::LinkReceivedFrames, &LinkTraffic::receivedFrames);
 }
 
 } // namespace pw
--- a/src/app/daemon_metrics.h
+++ b/src/app/daemon_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/peer_link.h"
+#include "app/metric_catalogue.h"
 #include "app/metrics.h"
 #include "app/request_record.h"
 #include "app/server_role.h"
@@ -19,6 +20,9 @@
     /// Counts one finished request of a caller.
     void count(const RequestRecord& record);
 
+    /// Counts one finished run at the backend server.
+    void count(const RunRecord& record);
+
     /// Shows the load of \p server, which must outlive this object.
     void watch(const ServerRole& server);
 
@@ -29,6 +33,7 @@
 
 private:
     void tick();
+    void observe(Metric metric, const MetricLabels& labels, Duration time);
 
     Timers& m_timers;
     TimerId m_tickTimer = 0;
--- /dev/null
+++ b/src/app/metric_catalogue.cpp
@@ -0,0 +1,30 @@
+#include "app/metric_catalogue.h"
+
+#include <array>
+
+namespace pw {
+namespace {
+
+    constexpr std::array<MetricInfo, static_cast<std::size_t>(Metric::Count)> table { {
+        { "pistachiowheel_requests_total", "counter", "route,workspace,verdict,reason", "Requests of callers, by their end." },
+        { "pistachiowheel_request_seconds", "summary", "route", "Time from a request to its answer." },
+        { "pistachiowheel_request_latency_seconds", "histogram", "route,outcome", "Time from a request to its answer, by outcome." },
+        { "pistachiowheel_backend_wait_seconds", "histogram", "route", "Time that requests which ran waited for the backend server." },
+        { "pistachiowheel_backend_run_seconds", "histogram", "route", "Time that requests ran at the backend server." },
+        { "pistachiowheel_backend_running", "gauge", "", "Requests running at the backend server." },
+        { "pistachiowheel_backend_queued", "gauge", "", "Requests waiting for the backend server." },
+        { "pistachiowheel_backend_limit", "gauge", "", "Concurrency limit of the backend server." },
+        { "pistachiowheel_link_sent_bytes", "gauge", "kind", "Bytes sent to other daemons." },
+        { "pistachiowheel_link_received_bytes", "gauge", "kind", "Bytes received from other daemons." },
+        { "pistachiowheel_link_sent_frames", "gauge", "kind", "Messages sent to other daemons." },
+        { "pistachiowheel_link_received_frames", "gauge", "kind", "Messages received from other daemons." },
+    } };
+
+} // namespace
+
+const MetricInfo& metricInfo(Metric metric)
+{
+    return table.at(static_cast<std::size_t>(metric));
+}
+
+} // namespace pw
--- /dev/null
+++ b/src/app/metric_catalogue.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace pw {
+
+/// Metrics of a daemon. Each has a row in the table of metric_catalogue.cpp and in docs/METRICS.md.
+enum class Metric : std::uint8_t {
+    Requests,
+    RequestQuantiles,
+    RequestLatency,
+    BackendWait,
+    BackendRun,
+    BackendRunning,
+    BackendQueued,
+    BackendLimit,
+    LinkSentBytes,
+    LinkReceivedBytes,
+    LinkSentFrames,
+    LinkReceivedFrames,
+    Count
+};
+
+/// Row of the metric table.
+struct MetricInfo {
+    std::string_view name; ///< Ends in its unit.
+    std::string_view type; ///< As in the text format.
+    std::string_view labels; ///< Separated by commas; empty for none.
+    std::string_view help;
+};
+
+/// \returns the row of \p metric.
+const MetricInfo& metricInfo(Metric metric);
+
+} // namespace pw
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -63,6 +63,17 @@
         out << name << "_count" << braced(labels) << ' ' << summary.count() << '\n';
     }
 
+    void renderHistogram(std::ostream& out, const std::string& name, const std::string& labels, const Histogram& histogram)
+    {
+        const std::string comma = labels.empty() ? "" : ",";
+        for (std::size_t n = 0; n < Histogram::bounds.size(); ++n) {
+            out << name << "_bucket{" << labels << comma << "le=\"" << Histogram::bounds.at(n) << "\"} " << histogram.countUpTo(n) << '\n';
+        }
+        out << name << "_bucket{" << labels << comma << "le=\"+Inf\"} " << histogram.count() << '\n';
+        out << name << "_sum" << braced(labels) << ' ' << seconds(histogram.sum()) << '\n';
+        out << name << "_count" << braced(labels) << ' ' << histogram.count() << '\n';
+    }
+
     /// \returns the name of the rate that goes with a counter.
     std::string rateName(const std::string& counter)
     {
@@ -131,6 +142,28 @@
     return window.first.at(static_cast<std::size_t>(std::lround(quantiles.at(n) * static_cast<double>(last))));
 }
 
+Histogram::Histogram()
+    : m_buckets(Axis(bounds.begin(), bounds.end()))
+{
+}
+
+void Histogram::observe(std::chrono::microseconds value)
+{
+    ++m_count;
+    m_sum += value;
+    // The library's buckets hold their lower bound, those of the text format their upper one.
+    m_buckets(std::nextafter(seconds(value), 0.0));
+}
+
+std::uint64_t Histogram::countUpTo(std::size_t n) const
+{
+    double sum = 0;
+    for (auto it = -1; it < static_cast<int>(n); ++it) {
+        sum += m_buckets.at(it);
+    }
+    return static_cast<std::uint64_t>(sum);
+}
+
 template <typename Item>
 Item& Metrics::find(Families<Item>& families, std::string_view name, std::string_view help, const MetricLabels& labels)
 {
@@ -162,6 +195,11 @@
     return find(m_summaries, name, help, labels);
 }
 
+Histogram& Metrics::histogram(std::string_view name, std::string_view help, const MetricLabels& labels)
+{
+    return find(m_histograms, name, help, labels);
+}
+
 void Metrics::gauge(std::string_view name, std::string_view help, const MetricLabels& labels, std::function<double()> read)
 {
     assert(read);
@@ -217,6 +255,12 @@
             renderSummary(out, name, labels, *item);
         }
     }
+    for (const auto& [name, family] : m_histograms) {
+        renderHead(out, name, family.help, "histogram");
+        for (const auto& [labels, item] : family.items) {
+            renderHistogram(out, name, labels, *item);
+        }
+    }
     return out.str();
 }
 
--- a/src/app/metrics.h
+++ b/src/app/metrics.h
@@ -6,6 +6,7 @@
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/rolling_mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/histogram.hpp>
 
 #include <array>
 #include <chrono>
@@ -15,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace pw {
@@ -86,6 +88,30 @@
     Window m_previous;
 };
 
+/// Counts of a latency by buckets, from the start of the daemon.
+class Histogram {
+public:
+    /// Upper bounds of the buckets in seconds; one more holds what is above.
+    static constexpr std::array<double, 13> bounds { 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10 };
+
+    Histogram();
+
+    void observe(std::chrono::microseconds value);
+
+    std::uint64_t count() const { return m_count; }
+    std::chrono::microseconds sum() const { return m_sum; }
+
+    /// \returns how many values were at most the n-th of bounds.
+    std::uint64_t countUpTo(std::size_t n) const;
+
+private:
+    using Axis = boost::histogram::axis::variable<double>;
+
+    boost::histogram::histogram<std::tuple<Axis>> m_buckets;
+    std::uint64_t m_count = 0;
+    std::chrono::microseconds m_sum { 0 };
+};
+
 /// All metrics of a daemon, rendered in the text format of Prometheus.
 class Metrics {
 public:
@@ -95,6 +121,9 @@
     /// \returns the summary \p name with \p labels, made when new; stays valid. Names end in "_seconds".
     Summary& summary(std::string_view name, std::string_view help, const MetricLabels& labels = {});
 
+    /// \returns the histogram \p name with \p labels, made when new; stays valid. Names end in "_seconds".
+    Histogram& histogram(std::string_view name, std::string_view help, const MetricLabels& labels = {});
+
     /// Adds a value that is read when the metrics are rendered.
     void gauge(std::string_view name, std::string_view help, const MetricLabels& labels, std::function<double()> read);
 
@@ -118,6 +147,7 @@
 
     Families<Counter> m_counters;
     Families<Summary> m_summaries;
+    Families<Histogram> m_histograms;
     Families<std::function<double()>> m_gauges;
     std::size_t m_series = 0;
     TimePoint m_nextTick {};
--- a/src/app/request_record.h
+++ b/src/app/request_record.h
@@ -16,4 +16,11 @@
     Duration latency { 0 };
 };
 
+/// One finished run at the backend server, for metrics.
+struct RunRecord {
+    std::string route;
+    Duration wait { 0 }; ///< Before it began.
+    Duration run { 0 };
+};
+
 } // namespace pw
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/codec_call.h"
 #include "adapters/crypto.h"
+#include "adapters/http_status.h"
 #include "config.h"
 #include "core/header_rules.h"
 
@@ -263,7 +264,8 @@
     auto id = ++m_lastId;
     Work work;
     work.name = { from, call.id };
-    work.deadline = m_timers.now() + call.timeLeft;
+    work.arrived = m_timers.now();
+    work.deadline = work.arrived + call.timeLeft;
     work.call = std::move(call);
     work.done = std::move(done);
     m_names.emplace(work.name, id);
@@ -359,6 +361,7 @@
     auto now = m_timers.now();
     auto context = closeContext(work);
     m_demand.ended(work.call.route, now - work.began, now);
+    m_runFinished.emit({ work.call.route, work.began - work.arrived, now - work.began });
     m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
     Answer reply;
     reply.refusal = result.refusal;
@@ -374,6 +377,10 @@
             { "reason", reasonInfo(result.refusal.reason).name }, { "verdict", verdictName(result.refusal.verdict) },
             { "detail", result.detail }, { "instance", m_latest.instance });
     }
+    if (reply.whole() && reply.status >= http_status::internalError) {
+        PW_EVENT(m_log, Event::BackendError, { "request", work.call.requestId }, { "route", work.call.route }, { "status", reply.status },
+            { "instance", m_latest.instance }, { "micros", std::chrono::duration_cast<std::chrono::microseconds>(now - work.began).count() });
+    }
     answer(id, std::move(reply));
     pump();
 }
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/backend_client.h"
+#include "app/request_record.h"
 #include "app/settings.h"
 #include "core/admission.h"
 #include "core/call.h"
@@ -74,6 +75,7 @@
     void noteNestedCall(const std::string& route) { m_demand.called(route); }
     /// Emitted with the context token of a request that has ended; nested calls made for it are orphans from then on.
     sigc::signal<void(const std::string& token)>& contextClosed() { return m_contextClosed; }
+    sigc::signal<void(const RunRecord&)>& runFinished() { return m_runFinished; }
     /// \returns calls that are queued or running.
     std::size_t pending() const { return m_work.size(); }
     /// \returns the backend server's entry as last published.
@@ -90,6 +92,7 @@
         Done done;
         TimePoint deadline {};
         bool running = false; ///< Otherwise it is queued.
+        TimePoint arrived {};
         TimePoint began {}; ///< When it began to run.
         std::string token; ///< Of a running one, when the protocol has tokens.
         std::uint64_t exchange = 0;
@@ -148,6 +151,7 @@
     std::unordered_map<std::uint64_t, Work> m_work;
     std::map<CallName, std::uint64_t> m_names;
     sigc::signal<void(const std::string& token)> m_contextClosed;
+    sigc::signal<void(const RunRecord&)> m_runFinished;
 };
 
 } // namespace pw
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -30,6 +30,7 @@
         { 401, "backend-left", Level::Info, false },
         { 402, "backend-lapsed", Level::Warning, false },
         { 403, "backend-failed", Level::Warning, true },
+        { 406, "backend-error", Level::Info, true },
         { 500, "configuration-applied", Level::Info, false },
         { 501, "validity-lapsed", Level::Warning, false },
         { 502, "validity-renewed", Level::Info, false },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -45,6 +45,7 @@
     BackendLeft,
     BackendLapsed,
     BackendFailed,
+    BackendError,
     ConfigurationApplied,
     ValidityLapsed,
     ValidityRenewed,
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -95,4 +95,23 @@
     BOOST_TEST(static_cast<std::size_t>(std::ranges::count(text, '\n')) <= 2 * (pw::config::maxMetricSeries + 1) + 4);
 }
 
+/// Values on a bound count in its bucket.
+BOOST_AUTO_TEST_CASE(histogramsCountByBuckets)
+{
+    pw::Metrics metrics;
+    auto& histogram = metrics.histogram("run_seconds", "Runs.", { { "route", "share" } });
+    for (const auto value : { 0us, 1000us, 1001us, 250'000us, 10'000'000us, 10'000'001us }) {
+        histogram.observe(value);
+    }
+    const auto text = metrics.render();
+    BOOST_TEST(contains(text, "# TYPE run_seconds histogram\nrun_seconds_bucket{route=\"share\",le=\"0.001\"} 2\n"), text);
+    BOOST_TEST(contains(text, "{route=\"share\",le=\"0.0025\"} 3\n"), text);
+    BOOST_TEST(contains(text, "{route=\"share\",le=\"0.1\"} 3\n"), text);
+    BOOST_TEST(contains(text, "{route=\"share\",le=\"0.25\"} 4\n"), text);
+    BOOST_TEST(contains(text, "{route=\"share\",le=\"10\"} 5\n"), text);
+    BOOST_TEST(contains(text, "{route=\"share\",le=\"+Inf\"} 6\n"), text);
+    BOOST_TEST(contains(text, "run_seconds_count{route=\"share\"} 6\n"), text);
+    BOOST_TEST(contains(text, "run_seconds_sum{route=\"share\"} 20.252002\n"), text);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
