--- a/src/config.h
+++ b/src/config.h
@@ -153,7 +153,7 @@
 inline constexpr double pressureRise = 4.0;
 inline constexpr double pressureFall = 6.0;
 /// Bounds of the price's logarithm; at the least one slots are not scarce.
-inline constexpr double leastLogPrice = -2.0;
+inline constexpr double leastLogPrice = -1.0;
 inline constexpr double mostLogPrice = 12.0;
 /// Binary orders of magnitude by which a price changes between two log lines, and the shortest time between them.
 inline constexpr double priceReportStep = 2.0;
