Send a new daemon's first view at once, though its predecessor had one lately

Cause: a control member sends one daemon a whole view every 3 s at most, by address. A daemon that restarts within that time of its predecessor's last move to the member got empty answers: it had the configuration and no server for up to 3 s, and its server's calls were refused with no-backend-server. Ruled out: the member lacking the servers (its other daemons placed calls); the configuration (applied 15 ms before the first refusal). Change: a daemon that follows no member yet is bound by 0.5 s instead.

--- a/src/app/control_view.cpp
+++ b/src/app/control_view.cpp
@@ -115,6 +115,12 @@
         m_network.send(from, MessageKind::ServerReport, encodeViewMessage(MemberRecords { true, m_view.vouched() }));
     }
 
+    /// \returns the shortest time between two whole views: a new process has no view yet and cannot serve without it.
+    static Duration wholeIntervalFor(const DaemonReport& report)
+    {
+        return report.stream == 0 ? config::viewFirstInterval : config::viewWholeInterval;
+    }
+
     /// Answers a report with what the daemon lacks, often nothing.
     void reply(const PeerAddress& address, Daemon& daemon, const DaemonReport& report, bool wantEntry)
     {
@@ -131,7 +137,7 @@
             delta.changes = m_view.changesAfter(report.position);
         } else if (sameView) {
             delta.whole = true;
-        } else if (now - daemon.wholeSent >= config::viewWholeInterval) {
+        } else if (now - daemon.wholeSent >= wholeIntervalFor(report)) {
             daemon.wholeSent = now;
             delta.whole = true;
             delta.replace = m_view.settled(now);
--- a/src/config.h
+++ b/src/config.h
@@ -377,5 +377,7 @@
 inline constexpr milliseconds viewTombstone { 60000 };
 /// Shortest time between two whole views sent to one daemon.
 inline constexpr milliseconds viewWholeInterval { 3000 };
+/// The same for a daemon that follows no member yet: longer than an answer takes, shorter than viewReportInterval.
+inline constexpr milliseconds viewFirstInterval { 500 };
 
 } // namespace pw::config
--- a/tests/unit/view_test.cpp
+++ b/tests/unit/view_test.cpp
@@ -214,6 +214,18 @@
     BOOST_TEST(fleet.allSee(3, true));
 }
 
+/// A daemon that restarts soon after its last start was sent the whole view lately, but its new process has none of it.
+BOOST_DATA_TEST_CASE(daemonThatRestartsAgainSeesTheServersWithItsFirstReport, boost::unit_test::data::xrange(1, 41), seed)
+{
+    ViewFleet fleet(static_cast<std::uint64_t>(seed), daemons);
+    fleet.timers.run(5s);
+    fleet.startDaemon(5);
+    fleet.timers.run(1500ms);
+    fleet.startDaemon(5);
+    fleet.timers.run(config::viewReportInterval + 200ms);
+    BOOST_TEST(fleet.seenBy(5) >= daemons - 1);
+}
+
 BOOST_AUTO_TEST_CASE(silentServerLapses)
 {
     ViewFleet fleet(2, daemons);
