--- a/tools/measure-overload/node.cpp
+++ b/tools/measure-overload/node.cpp
@@ -111,7 +111,7 @@
 void Node::updateDemand()
 {
     const auto now = m_world.events.now();
-    m_demand.update(std::min<double>(m_admission->capacity(), m_admission->limit()), m_admission->nestedWait(now), now);
+    m_demand.update(m_admission->capacity(), m_admission->nestedWait(now), now);
 }
 
 Answer Node::signedAnswer(const Request& request, Answer answer)
