--- a/src/core/root_gate.h
+++ b/src/core/root_gate.h
@@ -18,8 +18,9 @@
 /// A request's burden is the sum of price and work over those services. The work counts by its root, so that of two
 /// kinds of equal rank the cheaper one is served more, but neither starves. The share that is let through is worth over
 /// burden, so that the work let through answers to the price in proportion; each rank is worth a fixed multiple of the
-/// next, and one by itself where no lower one leads to the service: its price needs no time to rise to where it counts. Requests of one route and rank share what is let through by the weights of their workspaces: none gets more for
-/// asking more.
+/// next, and one by itself where no lower one leads to the service: its price needs no time to rise to where it counts.
+/// Requests of one route and rank share what is let through by the weights of their workspaces: none gets more for asking
+/// more.
 /// Answers the load of a saturated deep service behind several kinds of request, one workspace asking for most.
 class RootGate {
 public:
