--- a/tests/unit/deployment_yaml_test.cpp
+++ b/tests/unit/deployment_yaml_test.cpp
@@ -1,4 +1,5 @@
 #include "app/deployment_yaml.h"
+#include "support/text_change.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -19,16 +20,8 @@
   - { name: trader-1, rate: 0.1, burst: 20 }
 )";
 
-struct Row {
-    std::string from; ///< Part of the valid text.
-    std::string to; ///< What stands there instead.
-    std::string expected; ///< Part of the reason.
-};
-
-std::ostream& operator<<(std::ostream& out, const Row& row)
-{
-    return out << row.from << " -> " << row.to;
-}
+using Row = pw::test::TextChange;
+using pw::test::replaced;
 
 const std::vector<Row> wrongRows {
     { "name: turbines", "name: shares", "c.yaml:3: services[1].name: \"shares\" is taken" },
@@ -90,10 +83,7 @@
 
 BOOST_DATA_TEST_CASE(wrongTextIsExplained, data::make(wrongRows), row)
 {
-    auto text = validText;
-    auto at = text.find(row.from);
-    BOOST_TEST_REQUIRE(at != std::string::npos);
-    text.replace(at, row.from.size(), row.to);
+    const auto text = replaced(validText, row);
     std::string reason;
     BOOST_TEST(!pw::parseDeployment(text, reason, "c.yaml").has_value());
     BOOST_TEST(reason.find(row.expected) != std::string::npos, reason);
--- a/tests/unit/platform_configuration_test.cpp
+++ b/tests/unit/platform_configuration_test.cpp
@@ -1,6 +1,7 @@
 #include "configuration_document.h"
 
 #include "adapters/crypto.h"
+#include "support/text_change.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -29,16 +30,7 @@
  "shop":{"api_keys":["key-one","key-two"],"priority":1,"rate_per_s":72,"burst":80},
  "office":{"api_keys":["key-three"]}}})";
 
-struct Row {
-    std::string from; ///< Part of the valid text.
-    std::string to; ///< What stands there instead.
-    std::string expected; ///< Part of the reason.
-};
-
-std::ostream& operator<<(std::ostream& out, const Row& row)
-{
-    return out << row.from << " -> " << row.to;
-}
+using Row = pw::test::TextChange;
 
 const std::vector<Row> wrongRows {
     { R"("service":"ledger")", R"("service":"nobody")", "unknown service" },
@@ -74,10 +66,7 @@
 
 std::string replaced(const Row& row)
 {
-    auto text = validText;
-    const auto at = text.find(row.from);
-    BOOST_TEST_REQUIRE(at != std::string::npos, row.from);
-    return text.replace(at, row.from.size(), row.to);
+    return pw::test::replaced(validText, row);
 }
 
 pw::platform::ConfigurationDocument valid(const std::string& text = validText)
--- a/tests/unit/platform_heartbeat_test.cpp
+++ b/tests/unit/platform_heartbeat_test.cpp
@@ -1,4 +1,5 @@
 #include "heartbeat.h"
+#include "support/text_change.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -15,15 +16,7 @@
                               R"("info":{"service":"guide","config_version":"v1","zone":"kol-a","max_concurrency":87},)"
                               R"("status":{"state":"ready","seq":4,"cold_remaining_s":1.25}})";
 
-struct Row {
-    std::string from; ///< Part of the valid text.
-    std::string to; ///< What stands there instead.
-};
-
-std::ostream& operator<<(std::ostream& out, const Row& row)
-{
-    return out << row.from << " -> " << row.to;
-}
+using Row = pw::test::TextChange;
 
 /// Heartbeats of other writers: they name no server to use.
 const std::vector<Row> wrongRows {
@@ -63,10 +56,7 @@
 
 std::string replaced(const Row& row)
 {
-    auto text = validText;
-    const auto at = text.find(row.from);
-    BOOST_TEST_REQUIRE(at != std::string::npos, row.from);
-    return text.replace(at, row.from.size(), row.to);
+    return pw::test::replaced(validText, row);
 }
 
 } // namespace
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -1,5 +1,6 @@
 #include "app/secret_file.h"
 #include "app/settings.h"
+#include "support/text_change.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -43,23 +44,8 @@
   decisionSampling: 10
 )";
 
-struct Row {
-    std::string from; ///< Part of the valid text.
-    std::string to; ///< What stands there instead.
-    std::string expected; ///< Part of the reason.
-};
-
-std::ostream& operator<<(std::ostream& out, const Row& row)
-{
-    return out << row.from << " -> " << row.to;
-}
-
-std::string replaced(std::string text, const Row& row)
-{
-    auto at = text.find(row.from);
-    BOOST_REQUIRE(at != std::string::npos);
-    return text.replace(at, row.from.size(), row.to);
-}
+using Row = pw::test::TextChange;
+using pw::test::replaced;
 
 const std::vector<Row> wrongRows {
     { "  name: forecast-1", "  name: 'bad name'", "f.yaml:2: daemon.name: not a name; accepted: 1 to 64" },
