Attach daemons to the control members of their own failure domain

Cause: a daemon chose its control member by hash alone, so four of five stood in another failure domain, and each change of the configuration (15 KB), each view delta and each session crossed once for each daemon. Now members say their failure domain when they join, it stands in the replicated state, and sessions and view prefer a member of their own; the preferred one is tried again after 10 s instead of 60 s. What is left between domains is calls and answers, grants, and the log.

--- a/src/adapters/codec_control_parts.cpp
+++ b/src/adapters/codec_control_parts.cpp
@@ -43,11 +43,13 @@
     builder.setName(toText(member.name));
     builder.setAddress(toText(member.address));
     builder.setVoter(member.voter);
+    builder.setFailureDomain(toText(member.failureDomain));
 }
 
 ControlMemberRecord readMember(proto::ControlMember::Reader reader)
 {
-    return { reader.getId(), fromText(reader.getName()), fromText(reader.getAddress()), reader.getVoter() };
+    return { reader.getId(), fromText(reader.getName()), fromText(reader.getAddress()), reader.getVoter(),
+        fromText(reader.getFailureDomain()) };
 }
 
 void writeEntry(proto::LogEntry::Builder builder, const LogEntry& entry)
--- a/src/adapters/codec_raft.cpp
+++ b/src/adapters/codec_raft.cpp
@@ -71,7 +71,12 @@
             builder.setCommit(body.commit);
         }
 
-        void operator()(const JoinAsk& body) { message.initJoinAsk().setName(toText(body.name)); }
+        void operator()(const JoinAsk& body)
+        {
+            auto ask = message.initJoinAsk();
+            ask.setName(toText(body.name));
+            ask.setFailureDomain(toText(body.failureDomain));
+        }
 
         void operator()(const JoinReply& body)
         {
@@ -125,7 +130,7 @@
             return ReadReply { Duration(body.getSentAtNanos()), body.getCommit() };
         }
         case proto::RaftMessage::JOIN_ASK:
-            return JoinAsk { fromText(message.getJoinAsk().getName()) };
+            return JoinAsk { fromText(message.getJoinAsk().getName()), fromText(message.getJoinAsk().getFailureDomain()) };
         case proto::RaftMessage::JOIN_REPLY: {
             const auto body = message.getJoinReply();
             return JoinReply { body.getEmpty(), fromText(body.getLeader()) };
--- a/src/app/cluster_join.cpp
+++ b/src/app/cluster_join.cpp
@@ -53,7 +53,7 @@
 
 void ClusterJoin::ask(const PeerAddress& address)
 {
-    m_network.send(address, MessageKind::Raft, encodeRaftMessage({ 0, m_raft.identity(), 0, m_raft.term(), JoinAsk { m_settings.name } }));
+    m_network.send(address, MessageKind::Raft, encodeRaftMessage({ 0, m_raft.identity(), 0, m_raft.term(), JoinAsk { m_settings.name, m_settings.failureDomain } }));
 }
 
 bool ClusterJoin::receive(const PeerAddress& from, const RaftMessage& message)
@@ -82,7 +82,7 @@
 void ClusterJoin::answer(const PeerAddress& from, const RaftMessage& message, const JoinAsk& ask)
 {
     if (m_raft.leading(m_timers.now())) {
-        m_raft.addLearner(message.from, ask.name, from, m_timers.now());
+        m_raft.addLearner({ message.from, ask.name, from, false, ask.failureDomain }, m_timers.now());
     }
     const JoinReply reply { m_raft.members().empty(), m_raft.leaderAddress() };
     const RaftMessage answer { m_raft.cluster(), m_raft.identity(), message.from, m_raft.term(), reply };
--- a/src/app/control_log_impl.cpp
+++ b/src/app/control_log_impl.cpp
@@ -37,6 +37,7 @@
     options.voters = seeded ? 2 * m_settings.toleratedLosses + 1 : m_settings.controlMembers.size();
     options.copies = m_settings.toleratedLosses + 1;
     options.waitsForVoters = seeded;
+    options.failureDomain = m_settings.failureDomain;
     m_raft = std::make_unique<Raft>(options, m_storage, *stored, m_settings.name, m_network.self(), m_random(), m_timers.now());
     m_join = std::make_unique<ClusterJoin>(m_settings, m_network, m_timers, *m_raft);
     m_desk = std::make_unique<OperatorDesk>(m_network, m_timers, *m_raft, m_parser);
--- a/src/app/control_session.cpp
+++ b/src/app/control_session.cpp
@@ -52,10 +52,10 @@
     const Deployment& deployment() const { return m_deployment; }
     std::uint64_t version() const { return m_version; }
     const FleetImage& image() const { return m_image; }
-    const PeerAddress& member() const { return m_member; }
-    std::vector<PeerAddress> members() const;
+    const PeerAddress& member() const { return m_choice.current(); }
+    std::vector<MemberPlace> members() const;
     void onChanged(std::function<void()> handler) { m_changed.push_back(std::move(handler)); }
-    void onMembers(std::function<void(const std::vector<PeerAddress>&)> handler) { m_membersChanged.push_back(std::move(handler)); }
+    void onMembers(std::function<void(const std::vector<MemberPlace>&)> handler) { m_membersChanged.push_back(std::move(handler)); }
 
 private:
     void beat();
@@ -70,6 +70,7 @@
     void takeWithoutLease();
     void publish();
     void publishMembers();
+    void followMembers();
     void watchValidity();
 
     const Settings& m_settings;
@@ -80,9 +81,9 @@
     Random m_random;
     TimePoint m_startedAt;
 
-    PeerAddress m_member; ///< Attached to; empty before start().
+    MemberChoice m_choice { {} }; ///< The member attached to; none before start().
     TimePoint m_attachedAt {};
-    TimePoint m_answeredAt {}; ///< By m_member.
+    TimePoint m_answeredAt {}; ///< By the member attached to.
     TimerId m_askTimer = 0;
 
     std::uint64_t m_cluster = 0; ///< Of the first state; no other is taken after it.
@@ -94,8 +95,8 @@
     Deployment m_deployment;
     std::map<KeyDigest, std::string> m_configuredKeys; ///< Workspaces by keys that the configuration names.
     std::vector<std::function<void()>> m_changed;
-    std::vector<PeerAddress> m_knownMembers; ///< As last told to the handlers.
-    std::vector<std::function<void(const std::vector<PeerAddress>&)>> m_membersChanged;
+    std::vector<MemberPlace> m_knownMembers; ///< As last told to the handlers.
+    std::vector<std::function<void(const std::vector<MemberPlace>&)>> m_membersChanged;
 };
 
 bool ControlSession::Impl::keysValid(TimePoint now) const
@@ -121,7 +122,7 @@
         }
     });
     m_network.onLost([this](const PeerAddress& peer) {
-        if (peer == m_member) {
+        if (peer == member()) {
             moveOn("link-lost");
         }
     });
@@ -129,25 +130,20 @@
     beat();
 }
 
-std::vector<PeerAddress> ControlSession::Impl::members() const
+std::vector<MemberPlace> ControlSession::Impl::members() const
 {
     if (m_image.members().empty()) {
-        return controlPeers(m_settings);
+        return unplaced(controlPeers(m_settings));
     }
-    std::vector<PeerAddress> result;
-    std::ranges::transform(m_image.members(), std::back_inserter(result), &ControlMemberRecord::address);
+    std::vector<MemberPlace> result;
+    std::ranges::transform(m_image.members(), std::back_inserter(result),
+        [](const ControlMemberRecord& it) { return MemberPlace { it.address, it.failureDomain }; });
     return result;
 }
 
 std::vector<PeerAddress> ControlSession::Impl::preferred() const
 {
-    // Rendezvous hashing spreads the daemons over the members without anybody's choice.
-    const auto rank = [this](const PeerAddress& it) {
-        const auto isSelf = it == m_network.self();
-        return std::pair { !isSelf, std::hash<std::string> {}(m_settings.name + '/' + it) };
-    };
-    auto result = members();
-    std::ranges::sort(result, {}, rank);
+    auto result = nearestFirst(members(), { m_settings.name, m_network.self(), m_settings.failureDomain });
     // Members that were known may all have been replaced meanwhile: seeds come last.
     std::ranges::copy_if(m_settings.controlSeeds, std::back_inserter(result),
         [known = result](const PeerAddress& it) { return std::ranges::find(known, it) == known.end(); });
@@ -156,22 +152,17 @@
 
 void ControlSession::Impl::chooseMember()
 {
-    const auto order = preferred();
-    m_member = order.empty() ? PeerAddress {} : order.front();
+    m_choice.update(preferred());
+    m_choice.reset();
     m_attachedAt = m_timers.now();
 }
 
 void ControlSession::Impl::moveOn(std::string_view cause)
 {
-    const auto order = preferred();
-    if (order.empty()) {
-        return;
-    }
-    const auto it = std::ranges::find(order, m_member);
-    const auto last = it == order.end() || std::next(it) == order.end();
-    m_member = last ? order.front() : *std::next(it);
+    m_choice.update(preferred());
+    m_choice.next();
     m_attachedAt = m_timers.now();
-    PW_EVENT(m_events, Event::SessionMoved, { "member", m_member }, { "cause", cause });
+    PW_EVENT(m_events, Event::SessionMoved, { "member", member() }, { "cause", cause });
 }
 
 void ControlSession::Impl::beat()
@@ -195,19 +186,19 @@
 
 void ControlSession::Impl::ask()
 {
-    if (!m_member.empty()) {
+    if (!member().empty()) {
         const SessionAsk ask { m_cluster, m_settings.name, m_image.index(), m_version, m_timers.now().time_since_epoch() };
-        m_network.send(m_member, MessageKind::SessionAsk, encodeSessionAsk(ask));
+        m_network.send(member(), MessageKind::SessionAsk, encodeSessionAsk(ask));
     }
 }
 
 void ControlSession::Impl::handle(const PeerAddress& from, SessionReply reply)
 {
-    if (from == m_member) {
+    if (from == member()) {
         m_answeredAt = m_timers.now();
     }
     if (!reply.serving) {
-        if (from == m_member && m_inService) {
+        if (from == member() && m_inService) {
             moveOn("not-serving");
         }
         return;
@@ -280,10 +271,21 @@
 {
     if (auto known = members(); known != m_knownMembers) {
         m_knownMembers = std::move(known);
+        followMembers();
         std::ranges::for_each(m_membersChanged, [this](const auto& handler) { handler(m_knownMembers); });
     }
 }
 
+/// Turns to the preferred one of the members that are known now.
+void ControlSession::Impl::followMembers()
+{
+    const auto before = member();
+    chooseMember();
+    if (member() != before) {
+        PW_EVENT(m_events, Event::SessionMoved, { "member", member() }, { "cause", "members-changed" });
+    }
+}
+
 void ControlSession::Impl::publish()
 {
     const auto& record = m_image.configuration();
@@ -311,9 +313,9 @@
     }
     m_valid = valid;
     if (valid) {
-        PW_EVENT(m_events, Event::ValidityRenewed, { "index", m_image.index() }, { "member", m_member });
+        PW_EVENT(m_events, Event::ValidityRenewed, { "index", m_image.index() }, { "member", member() });
     } else {
-        PW_EVENT(m_events, Event::ValidityLapsed, { "index", m_image.index() }, { "member", m_member });
+        PW_EVENT(m_events, Event::ValidityLapsed, { "index", m_image.index() }, { "member", member() });
     }
 }
 
@@ -360,7 +362,7 @@
     return m_impl->image().index();
 }
 
-void ControlSession::onMembers(std::function<void(const std::vector<PeerAddress>&)> handler)
+void ControlSession::onMembers(std::function<void(const std::vector<MemberPlace>&)> handler)
 {
     m_impl->onMembers(std::move(handler));
 }
@@ -370,7 +372,7 @@
     return m_impl->member();
 }
 
-std::vector<PeerAddress> ControlSession::controlMembers() const
+std::vector<MemberPlace> ControlSession::controlMembers() const
 {
     return m_impl->members();
 }
--- a/src/app/control_session.h
+++ b/src/app/control_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/control_log.h"
+#include "core/member_choice.h"
 
 namespace pw {
 
@@ -25,8 +26,8 @@
     bool keysValid(TimePoint now) const override;
     void onChanged(std::function<void()> handler) override;
 
-    /// Adds a handler called with the addresses of the control members when they changed.
-    void onMembers(std::function<void(const std::vector<PeerAddress>&)> handler);
+    /// Adds a handler called with the control members when they changed.
+    void onMembers(std::function<void(const std::vector<MemberPlace>&)> handler);
 
     /// \returns the log index up to which this daemon applied the state.
     std::uint64_t appliedIndex() const;
@@ -34,8 +35,8 @@
     /// \returns the control member that this daemon is attached to.
     const PeerAddress& controlMember() const;
 
-    /// \returns the addresses of all control members, as the replicated state or else the settings name them.
-    std::vector<PeerAddress> controlMembers() const;
+    /// \returns all control members, as the replicated state or else the settings name them.
+    std::vector<MemberPlace> controlMembers() const;
 
 private:
     class Impl;
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -43,7 +43,7 @@
         return false;
     }
     m_session->onChanged([this] { applyConfiguration(); });
-    m_session->onMembers([this](const std::vector<PeerAddress>& members) { followMembers(members); });
+    m_session->onMembers([this](const std::vector<MemberPlace>& members) { followMembers(members); });
     m_session->start();
     PW_EVENT(m_log, Event::DaemonStarted, { "name", m_settings.name }, { "peer", m_settings.peerAddress },
         { "entry", m_settings.entry }, { "server", m_settings.server }, { "control", m_settings.control });
@@ -140,9 +140,11 @@
         && begun(m_metricsEdge, m_settings.metricsAddress);
 }
 
-void Daemon::followMembers(const std::vector<PeerAddress>& members)
+void Daemon::followMembers(const std::vector<MemberPlace>& places)
 {
-    m_view->setMembers(members);
+    m_view->setMembers(places);
+    std::vector<PeerAddress> members;
+    std::ranges::transform(places, std::back_inserter(members), &MemberPlace::address);
     if (m_grants) {
         m_grants->setMembers(members);
     }
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -4,6 +4,7 @@
 #include "adapters/peer_network_libevent.h"
 #include "adapters/timers_libevent.h"
 #include "app/settings.h"
+#include "core/member_choice.h"
 #include "core/demand_board.h"
 #include "ports/events.h"
 
@@ -66,7 +67,7 @@
     InterfaceParts interfaceParts();
     bool isReady() const;
     void applyConfiguration();
-    void followMembers(const std::vector<PeerAddress>& members);
+    void followMembers(const std::vector<MemberPlace>& places);
     void stopTaking();
     void waitUntilQuiet();
     void finishStop();
--- a/src/app/daemon_grants.cpp
+++ b/src/app/daemon_grants.cpp
@@ -41,7 +41,8 @@
         , m_fleet(fleet)
         , m_incarnation(seed)
         , m_sequence(seed / 2)
-        , m_owner(controlPeers(settings), settings.name)
+        , m_name(settings.name)
+        , m_owner(rendezvousOrder(controlPeers(settings), settings.name))
     {
         m_network.onMessage(MessageKind::GrantReply, [this](const PeerAddress& from, std::span<const std::byte> message) { replied(from, message); });
         m_fleet.onChanged([this, alive = std::weak_ptr(m_alive)] {
@@ -95,7 +96,7 @@
         plan(share, now);
     }
 
-    void setMembers(std::vector<PeerAddress> members) { m_owner.update(std::move(members)); }
+    void setMembers(std::vector<PeerAddress> members) { m_owner.update(rendezvousOrder(std::move(members), m_name)); }
 
     void returnAll()
     {
@@ -319,6 +320,7 @@
     std::uint64_t m_sequence;
     TimePoint m_ownerHeard {}; ///< Last reply of an owner of the rates.
     TimePoint m_ownerReturned {}; ///< First reply of one after a silence.
+    std::string m_name; ///< Of this daemon.
     MemberChoice m_owner; ///< The member that is believed to own the rates.
     std::map<std::string, Workspace> m_workspaces;
     std::map<std::string, Share> m_shares; ///< Only workspaces that are in use here.
--- a/src/app/daemon_view.cpp
+++ b/src/app/daemon_view.cpp
@@ -17,7 +17,8 @@
         : m_network(network)
         , m_timers(timers)
         , m_events(events)
-        , m_choice(controlPeers(settings), settings.name)
+        , m_seeker({ settings.name, network.self(), settings.failureDomain })
+        , m_choice(nearestFirst(unplaced(controlPeers(settings)), m_seeker))
         , m_heard(timers.now())
         , m_phase(std::chrono::duration_cast<Duration>(config::viewReportInterval) * (seed % phases) / phases)
     {
@@ -50,10 +51,11 @@
         }
     }
 
-    void setMembers(std::vector<PeerAddress> members)
+    void setMembers(const std::vector<MemberPlace>& members)
     {
         const auto before = m_choice.current();
-        m_choice.update(std::move(members));
+        m_choice.update(nearestFirst(members, m_seeker));
+        m_choice.reset();
         if (m_choice.current() != before) {
             attach();
         }
@@ -84,11 +86,17 @@
         }
     }
 
-    /// Reports, again after the interval; turns to another member when the one in use is silent.
+    /// Reports, again after the interval; turns to another member when the one in use is silent, and back in time.
     void report()
     {
         const auto now = m_timers.now();
         m_timers.cancel(m_timer);
+        if (!m_choice.isPreferred() && now - m_attached >= config::sessionRebalance) {
+            m_choice.reset();
+            m_timer = 0;
+            attach();
+            return;
+        }
         if (now - m_heard >= config::viewMemberSilence) {
             PW_EVENT(m_events, Event::ViewMemberSilent, { "member", m_choice.current() });
             m_choice.next();
@@ -182,6 +190,7 @@
     PeerNetwork& m_network;
     Timers& m_timers;
     EventLog& m_events;
+    MemberSeeker m_seeker;
     MemberChoice m_choice;
     TimePoint m_heard; ///< Last message of the member in use.
     TimePoint m_attached; ///< When that member was chosen.
@@ -216,9 +225,9 @@
     return m_impl->mirror().stream() != 0;
 }
 
-void DaemonView::setMembers(std::vector<PeerAddress> members)
+void DaemonView::setMembers(const std::vector<MemberPlace>& members)
 {
-    m_impl->setMembers(std::move(members));
+    m_impl->setMembers(members);
 }
 
 void DaemonView::publish(const ServerEntry& entry)
--- a/src/app/daemon_view.h
+++ b/src/app/daemon_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/settings.h"
+#include "core/member_choice.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
 #include "ports/peer_network.h"
@@ -20,7 +21,7 @@
     ~DaemonView() override;
 
     /// Replaces the control members to choose from.
-    void setMembers(std::vector<PeerAddress> members);
+    void setMembers(const std::vector<MemberPlace>& members);
 
     /// Repeats of the same version cost nothing; this class reports the entry for as long as it lives.
     void publish(const ServerEntry& entry) override;
--- a/src/config.h
+++ b/src/config.h
@@ -303,8 +303,8 @@
 inline constexpr milliseconds sessionStale { 1200 };
 /// Interval at which a daemon asks while its validity lease is older than sessionSilence.
 inline constexpr milliseconds sessionHurry { 100 };
-/// Interval after which a daemon goes back to the control member that it prefers.
-inline constexpr milliseconds sessionRebalance { 60000 };
+/// Time after which a daemon goes back to the control member that it prefers.
+inline constexpr milliseconds sessionRebalance { 10000 };
 /// Margin for clocks that run at different speeds, on top of a validity lease.
 inline constexpr milliseconds leaseMargin { 100 };
 
--- a/src/core/fleet_image.h
+++ b/src/core/fleet_image.h
@@ -20,6 +20,7 @@
     std::string name;
     PeerAddress address;
     bool voter = false; ///< Otherwise a learner: it gets the log and has no vote.
+    std::string failureDomain; ///< Empty when it is not known.
 
     bool operator==(const ControlMemberRecord&) const = default;
 };
--- a/src/core/member_choice.cpp
+++ b/src/core/member_choice.cpp
@@ -1,6 +1,8 @@
 #include "core/member_choice.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace pw {
@@ -41,16 +43,35 @@
     return members;
 }
 
-MemberChoice::MemberChoice(std::vector<std::string> members, std::string_view name)
-    : m_name(name)
-    , m_members(rendezvousOrder(std::move(members), name))
+std::vector<MemberPlace> unplaced(const std::vector<std::string>& addresses)
 {
+    std::vector<MemberPlace> result;
+    std::ranges::transform(addresses, std::back_inserter(result), [](const std::string& it) { return MemberPlace { it, {} }; });
+    return result;
 }
 
-void MemberChoice::update(std::vector<std::string> members)
+std::vector<std::string> nearestFirst(const std::vector<MemberPlace>& members, const MemberSeeker& seeker)
+{
+    const auto rank = [&seeker](const MemberPlace& it) {
+        const auto isNear = !it.failureDomain.empty() && it.failureDomain == seeker.failureDomain;
+        return std::tuple(it.address == seeker.address, isNear, rendezvousWeight(it.address, seeker.name), it.address);
+    };
+    auto sorted = members;
+    std::ranges::sort(sorted, std::ranges::greater(), rank);
+    std::vector<std::string> result;
+    std::ranges::transform(sorted, std::back_inserter(result), &MemberPlace::address);
+    return result;
+}
+
+MemberChoice::MemberChoice(std::vector<std::string> order)
+    : m_members(std::move(order))
+{
+}
+
+void MemberChoice::update(std::vector<std::string> order)
 {
     const auto inUse = current();
-    m_members = rendezvousOrder(std::move(members), m_name);
+    m_members = std::move(order);
     m_current = 0;
     turnTo(inUse);
 }
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -21,6 +21,7 @@
     std::size_t voters = 3; ///< Learners are promoted until there are so many.
     std::size_t copies = 1; ///< Synced copies at voters without which nothing commits, beside a quorum; at most all voters.
     bool waitsForVoters = false; ///< The first change waits until there are as many voters as there should be.
+    std::string failureDomain; ///< Of this member.
 };
 
 /// Part of a member in the replicated log.
@@ -60,7 +61,7 @@
     bool found(TimePoint now);
 
     /// Takes a member without a cluster in as a learner. \returns false when it cannot be done now.
-    bool addLearner(MemberId id, const std::string& name, const PeerAddress& address, TimePoint now);
+    bool addLearner(ControlMemberRecord newcomer, TimePoint now);
 
     /// Removes the member with \p name for good. \returns false when it cannot be done now.
     bool removeMember(const std::string& name, TimePoint now);
--- a/src/core/raft_membership.cpp
+++ b/src/core/raft_membership.cpp
@@ -16,7 +16,7 @@
     if (!saveVote()) {
         return false;
     }
-    const ControlMemberRecord self { identity(), m_name, m_address, true };
+    const ControlMemberRecord self { identity(), m_name, m_address, true, m_options.failureDomain };
     const std::vector entries { LogEntry { 1, term(), EntryKind::Members, {}, { self } } };
     if (!m_storage.append(entries)) {
         halt();
@@ -28,14 +28,17 @@
     return !m_halted;
 }
 
-bool Raft::addLearner(MemberId id, const std::string& name, const PeerAddress& address, TimePoint now)
+bool Raft::addLearner(ControlMemberRecord newcomer, TimePoint now)
 {
-    if (member(id)) {
+    if (member(newcomer.id)) {
         return true;
     }
     auto next = m_members;
-    std::erase_if(next, [&](const auto& it) { return !it.voter && (it.name == name || it.address == address) && !recentlyHeard(it.id, now); });
-    next.push_back({ id, name, address, false });
+    std::erase_if(next, [&](const auto& it) {
+        return !it.voter && (it.name == newcomer.name || it.address == newcomer.address) && !recentlyHeard(it.id, now);
+    });
+    newcomer.voter = false;
+    next.push_back(std::move(newcomer));
     return next.size() <= config::maxControlMembers && proposeMembers(std::move(next), now);
 }
 
--- a/src/core/raft_message.h
+++ b/src/core/raft_message.h
@@ -62,6 +62,7 @@
 /// Member without a cluster to all that may be in one.
 struct JoinAsk {
     std::string name;
+    std::string failureDomain;
 };
 
 struct JoinReply {
--- a/src/proto/control.capnp
+++ b/src/proto/control.capnp
@@ -8,6 +8,7 @@
   name @1 :Text;
   address @2 :Text;
   voter @3 :Bool;
+  failureDomain @4 :Text;
 }
 
 struct LogEntry {
@@ -83,6 +84,7 @@
 
 struct JoinAsk {
   name @0 :Text;
+  failureDomain @1 :Text;
 }
 
 struct JoinReply {
--- a/src/proto/control.capnp.h
+++ b/src/proto/control.capnp.h
@@ -59,7 +59,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f41745afa33ff132, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f41745afa33ff132, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -239,7 +239,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5dcc826c838dc26, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d5dcc826c838dc26, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -527,6 +527,9 @@
 
   inline bool getVoter() const;
 
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -575,6 +578,13 @@
   inline bool getVoter();
   inline void setVoter(bool value);
 
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1628,6 +1638,9 @@
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1663,6 +1676,13 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3433,6 +3453,40 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ControlMember::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ControlMember::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ControlMember::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ControlMember::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ControlMember::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ControlMember::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ControlMember::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ControlMember::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t LogEntry::Reader::getIndex() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4144,6 +4198,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool JoinAsk::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JoinAsk::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JoinAsk::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JoinAsk::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JoinAsk::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JoinAsk::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JoinAsk::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JoinAsk::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool JoinReply::Reader::getEmpty() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/proto/view.capnp.h
+++ b/src/proto/view.capnp.h
@@ -5,6 +5,9 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
+#if !CAPNP_LITE
+#include <capnp/capability.h>
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
--- a/tests/unit/support/control_fleet.h
+++ b/tests/unit/support/control_fleet.h
@@ -44,6 +44,7 @@
             settings.name = (n < members ? "control" : "daemon") + std::to_string(n);
             settings.peerAddress = settings.name;
             settings.control = n < members;
+            settings.failureDomain = "domain" + std::to_string(n % std::max<std::size_t>(members, 1));
             m_vms.push_back(std::make_unique<Vm>());
             m_vms.back()->settings = settings;
         }
--- a/tests/unit/support/raft_cluster.h
+++ b/tests/unit/support/raft_cluster.h
@@ -197,7 +197,7 @@
     void askToJoin(const Node& node)
     {
         if (auto* lead = leader(); lead && lead != &node) {
-            attempt(*lead, [&] { lead->raft->addLearner(node.raft->identity(), node.name, node.name, localNow(*lead)); });
+            attempt(*lead, [&] { lead->raft->addLearner({ node.raft->identity(), node.name, node.name, false, {} }, localNow(*lead)); });
         }
     }
 
