Send configurations as the difference from the version that a daemon holds

Now the latest configuration goes as a Zstandard frame with the daemon's own text as prefix, made and encoded once for all daemons at one version; several changes that were missed are one difference. A difference from another base is never applied: it is asked for again. Ruled out: line differences of our own (larger, more code).

--- a/src/adapters/codec_control.cpp
+++ b/src/adapters/codec_control.cpp
@@ -70,6 +70,10 @@
             reply.image = readImage(message.getImage());
         }
         reply.deltas = readList(message.getDeltas(), readDelta);
+        if (message.hasConfiguration()) {
+            const auto it = message.getConfiguration();
+            reply.configuration = ConfigurationDifference { it.getIndex(), it.getVersion(), it.getBaseVersion(), fromData(it.getDifference()) };
+        }
         return reply;
     }
 
@@ -103,6 +107,13 @@
     if (!reply.deltas.empty()) {
         writeList(message.initDeltas(static_cast<unsigned>(reply.deltas.size())), reply.deltas, writeDelta);
     }
+    if (reply.configuration) {
+        auto difference = message.initConfiguration();
+        difference.setIndex(reply.configuration->index);
+        difference.setVersion(reply.configuration->version);
+        difference.setBaseVersion(reply.configuration->baseVersion);
+        difference.setDifference(toData(reply.configuration->difference));
+    }
     return toBytes(builder);
 }
 
--- a/src/adapters/codec_control_parts.cpp
+++ b/src/adapters/codec_control_parts.cpp
@@ -1,11 +1,18 @@
 #include "adapters/codec_control_parts.h"
 
+#include "adapters/compressed_text.h"
+#include "config.h"
+
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace pw::detail {
 namespace {
 
+    /// Size from which a text is compressed, in bytes; a shorter one hardly gets smaller.
+    constexpr std::size_t leastCompressedBytes = 256;
+
     /// Writes one kind of delta.
     struct DeltaWriter {
         proto::FleetDelta::Builder builder;
@@ -103,12 +110,21 @@
 void writeConfiguration(proto::Configuration::Builder builder, const ConfigurationRecord& record)
 {
     builder.setVersion(record.version);
-    builder.setText(toText(record.text));
+    if (record.text.size() < leastCompressedBytes) {
+        builder.setText(toText(record.text));
+    } else {
+        builder.setCompressedText(toData(compressText(record.text)));
+    }
 }
 
 ConfigurationRecord readConfiguration(proto::Configuration::Reader reader)
 {
-    return { reader.getVersion(), fromText(reader.getText()) };
+    if (!reader.hasCompressedText()) {
+        return { reader.getVersion(), fromText(reader.getText()) };
+    }
+    auto text = expandText(fromData(reader.getCompressedText()), {}, config::maxFrameBytes);
+    require(text.has_value(), "damaged text of a configuration");
+    return { reader.getVersion(), std::move(*text) };
 }
 
 void writeDelta(proto::FleetDelta::Builder builder, const FleetDelta& delta)
--- a/src/app/control_session.cpp
+++ b/src/app/control_session.cpp
@@ -1,6 +1,7 @@
 #include "app/control_session.h"
 
 #include "adapters/codec_control.h"
+#include "adapters/compressed_text.h"
 #include "adapters/crypto.h"
 #include "config.h"
 
@@ -66,6 +67,7 @@
     void handle(const PeerAddress& from, SessionReply reply);
     bool isFromOurCluster(const SessionReply& reply);
     bool takeState(SessionReply& reply);
+    std::optional<FleetDelta> expandedFrom(const SessionReply& reply);
     void takeValidity(const SessionReply& reply);
     void takeWithoutLease();
     void publish();
@@ -88,6 +90,7 @@
 
     std::uint64_t m_cluster = 0; ///< Of the first state; no other is taken after it.
     FleetImage m_image;
+    bool m_wantsWhole = false; ///< Differences do not fit what is held here.
     TimePoint m_validAsOf {}; ///< The image held everything accepted before this time.
     bool m_inService = false; ///< The image is at least as new as what any earlier process here had.
     bool m_valid = false; ///< As last told to the event log.
@@ -187,7 +190,7 @@
 void ControlSession::Impl::ask()
 {
     if (!member().empty()) {
-        const SessionAsk ask { m_cluster, m_settings.name, m_image.index(), m_version, m_timers.now().time_since_epoch() };
+        const SessionAsk ask { m_wantsWhole ? 0 : m_cluster, m_settings.name, m_image.index(), m_version, m_timers.now().time_since_epoch() };
         m_network.send(member(), MessageKind::SessionAsk, encodeSessionAsk(ask));
     }
 }
@@ -235,6 +238,7 @@
 {
     if (reply.image) {
         const auto newer = reply.image->index() > m_image.index();
+        m_wantsWhole = false;
         if (newer) {
             m_image = std::move(*reply.image);
         }
@@ -244,12 +248,38 @@
         return false; // Steps before these are missing.
     }
     const auto before = m_image.index();
+    if (reply.configuration && reply.configuration->index > before) {
+        auto expanded = expandedFrom(reply);
+        if (!expanded) {
+            return false;
+        }
+        reply.deltas.push_back(std::move(*expanded));
+    }
+    std::ranges::sort(reply.deltas, {}, &FleetDelta::index);
     std::ranges::for_each(reply.deltas, [this](const FleetDelta& it) { m_image.apply(it); });
     const auto changed = m_image.index() > before;
     m_image.advance(reply.index);
     return changed;
 }
 
+/// \returns the configuration of \p reply, or nothing when its base is not the one here: then it is asked for anew.
+std::optional<FleetDelta> ControlSession::Impl::expandedFrom(const SessionReply& reply)
+{
+    const auto& difference = *reply.configuration;
+    const auto& base = m_image.configuration();
+    if (difference.baseVersion == base.version) {
+        if (auto text = expandText(difference.difference, base.text, config::maxFrameBytes)) {
+            return FleetDelta { difference.index, ConfigurationRecord { difference.version, std::move(*text) } };
+        }
+    }
+    // A reply to an earlier ask may cross with a push; otherwise the two sides differ in what was sent before.
+    m_wantsWhole = reply.baseIndex == m_image.index();
+    PW_EVENT(m_events, Event::ConfigurationBaseDiffers, { "base", difference.baseVersion }, { "version", difference.version },
+        { "have", base.version }, { "index", m_image.index() }, { "whole", m_wantsWhole });
+    ask();
+    return std::nullopt;
+}
+
 void ControlSession::Impl::takeValidity(const SessionReply& reply)
 {
     const TimePoint sentAt(reply.sentAt);
--- a/src/app/session_server.cpp
+++ b/src/app/session_server.cpp
@@ -1,9 +1,11 @@
 #include "app/session_server.h"
 
 #include "adapters/codec_control.h"
+#include "adapters/compressed_text.h"
 #include "config.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 
 namespace pw {
@@ -24,27 +26,61 @@
 {
     m_deltas.clear();
     m_floor = image.index();
+    m_floorConfiguration = image.configuration();
+    m_latestConfiguration.reset();
+    m_differences.clear();
 }
 
 void SessionServer::record(const FleetDelta& delta)
 {
+    if (std::holds_alternative<ConfigurationRecord>(delta.what)) {
+        m_latestConfiguration = delta;
+        m_differences.clear();
+    }
     m_deltas.push_back(delta);
-    if (m_deltas.size() > config::keptDeltas) {
-        m_floor = m_deltas.front().index;
-        m_deltas.pop_front();
+    if (m_deltas.size() <= config::keptDeltas) {
+        return;
+    }
+    const auto& oldest = m_deltas.front();
+    m_floor = oldest.index;
+    if (const auto* configuration = std::get_if<ConfigurationRecord>(&oldest.what)) {
+        m_floorConfiguration = *configuration;
+    }
+    m_deltas.pop_front();
+}
+
+ConfigurationRecord SessionServer::configurationAt(std::uint64_t index) const
+{
+    const auto end = std::ranges::upper_bound(m_deltas, index, {}, &FleetDelta::index);
+    const auto isConfiguration = [](const FleetDelta& it) { return std::holds_alternative<ConfigurationRecord>(it.what); };
+    const auto it = std::find_if(std::make_reverse_iterator(end), m_deltas.rend(), isConfiguration);
+    return it == m_deltas.rend() ? m_floorConfiguration : std::get<ConfigurationRecord>(it->what);
+}
+
+const ConfigurationDifference& SessionServer::differenceFrom(const ConfigurationRecord& base)
+{
+    const auto [it, isNew] = m_differences.try_emplace(base.version);
+    if (isNew) {
+        const auto& latest = std::get<ConfigurationRecord>(m_latestConfiguration->what);
+        it->second = { m_latestConfiguration->index, latest.version, base.version, compressText(latest.text, base.text) };
     }
+    return it->second;
 }
 
-std::vector<FleetDelta> SessionServer::deltasAfter(std::uint64_t index) const
+void SessionServer::writeChanges(SessionReply& reply)
 {
-    const auto first = std::ranges::upper_bound(m_deltas, index, {}, &FleetDelta::index);
-    return { first, m_deltas.end() };
+    const auto first = std::ranges::upper_bound(m_deltas, reply.baseIndex, {}, &FleetDelta::index);
+    std::copy_if(first, m_deltas.end(), std::back_inserter(reply.deltas),
+        [](const FleetDelta& it) { return !std::holds_alternative<ConfigurationRecord>(it.what); });
+    if (m_latestConfiguration && m_latestConfiguration->index > reply.baseIndex) {
+        reply.configuration = differenceFrom(configurationAt(reply.baseIndex));
+    }
 }
 
 void SessionServer::handle(const PeerAddress& from, const SessionAsk& ask, const FleetImage& image,
     const Completeness& complete, TimePoint now)
 {
-    SessionReply reply { complete.cluster, false, ask.sentAt, complete.age, ask.appliedIndex, image.index(), {}, {} };
+    SessionReply reply { complete.cluster, false, ask.sentAt, complete.age, ask.appliedIndex, image.index(), {}, {}, {} };
     const auto foreign = ask.cluster != 0 && ask.cluster != complete.cluster;
     if (m_closed || foreign || !complete.age) {
         m_network.send(from, MessageKind::SessionReply, encodeSessionReply(reply));
@@ -54,7 +90,7 @@
     if (ask.appliedIndex < m_floor || ask.cluster == 0) {
         reply.image = image;
     } else {
-        reply.deltas = deltasAfter(ask.appliedIndex);
+        writeChanges(reply);
     }
     m_sessions[from] = { ask.name, ask.appliedIndex, ask.version, std::max(image.index(), ask.appliedIndex), now, now };
     m_network.send(from, MessageKind::SessionReply, encodeSessionReply(reply));
@@ -67,20 +103,26 @@
         return;
     }
     m_pushedIndex = latest;
+    std::map<std::uint64_t, Bytes> replies; // By the index that they follow.
     for (auto& [address, session] : m_sessions) {
         if (session.sentIndex >= latest || session.sentIndex < m_floor || now >= session.answered + leaseOutlasts) {
             continue;
         }
-        const SessionReply reply { cluster, true, {}, {}, session.sentIndex, image.index(), {}, deltasAfter(session.sentIndex) };
+        auto& bytes = replies[session.sentIndex];
+        if (bytes.empty()) {
+            SessionReply reply { cluster, true, {}, {}, session.sentIndex, image.index(), {}, {}, {} };
+            writeChanges(reply);
+            bytes = encodeSessionReply(reply);
+        }
         session.sentIndex = image.index();
-        m_network.send(address, MessageKind::SessionReply, encodeSessionReply(reply));
+        m_network.send(address, MessageKind::SessionReply, bytes);
     }
 }
 
 void SessionServer::close(std::uint64_t cluster)
 {
     m_closed = true;
-    const auto farewell = encodeSessionReply({ cluster, false, {}, {}, 0, 0, {}, {} });
+    const auto farewell = encodeSessionReply({ cluster, false, {}, {}, 0, 0, {}, {}, {} });
     for (const auto& address : m_sessions | std::views::keys) {
         m_network.send(address, MessageKind::SessionReply, farewell);
     }
--- a/src/app/session_server.h
+++ b/src/app/session_server.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace pw {
 
@@ -51,12 +52,18 @@
         TimePoint answered {};
     };
 
-    std::vector<FleetDelta> deltasAfter(std::uint64_t index) const;
+    /// Fills in what a daemon lacks that has the state up to reply.baseIndex.
+    void writeChanges(SessionReply& reply);
+    ConfigurationRecord configurationAt(std::uint64_t index) const;
+    const ConfigurationDifference& differenceFrom(const ConfigurationRecord& base);
 
     PeerNetwork& m_network;
     TimePoint m_knowsAllFrom;
     std::uint64_t m_floor = 0; ///< Deltas at or below this index are not held.
+    ConfigurationRecord m_floorConfiguration; ///< At m_floor.
     std::deque<FleetDelta> m_deltas;
+    std::optional<FleetDelta> m_latestConfiguration; ///< Above m_floor.
+    std::map<std::uint64_t, ConfigurationDifference> m_differences; ///< Of the latest one, by the version of their base.
     std::uint64_t m_pushedIndex = 0;
     std::map<PeerAddress, Session> m_sessions;
     bool m_closed = false;
--- a/src/core/session_message.h
+++ b/src/core/session_message.h
@@ -15,6 +15,16 @@
     Duration sentAt {}; ///< On the daemon's clock.
 };
 
+/// A configuration as the difference from an earlier one.
+struct ConfigurationDifference {
+    std::uint64_t index = 0; ///< Of the log entry that made it.
+    std::uint64_t version = 0;
+    std::uint64_t baseVersion = 0; ///< What it differs from.
+    std::string difference; ///< As compressText() made it.
+
+    bool operator==(const ConfigurationDifference&) const = default;
+};
+
 /// Control member to daemon, as an answer or unasked when the state changed.
 struct SessionReply {
     std::uint64_t cluster = 0;
@@ -24,7 +34,8 @@
     std::uint64_t baseIndex = 0; ///< The deltas follow this index.
     std::uint64_t index = 0; ///< Applied by the member.
     std::optional<FleetImage> image; ///< Replaces the whole state of the daemon.
-    std::vector<FleetDelta> deltas;
+    std::vector<FleetDelta> deltas; ///< But for the configuration.
+    std::optional<ConfigurationDifference> configuration; ///< Set when there is another one than at baseIndex.
 };
 
 /// Removes a control member.
--- a/src/proto/control.capnp
+++ b/src/proto/control.capnp
@@ -115,6 +115,14 @@
   version @0 :UInt64;
   text @1 :Text;
   baseVersion @2 :UInt64;
+  compressedText @3 :Data;
+}
+
+struct ConfigurationDifference {
+  index @0 :UInt64;
+  version @1 :UInt64;
+  baseVersion @2 :UInt64;
+  difference @3 :Data;
 }
 
 struct Key {
@@ -192,6 +200,7 @@
   index @5 :UInt64;
   image @6 :FleetImage;
   deltas @7 :List(FleetDelta);
+  configuration @8 :ConfigurationDifference;
 }
 
 struct OperatorAsk {
--- a/src/proto/control.capnp.h
+++ b/src/proto/control.capnp.h
@@ -32,6 +32,7 @@
 CAPNP_DECLARE_SCHEMA(b4fe3c31a8deb9b9);
 CAPNP_DECLARE_SCHEMA(8537256f86acaf59);
 CAPNP_DECLARE_SCHEMA(de299b0a9f3b0446);
+CAPNP_DECLARE_SCHEMA(d62348a2226e446a);
 CAPNP_DECLARE_SCHEMA(ef3ece8cae2d0685);
 CAPNP_DECLARE_SCHEMA(a52d78928376529b);
 CAPNP_DECLARE_SCHEMA(d5b76885112def84);
@@ -296,7 +297,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de299b0a9f3b0446, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(de299b0a9f3b0446, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ConfigurationDifference {
+  ConfigurationDifference() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d62348a2226e446a, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -456,7 +472,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bf158af322a773ca, 6, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(bf158af322a773ca, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2027,6 +2043,9 @@
 
   inline  ::uint64_t getBaseVersion() const;
 
+  inline bool hasCompressedText() const;
+  inline  ::capnp::Data::Reader getCompressedText() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2068,6 +2087,13 @@
   inline  ::uint64_t getBaseVersion();
   inline void setBaseVersion( ::uint64_t value);
 
+  inline bool hasCompressedText();
+  inline  ::capnp::Data::Builder getCompressedText();
+  inline void setCompressedText( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initCompressedText(unsigned int size);
+  inline void adoptCompressedText(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownCompressedText();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2094,6 +2120,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class ConfigurationDifference::Reader {
+public:
+  typedef ConfigurationDifference Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIndex() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getBaseVersion() const;
+
+  inline bool hasDifference() const;
+  inline  ::capnp::Data::Reader getDifference() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigurationDifference::Builder {
+public:
+  typedef ConfigurationDifference Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIndex();
+  inline void setIndex( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getBaseVersion();
+  inline void setBaseVersion( ::uint64_t value);
+
+  inline bool hasDifference();
+  inline  ::capnp::Data::Builder getDifference();
+  inline void setDifference( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDifference(unsigned int size);
+  inline void adoptDifference(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDifference();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigurationDifference::Pipeline {
+public:
+  typedef ConfigurationDifference Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Key::Reader {
 public:
   typedef Key Reads;
@@ -3072,6 +3194,9 @@
   inline bool hasDeltas() const;
   inline  ::capnp::List< ::pw::proto::FleetDelta,  ::capnp::Kind::STRUCT>::Reader getDeltas() const;
 
+  inline bool hasConfiguration() const;
+  inline  ::pw::proto::ConfigurationDifference::Reader getConfiguration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3132,6 +3257,13 @@
   inline void adoptDeltas(::capnp::Orphan< ::capnp::List< ::pw::proto::FleetDelta,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pw::proto::FleetDelta,  ::capnp::Kind::STRUCT>> disownDeltas();
 
+  inline bool hasConfiguration();
+  inline  ::pw::proto::ConfigurationDifference::Builder getConfiguration();
+  inline void setConfiguration( ::pw::proto::ConfigurationDifference::Reader value);
+  inline  ::pw::proto::ConfigurationDifference::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::pw::proto::ConfigurationDifference>&& value);
+  inline ::capnp::Orphan< ::pw::proto::ConfigurationDifference> disownConfiguration();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3151,6 +3283,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::pw::proto::FleetImage::Pipeline getImage();
+  inline  ::pw::proto::ConfigurationDifference::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4919,6 +5052,116 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Configuration::Reader::hasCompressedText() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Configuration::Builder::hasCompressedText() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Configuration::Reader::getCompressedText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Configuration::Builder::getCompressedText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Configuration::Builder::setCompressedText( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Configuration::Builder::initCompressedText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Configuration::Builder::adoptCompressedText(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Configuration::Builder::disownCompressedText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ConfigurationDifference::Reader::getIndex() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationDifference::Builder::getIndex() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationDifference::Builder::setIndex( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigurationDifference::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationDifference::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationDifference::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigurationDifference::Reader::getBaseVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationDifference::Builder::getBaseVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationDifference::Builder::setBaseVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigurationDifference::Reader::hasDifference() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationDifference::Builder::hasDifference() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ConfigurationDifference::Reader::getDifference() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ConfigurationDifference::Builder::getDifference() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDifference::Builder::setDifference( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ConfigurationDifference::Builder::initDifference(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationDifference::Builder::adoptDifference(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ConfigurationDifference::Builder::disownDifference() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Key::Reader::hasKeyId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6159,6 +6402,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool SessionReply::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SessionReply::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pw::proto::ConfigurationDifference::Reader SessionReply::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::pw::proto::ConfigurationDifference>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::pw::proto::ConfigurationDifference::Builder SessionReply::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::pw::proto::ConfigurationDifference>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pw::proto::ConfigurationDifference::Pipeline SessionReply::Pipeline::getConfiguration() {
+  return  ::pw::proto::ConfigurationDifference::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void SessionReply::Builder::setConfiguration( ::pw::proto::ConfigurationDifference::Reader value) {
+  ::capnp::_::PointerHelpers< ::pw::proto::ConfigurationDifference>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::pw::proto::ConfigurationDifference::Builder SessionReply::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::pw::proto::ConfigurationDifference>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SessionReply::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::pw::proto::ConfigurationDifference>&& value) {
+  ::capnp::_::PointerHelpers< ::pw::proto::ConfigurationDifference>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pw::proto::ConfigurationDifference> SessionReply::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::pw::proto::ConfigurationDifference>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::pw::proto::OperatorAsk::Which OperatorAsk::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -143,6 +143,72 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(changedConfigurationGoesAsTheDifference)
+{
+    ControlFleet fleet(3, 12, 21);
+    BOOST_REQUIRE(fleet.form());
+    std::string text;
+    for (int n = 0; n < 2000; ++n) {
+        text += "route-" + std::to_string(n * 7919) + "\n";
+    }
+    const auto first = fleet.configure(fleet.follower(), "c0", 0, text);
+    BOOST_REQUIRE(fleet.awaitInForce(fleet.follower(), first.index).has_value());
+    const auto before = fleet.network.bytesSent(pw::MessageKind::SessionReply);
+    constexpr std::uint64_t changes = 20;
+    pw::ChangeResult last;
+    for (std::uint64_t n = 1; n <= changes; ++n) {
+        text += "added-" + std::to_string(n) + "\n";
+        last = fleet.configure(fleet.follower(), "c" + std::to_string(n), n, text);
+    }
+    BOOST_REQUIRE(fleet.awaitInForce(fleet.follower(), last.index).has_value());
+    for (const auto& it : fleet.vms()) {
+        BOOST_TEST(it->session->version() == changes + 1);
+    }
+    const auto sent = fleet.network.bytesSent(pw::MessageKind::SessionReply) - before;
+    BOOST_TEST(sent < changes * fleet.vms().size() * text.size() / 10);
+}
+
+BOOST_AUTO_TEST_CASE(daemonsThatMissedChangesCatchUpInOneMessage)
+{
+    ControlFleet fleet(3, 4, 22);
+    BOOST_REQUIRE(fleet.form());
+    auto& late = *fleet.daemons().front();
+    fleet.configure(fleet.follower(), "c0", 0, std::string(3000, 'a'));
+    fleet.timers.run(1s);
+    fleet.network.isolate(late.settings.peerAddress);
+    for (std::uint64_t n = 1; n <= 40; ++n) {
+        fleet.configure(*fleet.leader(), "c" + std::to_string(n), n, std::string(3000, 'a') + std::to_string(n));
+    }
+    BOOST_TEST(late.session->version() == 1);
+    fleet.network.rejoin(late.settings.peerAddress);
+    BOOST_TEST(fleet.timers.runUntil([&late] { return late.session->version() == 41; }, 2s));
+}
+
+/// Messages are lost, doubled and overtake each other: a difference must never be applied to another base.
+BOOST_AUTO_TEST_CASE(differencesSurviveADisorderlyNetwork)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ControlFleet fleet(3, 6, seed);
+        BOOST_REQUIRE(fleet.form());
+        fleet.network.faults.loss = 0.1;
+        fleet.network.faults.duplication = 0.2;
+        fleet.network.faults.ordered = false;
+        fleet.network.faults.maxDelay = 60ms;
+        std::string text(2000, 'x');
+        std::uint64_t version = 0;
+        for (int n = 0; n < 15; ++n) {
+            text += "line " + std::to_string(n) + "\n";
+            const auto result = fleet.configure(fleet.follower(), "c" + std::to_string(n), version, text);
+            version = result.outcome == ChangeOutcome::Accepted ? result.version : version;
+        }
+        fleet.network.faults = {};
+        const auto& image = fleet.leader()->log->image().configuration();
+        const auto followed = [&image](const auto& it) { return it->session->version() == image.version; };
+        BOOST_TEST(fleet.timers.runUntil([&] { return std::ranges::all_of(fleet.vms(), followed); }, 5s));
+        BOOST_TEST((image.text == text));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(leaderLossLapsesNoLease)
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
