Leave daemons that fall silent after half a second

Now daemons that owe answers are asked for a sign of life; after 0.5 s without one they are picked last, calls that may run twice go elsewhere within the budget, the others wait. A process that was suspended does not take its own pause for the others' silence, nor close its links for it.

--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -132,6 +132,27 @@
     }
 }
 
+void PeerLink::probe(TimePoint now)
+{
+    if (m_open && !m_dead && !m_unanswered && now - m_lastReceived >= config::linkProbeAfter) {
+        m_probed = true;
+        writeFrame(LinkFrame::Probe, {});
+    }
+}
+
+Duration PeerLink::unansweredFor(TimePoint now) const
+{
+    const auto since = m_open ? m_unanswered.value_or(now) : m_started;
+    return now - since;
+}
+
+void PeerLink::resume(TimePoint now)
+{
+    m_unanswered = m_unanswered ? std::optional(now) : std::nullopt;
+    m_lastReceived = now;
+    m_started = m_open ? m_started : now;
+}
+
 void PeerLink::streamConnected()
 {
     greet();
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -54,6 +54,15 @@
     /// Checks idle time and liveness; called about twice a second. May close the link.
     void check(TimePoint now);
 
+    /// Asks the peer for a frame when none came lately and none is due.
+    void probe(TimePoint now);
+
+    /// \returns for how long something sent, or the dialling, has had no answer; zero when nothing is due.
+    Duration unansweredFor(TimePoint now) const;
+
+    /// Counts the peer's silence from \p now: this process was suspended meanwhile.
+    void resume(TimePoint now);
+
     /// \returns the peer's address; empty on an accepted link before its proof.
     const PeerAddress& peer() const { return m_peer; }
     /// \returns whether the peer has proved the fleet's secret.
--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -10,6 +10,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds linkCheckInterval { 250 };
+    /// Time between two checks from which this process counts as having been suspended.
+    constexpr std::chrono::milliseconds suspendedAfter { 1000 };
     constexpr int listenBacklog = 1024;
     constexpr std::size_t maxWaitingMessages = 4096; ///< For one peer while its link opens.
 
@@ -200,9 +202,37 @@
     }
 }
 
+void PeerNetworkLibevent::probe(const PeerAddress& peer)
+{
+    if (m_stopped || peer == m_context.self) {
+        return;
+    }
+    auto& state = m_peers[peer];
+    if (!state.open.empty()) {
+        state.open.back()->probe(m_timers.now());
+    } else if (!state.dialling && !dial(peer, state)) {
+        m_peers.erase(peer);
+    }
+}
+
+PeerSign PeerNetworkLibevent::signOf(const PeerAddress& peer) const
+{
+    const auto it = m_peers.find(peer);
+    if (it == m_peers.end()) {
+        return {};
+    }
+    const auto& [open, waiting, dialling] = it->second;
+    const auto* link = open.empty() ? dialling : open.back();
+    return { !open.empty(), link ? link->unansweredFor(m_timers.now()) : Duration::zero() };
+}
+
 void PeerNetworkLibevent::checkLinks()
 {
     auto now = m_timers.now();
+    if (m_checked != TimePoint {} && now - m_checked >= suspendedAfter) {
+        std::ranges::for_each(m_links, [now](const auto& it) { it.first->resume(now); });
+    }
+    m_checked = now;
     std::vector<PeerLink*> links;
     links.reserve(m_links.size());
     std::ranges::transform(m_links, std::back_inserter(links), [](const auto& it) { return it.first; });
--- a/src/adapters/peer_network_libevent.h
+++ b/src/adapters/peer_network_libevent.h
@@ -28,6 +28,8 @@
     void onMessage(MessageKind kind, Handler handler) override;
     void onLost(LostHandler handler) override;
     void onUnsent(MessageKind kind, const UnsentHandler& handler) override;
+    void probe(const PeerAddress& peer) override;
+    PeerSign signOf(const PeerAddress& peer) const override;
     const PeerAddress& self() const override { return m_context.self; }
 
     /// \returns what went over all links so far, by kind of message.
@@ -67,6 +69,7 @@
     Timers& m_timers;
     bool m_stopped = false;
     TimerId m_checkTimer = 0;
+    TimePoint m_checked {};
     TimerId m_sweepTimer = 0;
     TimerId m_selfTimer = 0;
     std::vector<Waiting> m_toSelf;
--- a/src/app/call_transport.cpp
+++ b/src/app/call_transport.cpp
@@ -17,11 +17,12 @@
 
 } // namespace
 
-CallTransport::CallTransport(PeerNetwork& network, Timers& timers, ServerRole* local, std::uint64_t firstId)
+CallTransport::CallTransport(PeerNetwork& network, Timers& timers, EventLog& events, ServerRole* local, std::uint64_t firstId)
     : m_network(network)
     , m_timers(timers)
     , m_local(local)
     , m_lastId(firstId)
+    , m_watch(network, timers, events)
 {
     network.onMessage(MessageKind::Answer, [this](const PeerAddress& from, std::span<const std::byte> message) { onAnswer(from, message); });
     network.onUnsent(MessageKind::Call, [this](const PeerAddress&, std::span<const std::byte> message) { onUnsent(message); });
@@ -43,6 +44,7 @@
         m_local->run(daemon, std::move(call), [this, id](Answer answer) { end(id, std::move(answer)); });
         return id;
     }
+    m_watch.began(daemon);
     if (!m_network.send(daemon, MessageKind::Call, encodeCall(call))) {
         endWith(id, notSent);
         return id;
@@ -55,13 +57,21 @@
 }
 
 void CallTransport::cancel(std::uint64_t id)
+{
+    if (const auto pending = take(id)) {
+        sendCancel(id, pending->daemon);
+    }
+}
+
+std::optional<CallTransport::Pending> CallTransport::take(std::uint64_t id)
 {
     auto node = m_pending.extract(id);
     if (node.empty()) {
-        return;
+        return std::nullopt;
     }
     m_timers.cancel(node.mapped().timer);
-    sendCancel(id, node.mapped().daemon);
+    m_watch.ended(node.mapped().daemon);
+    return std::move(node.mapped());
 }
 
 void CallTransport::sendCancel(std::uint64_t id, const PeerAddress& daemon)
@@ -75,10 +85,8 @@
 
 void CallTransport::end(std::uint64_t id, Answer answer)
 {
-    auto node = m_pending.extract(id);
-    if (!node.empty()) {
-        m_timers.cancel(node.mapped().timer);
-        node.mapped().done(std::move(answer));
+    if (const auto pending = take(id)) {
+        pending->done(std::move(answer));
     }
 }
 
--- a/src/app/call_transport.h
+++ b/src/app/call_transport.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "app/peer_watch.h"
 #include "core/call.h"
 #include "ports/peer_network.h"
 #include "ports/timers.h"
 
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 namespace pw {
@@ -19,7 +21,7 @@
 
     /// \param local the server role of this daemon, or nullptr.
     /// \param firstId random, so that an answer to an earlier process at this address matches nothing.
-    CallTransport(PeerNetwork& network, Timers& timers, ServerRole* local, std::uint64_t firstId);
+    CallTransport(PeerNetwork& network, Timers& timers, EventLog& events, ServerRole* local, std::uint64_t firstId);
     ~CallTransport();
     CallTransport(const CallTransport&) = delete;
     CallTransport& operator=(const CallTransport&) = delete;
@@ -31,6 +33,9 @@
     /// Cancels a call that has not ended.
     void cancel(std::uint64_t id);
 
+    /// \returns a signal with a daemon that fell silent (true) or was heard again (false).
+    sigc::signal<void(const PeerAddress&, bool)>& silenceChanged() { return m_watch.changed(); }
+
 private:
     struct Pending {
         PeerAddress daemon;
@@ -38,6 +43,8 @@
         TimerId timer = 0;
     };
 
+    /// Takes a call out of the pending ones; empty when it has ended.
+    std::optional<Pending> take(std::uint64_t id);
     void end(std::uint64_t id, Answer answer);
     void endWith(std::uint64_t id, Refusal refusal);
     void onAnswer(const PeerAddress& from, std::span<const std::byte> message);
@@ -50,6 +57,7 @@
     ServerRole* m_local;
     std::uint64_t m_lastId;
     std::unordered_map<std::uint64_t, Pending> m_pending;
+    PeerWatch m_watch;
 };
 
 } // namespace pw
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -74,7 +74,7 @@
     if (!m_settings.server && !m_settings.entry) {
         return;
     }
-    m_transport = std::make_unique<CallTransport>(m_network, m_timers, m_server.get(), crypto::randomNumber());
+    m_transport = std::make_unique<CallTransport>(m_network, m_timers, m_log, m_server.get(), crypto::randomNumber());
     m_dispatcher = std::make_unique<Dispatcher>(m_settings, *m_transport, m_timers, m_log, *m_view, crypto::randomNumber());
 }
 
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -47,6 +47,7 @@
     , m_budget(settings.retryBudget.ratio, settings.retryBudget.extra, settings.retryBudget.window)
 {
     directory.onChanged([this](const std::string&) { followDirectory(); });
+    transport.silenceChanged().connect(sigc::mem_fun(*this, &Dispatcher::noteSilence));
 }
 
 /// Each backend server stands beside a daemon, so their number is known from the view.
@@ -116,6 +117,7 @@
         { "server", server->name }, { "workspace", job.request.call.workspace }, { "depth", job.request.call.depth }, { "try", job.tries + 1 });
     ++job.tries;
     job.server = server->name;
+    job.daemon = server->daemon;
     job.sent = now;
     job.tried.push_back(server->name);
     m_picker.started(server->name, now);
@@ -167,6 +169,41 @@
     job.backoff = m_timers.after(*wait, [this, id] { attempt(id); });
 }
 
+/// Picks no silent daemon for new calls, and brings those that may run twice elsewhere.
+void Dispatcher::noteSilence(const PeerAddress& daemon, bool silent)
+{
+    m_picker.setSilent(daemon, silent);
+    if (!silent) {
+        return;
+    }
+    std::vector<std::uint64_t> leaving;
+    for (const auto& [id, job] : m_jobs) {
+        if (canLeave(job, daemon)) {
+            leaving.push_back(id);
+        }
+    }
+    for (const auto id : leaving) {
+        // Each one that leaves draws on the budget of the next.
+        if (const auto it = m_jobs.find(id); it != m_jobs.end() && canLeave(it->second, daemon)) {
+            m_transport.cancel(it->second.call);
+            Answer answer;
+            answer.refusal = { Verdict::MayHaveRun, Reason::Unreachable, {} };
+            answered(id, std::move(answer));
+        }
+    }
+}
+
+/// \returns whether a call under way at \p daemon can be made again elsewhere; otherwise its answer is waited for.
+bool Dispatcher::canLeave(const Job& job, const PeerAddress& daemon) const
+{
+    const auto& call = job.request.call;
+    const auto underWay = job.daemon == daemon && job.call != 0 && job.backoff == 0;
+    const auto mayRepeat = call.idempotent && job.request.attempts > 0 && job.tries < config::maxTriesPerHop
+        && job.reached + 1 < job.request.maxServers;
+    return underWay && mayRepeat && m_retries.tokens() >= 1 && m_budget.left(call.service, m_timers.now()) >= 1
+        && m_directory.servers(call.service).size() > 1;
+}
+
 /// \returns the time after which the request is tried again, or nothing when it is not.
 std::optional<Duration> Dispatcher::backoff(Job& job, const Answer& answer)
 {
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -60,6 +60,7 @@
         std::uint64_t call = 0;
         TimerId backoff = 0;
         std::string server;
+        PeerAddress daemon; ///< Beside that server.
         TimePoint sent {};
     };
 
@@ -71,6 +72,8 @@
     std::optional<Duration> backoff(Job& job, const Answer& answer);
     bool canHandOver(const Job& job, const Refusal& refusal);
     void followDirectory();
+    void noteSilence(const PeerAddress& daemon, bool silent);
+    bool canLeave(const Job& job, const PeerAddress& daemon) const;
     void end(std::uint64_t id, Answer answer);
     void endWith(std::uint64_t id, Refusal refusal);
 
--- a/src/config.h
+++ b/src/config.h
@@ -46,9 +46,16 @@
 /// Idle time after which a link between daemons is closed; longer than any deadline.
 inline constexpr milliseconds linkIdleTimeout { 75000 };
 /// Time without a frame from the peer, counted from something sent, after which it is asked for one.
-inline constexpr milliseconds linkProbeAfter { 1000 };
+inline constexpr milliseconds linkProbeAfter { 200 };
 /// Time without a frame from the peer, counted from something sent, after which the link is closed.
 inline constexpr milliseconds linkDeadAfter { 3000 };
+/// Interval at which daemons that owe answers are asked for a sign of life.
+inline constexpr milliseconds peerWatchInterval { 100 };
+/// Time without an answer of any kind from which a daemon counts as silent: several times the round trip between failure
+/// domains, and a retransmission.
+inline constexpr milliseconds peerSilentAfter { 500 };
+/// Time after which a silent daemon that nothing is sent to is not asked any more.
+inline constexpr milliseconds peerForgottenAfter { 30000 };
 /// Time past a request's deadline that an entry daemon leaves the server-side daemon to give the truer verdict.
 inline constexpr milliseconds deadlineGrace { 20 };
 /// Largest body of an answer of a backend server, in bytes; an answer goes in one frame between daemons.
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -82,6 +82,15 @@
     seen.latencyAt = now;
 }
 
+void Picker::setSilent(const std::string& daemon, bool silent)
+{
+    if (silent) {
+        m_silent.insert(daemon);
+    } else {
+        m_silent.erase(daemon);
+    }
+}
+
 std::uint32_t Picker::outstanding(const std::string& server) const
 {
     return observation(server).outstanding;
@@ -106,7 +115,7 @@
     }
     Candidates healthy;
     std::ranges::copy_if(allowed, std::back_inserter(healthy),
-        [&](std::size_t n) { return !avoided(observation(servers[n].name), scene.now); });
+        [&](std::size_t n) { return !m_silent.contains(servers[n].daemon) && !avoided(observation(servers[n].name), scene.now); });
     // With every server failing, avoiding all of them would only turn failures into refusals.
     return healthy.empty() ? allowed : healthy;
 }
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace pw {
@@ -39,6 +40,9 @@
     /// Notes how that call ended. \p hint is null when no answer came.
     void finished(const std::string& server, RunOutcome outcome, Duration latency, const LoadHint* hint, TimePoint now);
 
+    /// Notes that the daemon at \p daemon fell silent, or was heard again.
+    void setSilent(const std::string& daemon, bool silent);
+
     /// \returns calls sent to \p server that have not ended.
     std::uint32_t outstanding(const std::string& server) const;
 
@@ -80,6 +84,7 @@
 
     Random m_random;
     std::unordered_map<std::string, Observation> m_observations;
+    std::unordered_set<std::string> m_silent; ///< Addresses of daemons.
 };
 
 } // namespace pw
--- a/src/ports/peer_network.h
+++ b/src/ports/peer_network.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -35,6 +36,12 @@
 /// A Cap'n Proto message as flat bytes, padded to whole words.
 using Bytes = std::vector<std::byte>;
 
+/// What is known of a peer's life.
+struct PeerSign {
+    bool linked = false; ///< A link to it is open.
+    std::chrono::nanoseconds unanswered { 0 }; ///< For how long something sent, or the dialling, has had no answer.
+};
+
 /// Port: authenticated messages between daemons. Delivery is best effort, in order on one link,
 /// and may be lost with the link; every protocol on top copes with loss, delay and repetition.
 class PeerNetwork {
@@ -59,6 +66,12 @@
     /// because no link could be opened.
     virtual void onUnsent(MessageKind, const UnsentHandler&) { }
 
+    /// Asks \p peer for a sign of life when it has not been heard lately; opens a link when there is none.
+    virtual void probe(const PeerAddress& /*peer*/) { }
+
+    /// \returns what is known of the life of \p peer.
+    virtual PeerSign signOf(const PeerAddress& /*peer*/) const { return {}; }
+
     /// \returns the address under which this daemon is known to others.
     virtual const PeerAddress& self() const = 0;
 };
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -105,7 +105,7 @@
     FixedDirectory directory;
     ScriptedServer one { network, "one" };
     ScriptedServer two { network, "two" };
-    pw::CallTransport transport { entry, timers, nullptr, 1000 };
+    pw::CallTransport transport { entry, timers, log, nullptr, 1000 };
     pw::Dispatcher dispatcher { settings, transport, timers, log, directory, 7 };
     std::uint64_t job = 0;
     int ended = 0;
--- a/tests/unit/support/fake_network.h
+++ b/tests/unit/support/fake_network.h
@@ -119,6 +119,7 @@
     struct Endpoint {
         std::uint64_t incarnation = 0; ///< Messages of an earlier one are lost.
         Handlers* handlers = nullptr;
+        std::map<PeerAddress, TimePoint>* unanswered = nullptr; ///< Since when each peer owes a message.
     };
 
     bool blocked(const PeerAddress& from, const PeerAddress& to) const
@@ -160,6 +161,7 @@
         if (blocked(from, to) || !endpoint.handlers || endpoint.incarnation != incarnation) {
             return;
         }
+        endpoint.unanswered->erase(from);
         if (auto handler = endpoint.handlers->at(static_cast<std::size_t>(kind))) {
             handler(from, message);
         }
@@ -185,6 +187,7 @@
         auto& endpoint = m_network.m_endpoints[m_self];
         ++endpoint.incarnation;
         endpoint.handlers = &m_handlers;
+        endpoint.unanswered = &m_unanswered;
     }
 
     ~FakePeer() override
@@ -200,10 +203,26 @@
 
     bool send(const PeerAddress& to, MessageKind kind, const Bytes& message) override
     {
+        m_unanswered.try_emplace(to, m_network.m_timers.now());
         m_network.send(m_self, to, kind, message);
         return true;
     }
 
+    /// A peer that can be reached answers at once.
+    void probe(const PeerAddress& peer) override
+    {
+        m_unanswered.try_emplace(peer, m_network.m_timers.now());
+        if (m_network.m_endpoints[peer].handlers && !m_network.blocked(m_self, peer) && !m_network.blocked(peer, m_self)) {
+            m_unanswered.erase(peer);
+        }
+    }
+
+    PeerSign signOf(const PeerAddress& peer) const override
+    {
+        const auto it = m_unanswered.find(peer);
+        return { true, it == m_unanswered.end() ? Duration::zero() : m_network.m_timers.now() - it->second };
+    }
+
     void onMessage(MessageKind kind, Handler handler) override
     {
         m_handlers.at(static_cast<std::size_t>(kind)) = std::move(handler);
@@ -223,6 +242,7 @@
     FakeNetwork& m_network;
     PeerAddress m_self;
     FakeNetwork::Handlers m_handlers {};
+    std::map<PeerAddress, TimePoint> m_unanswered;
     std::vector<LostHandler> m_lost;
 };
 
