--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -4,8 +4,8 @@
 #include "adapters/peer_network_libevent.h"
 #include "adapters/timers_libevent.h"
 #include "app/settings.h"
-#include "core/member_choice.h"
 #include "core/demand_board.h"
+#include "core/member_choice.h"
 #include "ports/events.h"
 
 #include <memory>
