--- a/src/core/session_message.h
+++ b/src/core/session_message.h
@@ -8,7 +8,7 @@
 
 /// Daemon to control member: renew the validity lease, send what changed.
 struct SessionAsk {
-    std::uint64_t cluster = 0; ///< Zero before the first state.
+    std::uint64_t cluster = 0; ///< Zero to be sent the whole state, as before the first one.
     std::string name; ///< Of the daemon.
     std::uint64_t appliedIndex = 0;
     std::uint64_t version = 0;
