Bound messages by bytes on the wire; end three ways to cut or mix answers

The HTTP library holds the line of a chunk and the trailers until they are whole, counts each piece of a header anew, and asserts that a last chunk seen in part goes on by two bytes: '0\r\n' and then one byte ended the daemon. Interim answers were taken without end, a body that came a byte now and then had no time. A connection was used again for the same request after a refusal, so that a second copy of the refusal passed for the answer to the second try. A planned stop closed the listener over connections that the system had accepted, and did not wait for requests read in part or answers not taken whole.

Ruled out: a smaller body limit (framing does not count towards it); a parser of our own.

Conclusion: bounds count from where a part begins, so no result depends on the pieces.

--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -69,13 +69,13 @@
     std::ranges::for_each(std::exchange(m_idle, {}), [this](auto& it) { release(std::move(it)); });
 }
 
-BackendClient::ConnectionPtr BackendClient::takeConnection(bool repeatable)
+BackendClient::ConnectionPtr BackendClient::takeConnection(const HttpRequest& request, bool repeatable)
 {
     const auto now = m_timers.now();
     while (!m_idle.empty()) {
         auto connection = std::move(m_idle.back());
         m_idle.pop_back();
-        if (connection->usable(now, repeatable)) {
+        if (connection->usable(request, now, repeatable)) {
             return connection;
         }
         release(std::move(connection));
@@ -88,7 +88,7 @@
     const auto id = ++m_lastId;
     auto running = std::make_unique<Running>();
     running->done = std::move(done);
-    running->connection = takeConnection(repeatable);
+    running->connection = takeConnection(request, repeatable);
     running->connectionWasNew = !running->connection;
     running->timeout = m_timers.after(timeout, [this, id] {
         const auto it = m_running.find(id);
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -68,7 +68,7 @@
     struct Running;
     using ConnectionPtr = std::unique_ptr<detail::BackendConnection>;
 
-    ConnectionPtr takeConnection(bool repeatable);
+    ConnectionPtr takeConnection(const HttpRequest& request, bool repeatable);
     void finish(std::uint64_t id, AnswerMeaning meaning, HttpResponse answer, bool reusable);
     void fail(std::uint64_t id, const Refusal& refusal, std::string_view detail, bool sent);
     void dropIdle(detail::BackendConnection* connection);
--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -71,6 +71,7 @@
     m_exchange = exchange;
     m_sent = m_stream.connected();
     m_strayed = false;
+    m_interims = 0;
     m_stream.write(render(request));
     m_request = { request.method, request.target, request.headers, {} };
     m_reader.begin(request.method == "HEAD");
@@ -110,6 +111,10 @@
 void BackendConnection::judge(HttpResponse answer, bool keepsAlive)
 {
     if (answer.status < firstFinalStatus) {
+        if (++m_interims > config::maxInterimAnswers) {
+            fail("too many interim answers");
+            return;
+        }
         m_reader.begin(m_request.method == "HEAD");
         return;
     }
@@ -163,8 +168,12 @@
     m_client.fail(std::exchange(m_exchange, 0), brokenOff, why, true);
 }
 
-bool BackendConnection::usable(TimePoint now, bool repeatable) const
+bool BackendConnection::usable(const HttpRequest& request, TimePoint now, bool repeatable) const
 {
+    // A second copy of the last answer would pass for the answer to a request of the same name.
+    if (m_client.m_protocol.sameName(m_request, request)) {
+        return false;
+    }
     const auto allowed = m_keepAlive ? *m_keepAlive - config::keepAliveMargin : Duration(config::backendIdleTimeout);
     const auto idle = now - m_idleSince;
     return m_stream.input().empty() && idle < allowed && (repeatable || idle < config::sureConnectionAge);
--- a/src/adapters/backend_connection.h
+++ b/src/adapters/backend_connection.h
@@ -22,8 +22,9 @@
     void streamReadable() override;
     void streamEnded(StreamEnd end) override;
 
-    /// \returns whether a request may be sent on it at \p now, given what its server said and how long it was idle.
-    bool usable(TimePoint now, bool repeatable) const;
+    /// \returns whether \p request may be sent on it at \p now, given what its server said, how long it was idle and which
+    /// request it served last.
+    bool usable(const HttpRequest& request, TimePoint now, bool repeatable) const;
     void noteIdle(TimePoint now) { m_idleSince = now; }
     bool connected() const { return m_stream.connected(); }
     /// \returns whether the exchange under way may have reached the backend server.
@@ -40,11 +41,12 @@
     TcpStream m_stream;
     HttpAnswerReader m_reader;
     std::uint64_t m_exchange = 0; ///< Zero: none under way.
-    HttpRequest m_request; ///< Of the exchange under way, without its body.
+    HttpRequest m_request; ///< Of the exchange under way or else the last one, without its body.
     bool m_fresh = true; ///< No exchange has ended on it.
     bool m_sent = false;
     bool m_strayed = false; ///< An answer to another request came in between.
     std::size_t m_strays = 0;
+    std::size_t m_interims = 0; ///< Interim answers to the exchange under way.
     TimePoint m_idleSince {};
     std::optional<Duration> m_keepAlive; ///< Idle time that the server allows, as it said.
 };
--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -184,6 +184,11 @@
     return m_slots.empty() && m_stream.backlog() == 0 && !m_reader.begun() && m_stream.input().empty();
 }
 
+bool HttpConnection::unfinished() const
+{
+    return m_stream.backlog() > 0 || (!m_closing && (m_reader.begun() || !m_stream.input().empty()));
+}
+
 void HttpConnection::check(TimePoint now)
 {
     const auto& limits = m_server.m_limits;
@@ -201,6 +206,8 @@
     }
     if (m_requestBegan && now - *m_requestBegan >= limits.headerTimeout && !m_reader.headerDone()) {
         refuse(http_status::requestTimeout, "header not received in time");
+    } else if (m_requestBegan && now - *m_requestBegan >= limits.requestTimeout) {
+        refuse(http_status::requestTimeout, "request not received in time");
     } else if (now - m_lastProgress >= limits.idleTimeout) {
         drop();
     }
--- a/src/adapters/http_connection.h
+++ b/src/adapters/http_connection.h
@@ -22,6 +22,8 @@
 
     /// \returns whether nothing is being received, worked on or sent.
     bool idle() const;
+    /// \returns whether a request is not read whole or an answer not taken whole.
+    bool unfinished() const;
 
     TimePoint lastProgress() const { return m_lastProgress; }
 
--- a/src/adapters/http_reader.cpp
+++ b/src/adapters/http_reader.cpp
@@ -1,10 +1,13 @@
 #include "adapters/http_reader.h"
 
+#include "adapters/chunk_framing.h"
+#include "config.h"
 #include "core/header_rules.h"
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -46,29 +49,36 @@
         return !(length && length->find(',') != std::string_view::npos) && !(coding && !sameHeader(*coding, "chunked"));
     }
 
-    /// The library's parser with the parts of a message collected in our types.
+    /// The library's parser with the parts of a message collected in our types, and bounds on what it leaves unbounded:
+    /// the whole header, the lines of chunks, the trailers and what all of them take beside the body. The bounds count
+    /// bytes from where they begin, so that the result does not depend on the pieces in which the bytes come.
     template <bool isRequest, typename Message>
     class MessageParser : public http::basic_parser<isRequest> {
     public:
         explicit MessageParser(HttpSizeLimits limits)
+            : m_headerLimit(limits.headerBytes)
         {
-            this->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+            // The library counts each piece of a header anew: its limit must not be met before the one on the whole.
+            this->header_limit(static_cast<std::uint32_t>(limits.headerBytes + config::headerEndBytes));
             this->body_limit(limits.bodyBytes);
-            this->eager(true);
+            this->eager(false);
         }
 
         std::size_t take(std::string_view bytes)
         {
             std::size_t used = 0;
-            // The library stops after the header and after each part of a body.
-            while (!this->is_done() && !m_error && used < bytes.size()) {
-                error_code ec;
-                const auto n = this->put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), ec);
+            while (!this->is_done() && fault() == HttpFault::None && used < bytes.size()) {
+                const auto rest = bytes.substr(used);
+                m_begun = true;
+                // The library asserts that a last chunk which it has seen in part goes on by two bytes at once.
+                if (atChunkLine() && !chunkLineIsWhole(rest)) {
+                    break;
+                }
+                const auto n = step(rest);
                 used += n;
-                if (ec == http::error::need_more || (!ec && n == 0)) {
+                if (n == 0) {
                     break;
                 }
-                m_error = ec;
             }
             return used;
         }
@@ -78,14 +88,15 @@
             if (this->is_done() || m_error) {
                 return;
             }
-            if (!this->got_some()) {
+            if (!m_begun) {
                 m_error = http::error::end_of_stream;
                 return;
             }
             this->put_eof(m_error);
         }
 
-        HttpFault fault() const { return faultOf(m_error); }
+        HttpFault fault() const { return m_bound == HttpFault::None ? faultOf(m_error) : m_bound; }
+        bool begun() const { return m_begun; }
         Message& message() { return m_message; }
         const Message& message() const { return m_message; }
 
@@ -135,21 +146,79 @@
             return bytes.size();
         }
 
-        void on_chunk_header_impl(std::uint64_t, beast::string_view, error_code&) override { }
+        void on_chunk_header_impl(std::uint64_t size, beast::string_view, error_code&) override
+        {
+            ++m_chunks;
+            m_chunkLeft = size;
+        }
 
         std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes, error_code&) override
         {
             m_message.body.append(bytes.data(), bytes.size());
+            m_chunkLeft -= bytes.size();
             return bytes.size();
         }
 
         void on_finish_impl(error_code&) override { }
 
     private:
+        /// \returns whether the next bytes are the line of a chunk, with the end of the chunk before it.
+        bool atChunkLine() const { return m_headerDone && this->chunked() && m_chunkLeft == 0; }
+
+        bool chunkLineIsWhole(std::string_view bytes)
+        {
+            const auto line = readChunkLine(bytes, m_chunks == 0, m_headerLimit);
+            m_bound = line.fault;
+            return line.whole;
+        }
+
+        /// Lets the library take one part: the header, the line of a chunk, or a piece of the body.
+        std::size_t step(std::string_view bytes)
+        {
+            const auto inHeader = !m_headerDone;
+            const auto inLine = atChunkLine();
+            error_code ec;
+            const auto n = this->put(boost::asio::const_buffer(bytes.data(), bytes.size()), ec);
+            if (ec != http::error::need_more) {
+                m_error = ec;
+            }
+            if (inHeader) {
+                boundHeader(n, bytes.size() - n);
+            } else if (inLine && !this->is_done()) {
+                m_framing += n;
+                boundFraming();
+            }
+            return n;
+        }
+
+        void boundHeader(std::size_t taken, std::size_t left)
+        {
+            m_headerBytes += taken;
+            // What is left while the header goes on belongs to it, but for the end of its last line.
+            const auto least = m_headerDone ? m_headerBytes : m_headerBytes + left - std::min(left, config::headerEndBytes - 1);
+            if (!m_error && least > m_headerLimit) {
+                m_bound = HttpFault::HeaderTooLarge;
+            }
+        }
+
+        void boundFraming()
+        {
+            if (m_framing > config::chunkFramingBytes + config::chunkFramingPerByte * m_message.body.size()) {
+                m_bound = HttpFault::Malformed;
+            }
+        }
+
+        std::size_t m_headerLimit;
+        std::size_t m_headerBytes = 0;
+        std::size_t m_framing = 0; ///< Bytes of the lines of chunks.
+        std::uint64_t m_chunks = 0;
+        std::uint64_t m_chunkLeft = 0; ///< Bytes of the chunk under way.
         Message m_message;
         error_code m_error;
+        HttpFault m_bound = HttpFault::None; ///< Bound that was passed.
         unsigned m_version = 0;
         bool m_headerDone = false;
+        bool m_begun = false;
     };
 
 } // namespace
@@ -179,7 +248,7 @@
 
 bool HttpRequestReader::begun() const
 {
-    return m_parser->got_some();
+    return m_parser->begun();
 }
 
 bool HttpRequestReader::headerDone() const
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <sys/socket.h>
 #include <utility>
 
 namespace pw {
@@ -84,9 +85,28 @@
 
 void HttpServer::stopListening()
 {
+    acceptWaiting();
     m_listener.reset();
 }
 
+/// Takes the connections that the system has accepted and would reset together with the listener.
+void HttpServer::acceptWaiting()
+{
+    if (!m_listener) {
+        return;
+    }
+    const auto listening = evconnlistener_get_fd(m_listener.get());
+    for (auto fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); fd >= 0;
+         fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) {
+        accept(fd);
+    }
+}
+
+std::size_t HttpServer::unfinished() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_connections, [](const auto& it) { return it.first->unfinished(); }));
+}
+
 void HttpServer::pauseListening(bool pause)
 {
     if (m_listener) {
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -57,6 +57,7 @@
     std::chrono::milliseconds headerTimeout { 0 }; ///< From the first byte of a request to the end of its header.
     std::chrono::milliseconds idleTimeout { 0 }; ///< Between requests, and without progress within a body.
     std::size_t connections = config::maxCallerConnections; ///< Above which those that were idle longest are closed.
+    std::chrono::milliseconds requestTimeout = config::callerIdleTimeout; ///< From the first byte of a request to its last.
 };
 
 /// HTTP/1.1 server on one address. Requests that a caller sends behind each other on one connection are handed out side
@@ -79,7 +80,7 @@
     void setLimits(const HttpServerLimits& limits) { m_limits = limits; }
     /// Asks callers to go elsewhere: later answers carry "Connection: close".
     void leave() { m_leaving = true; }
-    /// Takes no new connections; open ones go on.
+    /// Takes no new connections but those that wait already; open ones go on.
     void stopListening();
     /// Pauses or resumes taking new connections; they wait in the system's queue meanwhile.
     void pauseListening(bool pause);
@@ -90,6 +91,8 @@
 
     /// \returns the number of requests that are not answered yet.
     std::size_t pending() const { return *m_pending; }
+    /// \returns the connections with a request that is not read whole, or an answer that is not taken whole.
+    std::size_t unfinished() const;
     /// \returns the connections that are open.
     std::size_t connectionCount() const { return m_connections.size(); }
 
@@ -100,6 +103,7 @@
     static void onAcceptFailed(evconnlistener*, void* argument);
 
     void accept(evutil_socket_t fd);
+    void acceptWaiting();
     void makeRoom();
     void remove(detail::HttpConnection* connection);
     void sweep();
--- a/src/app/caller_edge.h
+++ b/src/app/caller_edge.h
@@ -48,6 +48,8 @@
     void pauseListening(bool pause) { m_http.pauseListening(pause); }
     /// Takes no new connections.
     void stopListening() { m_http.stopListening(); }
+    /// \returns the connections with a request or an answer under way on the wire.
+    std::size_t unfinished() const { return m_http.unfinished(); }
     void shutdown() { m_http.shutdown(); }
 
     /// \returns requests that are not answered yet.
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -199,7 +199,7 @@
 
 bool Daemon::busy() const
 {
-    auto calls = m_callerEdge ? m_callerEdge->pending() : 0;
+    auto calls = m_callerEdge ? m_callerEdge->pending() + m_callerEdge->unfinished() : 0;
     auto work = m_server ? m_server->pending() : 0;
     auto jobs = m_dispatcher ? m_dispatcher->pending() : 0;
     return calls + work + jobs > 0;
--- a/src/app/native_protocol.cpp
+++ b/src/app/native_protocol.cpp
@@ -128,6 +128,11 @@
     return countHeader(answer.headers, header::exchange) > 0;
 }
 
+bool NativeBackendProtocol::sameName(const HttpRequest& earlier, const HttpRequest& later) const
+{
+    return singleHeader(earlier.headers, header::exchange) == singleHeader(later.headers, header::exchange);
+}
+
 void NativeBackendProtocol::strip(HttpResponse& answer) const
 {
     answer.headers = forwardedHeaders(answer.headers, header::ownPrefix);
--- a/src/app/native_protocol.h
+++ b/src/app/native_protocol.h
@@ -22,6 +22,7 @@
     HttpRequest request(const BackendRun& run) const override;
     AnswerMeaning meaning(const HttpRequest& request, const HttpResponse& answer) const override;
     bool identified(const HttpRequest& request, const HttpResponse& answer) const override;
+    bool sameName(const HttpRequest& earlier, const HttpRequest& later) const override;
     void strip(HttpResponse& answer) const override;
 };
 
--- a/src/config.h
+++ b/src/config.h
@@ -13,6 +13,16 @@
 inline constexpr std::size_t maxBodyBytes = 1024 * 1024;
 /// Largest header block of one HTTP message, in bytes.
 inline constexpr std::size_t maxHeaderBytes = 16 * 1024;
+/// Bytes of the empty line that ends a header, with the end of the line before it.
+inline constexpr std::size_t headerEndBytes = 4;
+/// Longest line of a chunk, its extensions included, in bytes.
+inline constexpr std::size_t maxChunkLineBytes = 1024;
+/// Bytes that the lines of chunks may take in one message, and those for each byte of its body: chunks of one byte take
+/// five.
+inline constexpr std::size_t chunkFramingBytes = 16 * 1024;
+inline constexpr std::size_t chunkFramingPerByte = 8;
+/// Interim answers of a backend server to one request.
+inline constexpr std::size_t maxInterimAnswers = 8;
 /// Largest frame between two daemons, in bytes.
 inline constexpr std::size_t maxFrameBytes = 4 * 1024 * 1024;
 /// Unsent bytes on one link between daemons above which new messages are dropped.
@@ -47,8 +57,10 @@
 inline constexpr milliseconds linkIdleTimeout { 75000 };
 /// Time without a frame from the peer, counted from something sent, after which it is asked for one.
 inline constexpr milliseconds linkProbeAfter { 200 };
-/// Time without a frame from the peer, counted from something sent, after which the link is closed.
+/// Time without a frame from the peer, counted from something sent, after which nothing more is sent on the link.
 inline constexpr milliseconds linkDeadAfter { 3000 };
+/// The same after which the link is closed: a VM that was suspended may still answer what it was sent before.
+inline constexpr milliseconds linkClosedAfter { 15000 };
 /// Interval at which daemons that owe answers are asked for a sign of life.
 inline constexpr milliseconds peerWatchInterval { 100 };
 /// Time without an answer of any kind from which a daemon counts as silent: several times the round trip between failure
--- a/src/ports/backend_protocol.h
+++ b/src/ports/backend_protocol.h
@@ -46,6 +46,9 @@
     /// \returns whether \p answer identifies the request it belongs to, so that its connection can be used again.
     virtual bool identified(const HttpRequest& request, const HttpResponse& answer) const = 0;
 
+    /// \returns whether an answer that identifies \p earlier would identify \p later as well.
+    virtual bool sameName(const HttpRequest& earlier, const HttpRequest& later) const = 0;
+
     /// Removes what concerns only this daemon and the backend server from \p answer.
     virtual void strip(HttpResponse& answer) const = 0;
 };
--- /dev/null
+++ b/tests/process/http_end_test.cpp
@@ -0,0 +1,242 @@
+#include "adapters/backend_client.h"
+#include "adapters/http_server.h"
+#include "adapters/timers_libevent.h"
+#include "core/header_rules.h"
+#include "support/http_names.h"
+#include "support/loop.h"
+#include "support/mesh.h"
+#include "support/raw_server.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <optional>
+#include <thread>
+
+using namespace pw::test;
+namespace http = pw::support::http;
+
+namespace {
+
+constexpr milliseconds loopTime { 300 };
+constexpr milliseconds answerBound { 3000 };
+constexpr milliseconds exchangeTimeout { 1000 };
+constexpr milliseconds pauseOfCaller { 2000 }; ///< Longer than a stopping daemon listens.
+constexpr milliseconds stopBound { 20000 };
+
+/// A loop with what the adapters need, driven by the test.
+struct Loop {
+    Loop()
+        : base(pw::support::makeBase())
+        , streams(base.get())
+        , timers(base.get())
+    {
+        pw::support::ignoreBrokenPipes();
+    }
+
+    void run(milliseconds time)
+    {
+        (void)timers.after(time, [this] { event_base_loopbreak(base.get()); });
+        event_base_dispatch(base.get());
+    }
+
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        const auto end = timers.now() + answerBound;
+        while (!condition() && timers.now() < end) {
+            run(milliseconds(5));
+        }
+    }
+
+    pw::support::BasePtr base;
+    pw::StreamLoop streams;
+    pw::TimersLibevent timers;
+};
+
+/// Backend servers that name the request they answer by the header X-Name.
+class NamedRequests : public pw::BackendProtocol {
+public:
+    bool usesContextTokens() const override { return false; }
+    pw::HttpRequest request(const pw::BackendRun&) const override { return {}; }
+
+    pw::AnswerMeaning meaning(const pw::HttpRequest& request, const pw::HttpResponse& answer) const override
+    {
+        if (!identified(request, answer)) {
+            return pw::AnswerMeaning::Another;
+        }
+        return answer.status == 503 ? pw::AnswerMeaning::NotRun : pw::AnswerMeaning::Whole;
+    }
+
+    bool identified(const pw::HttpRequest& request, const pw::HttpResponse& answer) const override { return nameOf(request.headers) == nameOf(answer.headers); }
+    bool sameName(const pw::HttpRequest& earlier, const pw::HttpRequest& later) const override { return nameOf(earlier.headers) == nameOf(later.headers); }
+    void strip(pw::HttpResponse&) const override { }
+
+private:
+    static std::optional<std::string_view> nameOf(const std::vector<pw::HeaderLine>& headers) { return pw::singleHeader(headers, "X-Name"); }
+};
+
+pw::HttpRequest named(const std::string& name)
+{
+    return { "GET", "/", { { "X-Name", name } }, "" };
+}
+
+std::string answerTo(const std::string& name, int status, const std::string& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Name: " + name + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct Client {
+    explicit Client(const RawServer& server)
+        : client(loop.streams, loop.timers, protocol)
+    {
+        BOOST_REQUIRE(client.setAddress(server.address()));
+    }
+
+    pw::BackendResult ask(const std::string& name)
+    {
+        std::optional<pw::BackendResult> result;
+        client.start(named(name), exchangeTimeout, true, [&result](pw::BackendResult it) { result = std::move(it); });
+        loop.runUntil([&result] { return result.has_value(); });
+        BOOST_REQUIRE(result.has_value());
+        return std::move(*result);
+    }
+
+    Loop loop;
+    NamedRequests protocol;
+    pw::BackendClient client;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpEnds)
+
+BOOST_AUTO_TEST_CASE(aSecondCopyOfARefusalIsNotTheAnswerToTheNextTry)
+{
+    std::atomic<int> requests = 0;
+    const RawServer server(freeAddress(), [&requests](const RawConnection& connection, std::size_t number) {
+        while (!connection.readAnswer(answerBound).empty()) {
+            ++requests;
+            // On the first connection the copy of the refusal comes when the next request is there.
+            (void)connection.send(number == 0 ? answerTo("a", 503, "full") : answerTo("a", 200, "ran"));
+        }
+    });
+    Client client(server);
+    BOOST_TEST((client.ask("a").refusal.verdict == pw::Verdict::NotRun));
+    const auto second = client.ask("a");
+    BOOST_TEST((second.refusal.verdict == pw::Verdict::Ran));
+    BOOST_TEST(second.response.body == "ran");
+    BOOST_TEST(requests == 2);
+}
+
+BOOST_AUTO_TEST_CASE(aLateSecondCopyIsNotTheAnswerToTheNextRequest)
+{
+    const RawServer server(freeAddress(), [](const RawConnection& connection, std::size_t) {
+        std::string last;
+        for (auto request = connection.readAnswer(answerBound); !request.empty(); request = connection.readAnswer(answerBound)) {
+            const auto at = request.find("X-Name: ") + std::string_view("X-Name: ").size();
+            const auto name = request.substr(at, request.find("\r\n", at) - at);
+            (void)connection.send((last.empty() ? "" : answerTo(last, 200, "answer to " + last)) + answerTo(name, 200, "answer to " + name));
+            last = name;
+        }
+    });
+    Client client(server);
+    for (const char* it : { "a", "b", "c", "d" }) {
+        BOOST_TEST(client.ask(it).response.body == "answer to " + std::string(it));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(interimAnswersWithoutEndAreAFailure)
+{
+    const RawServer server(freeAddress(), [](const RawConnection& connection, std::size_t) {
+        (void)connection.readAnswer(answerBound);
+        while (connection.send("HTTP/1.1 100 Continue\r\n\r\n")) { }
+    });
+    Client client(server);
+    const auto result = client.ask("a");
+    BOOST_TEST((result.refusal.verdict == pw::Verdict::MayHaveRun));
+    BOOST_TEST(result.detail == "too many interim answers");
+}
+
+BOOST_AUTO_TEST_CASE(connectionsThatWaitAreServedWhenListeningStops)
+{
+    Loop loop;
+    pw::HttpServer server(loop.streams, loop.timers, [](const std::shared_ptr<pw::HttpExchange>& exchange) { exchange->reply({ 200, {}, "ok" }); });
+    const auto address = freeAddress();
+    std::string reason;
+    BOOST_REQUIRE(server.init(address, reason));
+    server.pauseListening(true);
+    const RawConnection first(address);
+    const RawConnection second(address);
+    for (const auto* it : { &first, &second }) {
+        (void)it->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    server.stopListening();
+    loop.run(loopTime);
+    for (const auto* it : { &first, &second }) {
+        BOOST_TEST(statusIn(it->readAnswer(loopTime)) == 200);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aRequestInPartAndAnAnswerNotTakenAreUnfinished)
+{
+    Loop loop;
+    constexpr std::size_t answerBytes = 16 * 1024 * 1024;
+    pw::HttpServer server(loop.streams, loop.timers,
+        [](const std::shared_ptr<pw::HttpExchange>& exchange) { exchange->reply({ 200, {}, std::string(answerBytes, 'a') }); });
+    const auto address = freeAddress();
+    std::string reason;
+    BOOST_REQUIRE(server.init(address, reason));
+    const RawConnection connection(address);
+    loop.run(loopTime);
+    BOOST_TEST(server.unfinished() == 0U);
+    (void)connection.send("GET / HTTP/1.1\r\nHo");
+    loop.run(loopTime);
+    BOOST_TEST(server.unfinished() == 1U);
+    (void)connection.send("st: x\r\n\r\n");
+    loop.run(loopTime);
+    BOOST_TEST(server.pending() == 0U);
+    BOOST_TEST(server.unfinished() == 1U);
+    std::atomic<std::size_t> taken = 0;
+    std::thread reader([&] { taken = connection.readAnswer(answerBound).size(); });
+    loop.runUntil([&server] { return server.unfinished() == 0; });
+    BOOST_TEST(server.unfinished() == 0U);
+    reader.join();
+    BOOST_TEST(taken > answerBytes);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestThatStopsComingIsEndedInItsTime)
+{
+    Loop loop;
+    pw::HttpServer server(loop.streams, loop.timers, [](const std::shared_ptr<pw::HttpExchange>&) {});
+    server.setLimits({ { pw::config::maxHeaderBytes, pw::config::maxBodyBytes }, answerBound, answerBound, pw::config::maxCallerConnections, loopTime });
+    const auto address = freeAddress();
+    std::string reason;
+    BOOST_REQUIRE(server.init(address, reason));
+    const RawConnection connection(address);
+    (void)connection.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n");
+    bool ended = false;
+    for (int n = 0; n < 40 && !ended; ++n) {
+        (void)connection.send("a");
+        loop.run(milliseconds(25));
+        ended = statusIn(connection.readAnswer(milliseconds(10))) != 0;
+    }
+    BOOST_TEST(ended);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestInPartIsServedThroughAPlannedStop)
+{
+    Mesh mesh;
+    const RawConnection connection(mesh.entry.spec().caller);
+    const std::string head = "POST /order?marker=part HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n" + std::string(http::keyHeader) + ": " + mesh.key.key + "\r\n\r\n";
+    (void)connection.send(head + "ab");
+    std::atomic<bool> stopped = false;
+    std::thread stopping([&] { stopped = mesh.entry.stop(stopBound).has_value(); });
+    std::this_thread::sleep_for(pauseOfCaller);
+    (void)connection.send("cd");
+    BOOST_TEST(statusIn(connection.readAnswer(answerBound)) == 200);
+    stopping.join();
+    BOOST_TEST(stopped);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/support/fleet.cpp
+++ b/tests/process/support/fleet.cpp
@@ -56,6 +56,12 @@
     return m_servers.back();
 }
 
+Daemon& Fleet::addServerDaemon(const std::string& failureDomain)
+{
+    const auto name = "server-" + std::to_string(m_entries.size() + 1);
+    return m_entries.emplace_back(m_folder, plan(name, failureDomain, { "entry", "server" }), m_files);
+}
+
 Daemon& Fleet::addEntry(const std::string& failureDomain)
 {
     return m_entries.emplace_back(m_folder, plan("entry-" + std::to_string(m_entries.size() + 1), failureDomain, { "entry" }), m_files);
--- a/tests/process/support/fleet.h
+++ b/tests/process/support/fleet.h
@@ -33,6 +33,8 @@
 
     /// Adds a daemon and the backend server beside it.
     Server& addServer(const std::string& service, const std::vector<std::string>& options = {}, const std::string& failureDomain = "d1");
+    /// Adds a daemon for a backend server that the test makes itself.
+    Daemon& addServerDaemon(const std::string& failureDomain = "d1");
     /// Adds a daemon that only takes callers' requests.
     Daemon& addEntry(const std::string& failureDomain = "d1");
 
--- a/tests/process/support/raw_http.cpp
+++ b/tests/process/support/raw_http.cpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -17,6 +18,7 @@
 namespace {
 
     constexpr std::size_t readBytes = 4096;
+    constexpr suseconds_t sendBoundMicros = 500'000;
 
     std::size_t contentLengthIn(const std::string& head)
     {
@@ -41,6 +43,13 @@
     }
 }
 
+RawConnection::RawConnection(int fd)
+    : m_fd(fd)
+{
+    timeval bound { 0, sendBoundMicros };
+    (void)setsockopt(m_fd, SOL_SOCKET, SO_SNDTIMEO, &bound, sizeof(bound));
+}
+
 RawConnection::~RawConnection()
 {
     close(m_fd);
--- a/tests/process/support/raw_http.h
+++ b/tests/process/support/raw_http.h
@@ -10,11 +10,13 @@
 class RawConnection {
 public:
     explicit RawConnection(const std::string& address);
+    /// Takes over an accepted connection.
+    explicit RawConnection(int fd);
     ~RawConnection();
     RawConnection(const RawConnection&) = delete;
     RawConnection& operator=(const RawConnection&) = delete;
 
-    /// \returns false when the other side has closed.
+    /// \returns false when the other side has closed, or takes nothing for a while.
     bool send(const std::string& text) const;
 
     /// Reads until the other side closes, \p bound at the longest.
