Keep a backend server that left away when its daemon restarts

A restarted daemon knew nothing of the leaving; an announcement that came late made its server ready again. An entry names the start of its backend server now, and control members, which remember a server for 60 s, keep one that left as leaving.

Ruled out: telling the daemon only (its view may come after the announcement); keys and configurations (a daemon that starts serves only after a reply proved complete after its start).

--- a/src/adapters/codec_view.cpp
+++ b/src/adapters/codec_view.cpp
@@ -21,6 +21,7 @@
         builder.setIncarnation(entry.incarnation);
         builder.setSequence(entry.sequence);
         builder.setLeaving(entry.leaving);
+        builder.setBackend(entry.backend);
     }
 
     ServerEntry readEntry(proto::ServerEntry::Reader reader)
@@ -36,6 +37,7 @@
         entry.incarnation = reader.getIncarnation();
         entry.sequence = reader.getSequence();
         entry.leaving = reader.getLeaving();
+        entry.backend = reader.getBackend();
         return entry;
     }
 
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -5,6 +5,7 @@
 #include "adapters/http_status.h"
 #include "config.h"
 #include "core/header_rules.h"
+#include "core/member_choice.h"
 
 #include <algorithm>
 #include <cmath>
@@ -14,6 +15,13 @@
 namespace pw {
 namespace {
 
+    /// \returns what tells the starts of backend servers apart, or zero.
+    std::uint64_t backendOf(const Announcement& announcement)
+    {
+        const auto named = !announcement.instance.empty() || announcement.started != 0;
+        return named ? rendezvousWeight(announcement.instance, std::to_string(announcement.started)) : 0;
+    }
+
     ContextTable::Token randomToken()
     {
         auto bytes = crypto::randomBytes(ContextTable::tokenBytes);
@@ -100,6 +108,7 @@
     m_entry.service = announcement.service;
     m_entry.slots = announcement.slots;
     m_entry.connections = announcement.connections;
+    m_entry.backend = backendOf(announcement);
     m_announced = true;
     renewLease();
     if (announcement.leaving) {
--- a/src/core/membership_view.cpp
+++ b/src/core/membership_view.cpp
@@ -5,6 +5,15 @@
 #include <utility>
 
 namespace pw {
+namespace {
+
+    /// \returns whether \p later shows a backend server that left before, as a late announcement to a restarted daemon does.
+    bool cameBack(const ServerEntry& earlier, const ServerEntry& later)
+    {
+        return earlier.leaving && later.backend != 0 && later.backend == earlier.backend;
+    }
+
+} // namespace
 
 MembershipView::MembershipView(std::string self, std::vector<std::string> others, MembershipTimes times, TimePoint start)
     : m_self(std::move(self))
@@ -83,6 +92,7 @@
 {
     const bool wasVisible = item.visible() && !item.record.entry.name.empty();
     const auto digestBefore = serverDigest(item.record.entry);
+    record.entry.leaving = record.entry.leaving || cameBack(item.record.entry, record.entry);
     item.record = std::move(record);
     item.hidden = false;
     shown(item, wasVisible, digestBefore, now);
--- a/src/ports/fleet.h
+++ b/src/ports/fleet.h
@@ -92,6 +92,7 @@
     std::uint64_t incarnation = 0; ///< Grows with each start of its daemon.
     std::uint64_t sequence = 0; ///< Grows with each change within an incarnation.
     bool leaving = false;
+    std::uint64_t backend = 0; ///< Tells the starts of the backend server apart; zero when they have no names.
 };
 
 /// Port: the membership view of backend servers.
--- a/src/proto/view.capnp
+++ b/src/proto/view.capnp
@@ -14,6 +14,7 @@
   incarnation @7 :UInt64;
   sequence @8 :UInt64;
   leaving @9 :Bool;
+  backend @10 :UInt64;
 }
 
 struct ViewRecord {
--- a/src/proto/view.capnp.h
+++ b/src/proto/view.capnp.h
@@ -41,7 +41,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d482843cab65a29e, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d482843cab65a29e, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -188,6 +188,8 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint64_t getBackend() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -266,6 +268,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint64_t getBackend();
+  inline void setBackend( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1148,6 +1153,20 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ServerEntry::Reader::getBackend() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServerEntry::Builder::getBackend() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setBackend( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ViewRecord::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/unit/view_test.cpp
+++ b/tests/unit/view_test.cpp
@@ -332,6 +332,69 @@
     BOOST_TEST(fleet.converged());
 }
 
+/// A server that left, and what a later process of its daemon says of it.
+struct LateAnnouncement {
+    const char* name;
+    std::uint64_t left; ///< Start of the backend server that left; zero without a name.
+    std::uint64_t announced; ///< Start that is announced afterwards.
+    bool staysAway;
+};
+
+std::ostream& operator<<(std::ostream& out, const LateAnnouncement& row)
+{
+    return out << row.name;
+}
+
+const std::vector<LateAnnouncement> lateAnnouncements {
+    { "the same start", 7, 7, true },
+    { "another start", 7, 8, false },
+    { "starts without names", 0, 0, false },
+};
+
+ServerEntry entryOf(std::uint64_t incarnation, std::uint64_t backend, bool leaving)
+{
+    ServerEntry entry;
+    entry.name = "d0";
+    entry.service = service;
+    entry.incarnation = incarnation;
+    entry.sequence = 1;
+    entry.backend = backend;
+    entry.leaving = leaving;
+    return entry;
+}
+
+DaemonReport reportOf(const ServerEntry& entry)
+{
+    DaemonReport report;
+    report.attachment = 1;
+    report.entry = entry;
+    report.incarnation = entry.incarnation;
+    report.sequence = entry.sequence;
+    return report;
+}
+
+constexpr MembershipTimes viewTimes { 3s, 6s, 60s };
+
+BOOST_DATA_TEST_CASE(aServerThatLeftStaysAwayWhenItsDaemonRestarts, boost::unit_test::data::make(lateAnnouncements), row)
+{
+    const TimePoint start { 1h };
+    MembershipView view("c0", { "c1" }, viewTimes, start);
+    view.report("d0", reportOf(entryOf(1, row.left, true)), start);
+    view.tick(start + 10s);
+    BOOST_TEST(!view.visible("d0"));
+    view.report("d0", reportOf(entryOf(2, row.announced, false)), start + 11s);
+    BOOST_TEST(view.find("d0")->entry.leaving == row.staysAway);
+}
+
+BOOST_DATA_TEST_CASE(aServerThatLeftStaysAwayWhenItsDaemonTurnsToAnotherMember, boost::unit_test::data::make(lateAnnouncements), row)
+{
+    const TimePoint start { 1h };
+    MembershipView view("c0", { "c1" }, viewTimes, start);
+    view.merge("c1", { true, { { entryOf(1, row.left, true), "c1", 1, 0, false } } }, start);
+    view.report("d0", reportOf(entryOf(2, row.announced, false)), start + 1s);
+    BOOST_TEST(view.find("d0")->entry.leaving == row.staysAway);
+}
+
 BOOST_AUTO_TEST_CASE(refreshOfALeaseIsNotSentOn)
 {
     ViewFleet fleet(8, daemons);
