Set a silent link aside instead of closing it

A link without a sign of life for 3 s was closed, with it went the non-idempotent calls under way, although their deadline was seconds away: a VM that woke up had nowhere to send its answers. Nothing more is sent on such a link now, what it still says is taken for 15 s, and only idempotent calls fail at once.

Ruled out: a longer time for all (new calls would go on over a dead connection).

--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
 namespace pw {
 namespace {
@@ -56,13 +57,18 @@
 {
     std::unique_ptr<PeerLink> link(new PeerLink(context, true));
     link->m_peer = peer;
-    return link->connectTo(peer) ? std::move(link) : nullptr;
+    if (!link->connectTo(peer)) {
+        return nullptr;
+    }
+    link->m_stream.setUnacknowledgedTimeout(config::linkClosedAfter);
+    return link;
 }
 
 std::unique_ptr<PeerLink> PeerLink::accept(const LinkContext& context, evutil_socket_t fd)
 {
     std::unique_ptr<PeerLink> link(new PeerLink(context, false));
     link->m_stream.adopt(fd);
+    link->m_stream.setUnacknowledgedTimeout(config::linkClosedAfter);
     link->greet();
     return link;
 }
@@ -122,8 +128,10 @@
         }
         return;
     }
-    if (m_unanswered && now - *m_unanswered > config::linkDeadAfter) {
+    if (m_unanswered && now - *m_unanswered > config::linkClosedAfter) {
         close("silent");
+    } else if (m_unanswered && now - *m_unanswered > config::linkDeadAfter) {
+        setAside(true);
     } else if (m_unanswered && !m_probed && now - *m_unanswered > config::linkProbeAfter) {
         m_probed = true;
         writeFrame(LinkFrame::Probe, {});
@@ -132,6 +140,14 @@
     }
 }
 
+void PeerLink::setAside(bool aside)
+{
+    if (std::exchange(m_setAside, aside) != aside) {
+        PW_EVENT(*m_context.log, aside ? Event::LinkSetAside : Event::LinkHeardAgain, { "peer", m_peer });
+        m_setAsideChanged.emit();
+    }
+}
+
 void PeerLink::probe(TimePoint now)
 {
     if (m_open && !m_dead && !m_unanswered && now - m_lastReceived >= config::linkProbeAfter) {
@@ -187,6 +203,7 @@
     m_lastReceived = MonotonicClock::now();
     m_unanswered.reset();
     m_probed = false;
+    setAside(false);
     takeFrame(le16toh(frame.kind), std::as_bytes(std::span(input.substr(sizeof(frame), length))));
     m_stream.consume(sizeof(frame) + length);
     return true;
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -51,7 +51,7 @@
     /// \returns false when the backlog is full; nothing was sent then.
     bool send(MessageKind kind, const Bytes& message);
 
-    /// Checks idle time and liveness; called about twice a second. May close the link.
+    /// Checks idle time and liveness; called about twice a second. May set the link aside or close it.
     void check(TimePoint now);
 
     /// Asks the peer for a frame when none came lately and none is due.
@@ -72,6 +72,11 @@
 
     /// Emitted when the peer's proof was accepted.
     sigc::signal<void()>& opened() { return m_opened; }
+    /// \returns whether the peer is silent: nothing should be sent here, what it still says is taken.
+    bool setAside() const { return m_setAside; }
+
+    /// Emitted when the link is set aside, and when its peer is heard again.
+    sigc::signal<void()>& setAsideChanged() { return m_setAsideChanged; }
     /// Emitted once when the link is of no more use; its owner must not destroy it inside the handler.
     sigc::signal<void()>& closed() { return m_closed; }
     /// Emitted for each message of an open link.
@@ -94,6 +99,7 @@
     void writeFrame(std::uint16_t kind, std::span<const std::byte> message);
     std::string proofText(bool ofDialler) const;
     LinkTraffic& traffic(std::uint16_t kind) const;
+    void setAside(bool aside);
     void refuse(std::string_view why);
     void close(std::string_view why);
 
@@ -102,6 +108,7 @@
     bool m_open = false;
     bool m_dead = false;
     bool m_probed = false;
+    bool m_setAside = false;
     PeerAddress m_peer;
     PeerAddress m_claimedPeer; ///< What Hello said, trusted only after the proof.
     std::string m_nonce;
@@ -112,6 +119,7 @@
     TcpStream m_stream;
     sigc::signal<void()> m_opened;
     sigc::signal<void()> m_closed;
+    sigc::signal<void()> m_setAsideChanged;
     sigc::signal<void(MessageKind, std::span<const std::byte>)> m_received;
 };
 
--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -119,6 +119,11 @@
     m_lost.connect(handler);
 }
 
+void PeerNetworkLibevent::onSilent(LostHandler handler)
+{
+    m_silent.connect(handler);
+}
+
 void PeerNetworkLibevent::onUnsent(MessageKind kind, const UnsentHandler& handler)
 {
     m_unsentHandlers.at(static_cast<std::size_t>(kind)) = handler;
@@ -135,6 +140,7 @@
     auto* raw = link.get();
     raw->opened().connect([this, raw] { opened(raw); });
     raw->closed().connect([this, raw] { closed(raw); });
+    raw->setAsideChanged().connect([this, raw] { asideChanged(raw); });
     raw->received().connect([this, raw](MessageKind kind, std::span<const std::byte> message) { received(raw, kind, message); });
     m_links.emplace(raw, std::move(link));
 }
@@ -164,11 +170,32 @@
     if (it->second.dialling == link) {
         it->second.dialling = nullptr;
         dialFailed(link->peer());
-    } else if (std::erase(it->second.open, link) && it->second.open.empty()) {
+    } else if (std::erase(it->second.open, link) + std::erase(it->second.aside, link) && it->second.open.empty() && it->second.aside.empty()) {
         reportLost(link->peer());
     }
 }
 
+/// Moves a link between those that are sent on and those that are only heard.
+void PeerNetworkLibevent::asideChanged(PeerLink* link)
+{
+    const auto it = m_peers.find(link->peer());
+    if (it == m_peers.end()) {
+        return;
+    }
+    auto& [open, aside, waiting, dialling] = it->second;
+    auto& from = link->setAside() ? open : aside;
+    auto& to = link->setAside() ? aside : open;
+    if (!std::erase(from, link)) {
+        return;
+    }
+    // A link that was opened meanwhile stays the one that is sent on.
+    to.insert(to.begin(), link);
+    if (open.empty()) {
+        // Handlers may change the peer table.
+        m_silent.emit(PeerAddress(link->peer()));
+    }
+}
+
 void PeerNetworkLibevent::dialFailed(const PeerAddress& peer)
 {
     auto& state = m_peers[peer];
@@ -176,20 +203,25 @@
         return;
     }
     auto waiting = std::exchange(state.waiting, {});
-    m_peers.erase(peer);
+    const auto heard = !state.aside.empty();
+    if (!heard) {
+        m_peers.erase(peer);
+    }
     std::ranges::for_each(waiting, [&](const Waiting& it) {
         if (auto& handler = m_unsentHandlers.at(static_cast<std::size_t>(it.kind))) {
             handler(peer, it.message);
         }
     });
-    reportLost(peer);
+    if (!heard) {
+        reportLost(peer);
+    }
 }
 
 void PeerNetworkLibevent::reportLost(const PeerAddress& peer)
 {
     // The link owns the string that came in, and handlers may change the peer table.
     auto lost = peer; // NOLINT(performance-unnecessary-copy-initialization)
-    if (auto it = m_peers.find(lost); it != m_peers.end() && it->second.open.empty() && !it->second.dialling) {
+    if (auto it = m_peers.find(lost); it != m_peers.end() && it->second.open.empty() && it->second.aside.empty() && !it->second.dialling) {
         m_peers.erase(it);
     }
     m_lost.emit(lost);
@@ -210,7 +242,7 @@
     auto& state = m_peers[peer];
     if (!state.open.empty()) {
         state.open.back()->probe(m_timers.now());
-    } else if (!state.dialling && !dial(peer, state)) {
+    } else if (!state.dialling && !dial(peer, state) && state.aside.empty()) {
         m_peers.erase(peer);
     }
 }
@@ -221,7 +253,7 @@
     if (it == m_peers.end()) {
         return {};
     }
-    const auto& [open, waiting, dialling] = it->second;
+    const auto& [open, aside, waiting, dialling] = it->second;
     const auto* link = open.empty() ? dialling : open.back();
     return { !open.empty(), link ? link->unansweredFor(m_timers.now()) : Duration::zero() };
 }
--- a/src/adapters/peer_network_libevent.h
+++ b/src/adapters/peer_network_libevent.h
@@ -27,6 +27,7 @@
     bool send(const PeerAddress& to, MessageKind kind, const Bytes& message) override;
     void onMessage(MessageKind kind, Handler handler) override;
     void onLost(LostHandler handler) override;
+    void onSilent(LostHandler handler) override;
     void onUnsent(MessageKind kind, const UnsentHandler& handler) override;
     void probe(const PeerAddress& peer) override;
     PeerSign signOf(const PeerAddress& peer) const override;
@@ -46,6 +47,7 @@
     /// The links to one peer; two when both sides dialled at once.
     struct Peer {
         std::vector<PeerLink*> open;
+        std::vector<PeerLink*> aside; ///< Silent ones: nothing is sent on them, what comes is taken.
         std::vector<Waiting> waiting; ///< Messages for when the dialled link opens.
         PeerLink* dialling = nullptr;
     };
@@ -55,6 +57,7 @@
     void add(std::unique_ptr<PeerLink> link);
     void opened(PeerLink* link);
     void closed(PeerLink* link);
+    void asideChanged(PeerLink* link);
     void received(PeerLink* link, MessageKind kind, std::span<const std::byte> message);
     void dialFailed(const PeerAddress& peer);
     void sendToSelf(MessageKind kind, const Bytes& message);
@@ -80,6 +83,7 @@
     std::array<Handler, static_cast<std::size_t>(MessageKind::Count)> m_handlers;
     std::array<UnsentHandler, static_cast<std::size_t>(MessageKind::Count)> m_unsentHandlers;
     sigc::signal<void(const PeerAddress&)> m_lost;
+    sigc::signal<void(const PeerAddress&)> m_silent;
 };
 
 } // namespace pw
--- a/src/adapters/tcp_stream.cpp
+++ b/src/adapters/tcp_stream.cpp
@@ -1,5 +1,7 @@
 #include "adapters/tcp_stream.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -117,6 +119,12 @@
     watch();
 }
 
+void TcpStream::setUnacknowledgedTimeout(std::chrono::milliseconds timeout)
+{
+    const auto value = static_cast<unsigned>(timeout.count());
+    setsockopt(m_fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
+}
+
 void TcpStream::consume(std::size_t n)
 {
     m_consumed += n;
--- a/src/adapters/tcp_stream.h
+++ b/src/adapters/tcp_stream.h
@@ -2,6 +2,7 @@
 
 #include "adapters/libevent_util.h"
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -74,6 +75,9 @@
     /// Takes over an accepted connection.
     void adopt(evutil_socket_t fd);
 
+    /// Sets for how long what was sent may stay unacknowledged before the connection counts as reset.
+    void setUnacknowledgedTimeout(std::chrono::milliseconds timeout);
+
     /// Bytes received and not consumed.
     std::string_view input() const { return std::string_view(m_input).substr(m_consumed); }
     void consume(std::size_t n);
--- a/src/app/call_transport.cpp
+++ b/src/app/call_transport.cpp
@@ -27,6 +27,7 @@
     network.onMessage(MessageKind::Answer, [this](const PeerAddress& from, std::span<const std::byte> message) { onAnswer(from, message); });
     network.onUnsent(MessageKind::Call, [this](const PeerAddress&, std::span<const std::byte> message) { onUnsent(message); });
     network.onLost([this](const PeerAddress& peer) { onLost(peer); });
+    network.onSilent([this](const PeerAddress& peer) { onSilent(peer); });
 }
 
 CallTransport::~CallTransport()
@@ -39,7 +40,7 @@
     auto id = ++m_lastId;
     call.id = id;
     auto patience = call.timeLeft + config::deadlineGrace;
-    m_pending.emplace(id, Pending { daemon, std::move(done), 0 });
+    m_pending.emplace(id, Pending { daemon, std::move(done), call.idempotent, 0 });
     if (m_local && daemon == m_network.self()) {
         m_local->run(daemon, std::move(call), [this, id](Answer answer) { end(id, std::move(answer)); });
         return id;
@@ -119,10 +120,21 @@
 }
 
 void CallTransport::onLost(const PeerAddress& peer)
+{
+    giveUp(peer, false);
+}
+
+/// What may not run twice is waited for: only the silent daemon can say what became of it.
+void CallTransport::onSilent(const PeerAddress& peer)
+{
+    giveUp(peer, true);
+}
+
+void CallTransport::giveUp(const PeerAddress& peer, bool idempotentOnly)
 {
     std::vector<std::uint64_t> lost;
     for (const auto& [id, pending] : m_pending) {
-        if (pending.daemon == peer) {
+        if (pending.daemon == peer && (pending.idempotent || !idempotentOnly)) {
             lost.push_back(id);
         }
     }
--- a/src/app/call_transport.h
+++ b/src/app/call_transport.h
@@ -40,6 +40,7 @@
     struct Pending {
         PeerAddress daemon;
         Done done;
+        bool idempotent = true;
         TimerId timer = 0;
     };
 
@@ -50,6 +51,8 @@
     void onAnswer(const PeerAddress& from, std::span<const std::byte> message);
     void onUnsent(std::span<const std::byte> message);
     void onLost(const PeerAddress& peer);
+    void onSilent(const PeerAddress& peer);
+    void giveUp(const PeerAddress& peer, bool idempotentOnly);
     void sendCancel(std::uint64_t id, const PeerAddress& daemon);
 
     PeerNetwork& m_network;
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -20,6 +20,8 @@
         { 204, "connections-bounded", Level::Warning, false },
         { 205, "peer-silent", Level::Warning, false },
         { 206, "peer-heard", Level::Info, false },
+        { 207, "link-set-aside", Level::Info, false },
+        { 208, "link-heard-again", Level::Info, false },
         { 300, "request-refused", Level::Info, true },
         { 301, "request-done", Level::Debug, true },
         { 302, "route-decision", Level::Info, true },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -35,6 +35,8 @@
     ConnectionsBounded,
     PeerSilent,
     PeerHeard,
+    LinkSetAside,
+    LinkHeardAgain,
     RequestRefused,
     RequestDone,
     RouteDecision,
--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <map>
 #include <string>
 #include <thread>
@@ -74,6 +75,19 @@
     { "mode=slow&factor=20" },
 };
 
+const std::string patientOrders = R"(services:
+  - { name: orders, slotsPerServer: 40, connectionsPerServer: 330 }
+routes:
+  - { name: order, method: POST, pathPrefix: /order, service: orders, importance: critical, open: true, idempotent: false, deadline: 9000ms }
+  - { name: notices, method: GET, pathPrefix: /notices, service: orders, importance: low, open: true, deadline: 1000ms }
+workspaces:
+  - { name: anglesey, rate: 2000, burst: 2000 }
+)";
+
+constexpr milliseconds orderDeadline { 9000 };
+constexpr milliseconds beforeSuspension { 500 };
+constexpr milliseconds suspension { 4500 }; ///< Longer than a silent link is used.
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(BackendFailures)
@@ -176,4 +190,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(anOrderUnderWayAtASuspendedDaemonIsWaitedFor)
+{
+    Fleet fleet;
+    const auto& entry = fleet.addEntry();
+    auto& server = fleet.addServer("orders");
+    fleet.configure(patientOrders);
+    fleet.waitForRoute(entry, "/notices?marker=ready");
+    server.standin.mode("mode=late&delay-ms=1500");
+    std::thread suspending([&server] {
+        std::this_thread::sleep_for(beforeSuspension);
+        server.daemon.process().signal(SIGSTOP);
+        std::this_thread::sleep_for(suspension);
+        server.daemon.process().signal(SIGCONT);
+    });
+    pw::support::HttpRequest order;
+    order.method = "POST";
+    order.target = "/order?marker=suspended";
+    const auto result = fleet.ask(entry, order, orderDeadline);
+    suspending.join();
+    BOOST_TEST(result.status == 200, result.status << " " << result.header(http::reasonHeader) << result.error);
+    BOOST_TEST(server.standin.runs("suspended") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/silence_play_test.cpp
+++ b/tests/unit/silence_play_test.cpp
@@ -190,4 +190,26 @@
     BOOST_TEST((told == std::vector { true, false }));
 }
 
+BOOST_DATA_TEST_CASE(onlyWhatMayRunTwiceIsGivenUpAtASilentDaemon, boost::unit_test::data::make({ true, false }), idempotent)
+{
+    pw::test::FakeTimers timers;
+    pw::test::FakeNetwork network { timers, 1 };
+    pw::test::FakePeer entry { network, "entry" };
+    pw::test::NoEvents log;
+    SteadyServer server(network, timers, "server");
+    pw::CallTransport transport(entry, timers, log, nullptr, 1);
+    std::vector<pw::Answer> answers;
+    pw::Call call;
+    call.idempotent = idempotent;
+    call.timeLeft = 8s;
+    transport.start("server", call, [&answers](const pw::Answer& answer) { answers.push_back(answer); });
+    timers.run(20ms);
+    entry.setLinksAside("server");
+    BOOST_TEST(answers.size() == (idempotent ? 1U : 0U));
+    timers.run(1s);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(answers.front().whole() == !idempotent);
+    BOOST_TEST((idempotent || answers.front().refusal.verdict == pw::Verdict::Ran));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/support/fake_network.h
+++ b/tests/unit/support/fake_network.h
@@ -229,6 +229,7 @@
     }
 
     void onLost(LostHandler handler) override { m_lost.push_back(std::move(handler)); }
+    void onSilent(LostHandler handler) override { m_silent.push_back(std::move(handler)); }
 
     const PeerAddress& self() const override { return m_self; }
 
@@ -238,12 +239,19 @@
         std::ranges::for_each(m_lost, [&peer](const auto& handler) { handler(peer); });
     }
 
+    /// Tells this daemon that its links to \p peer are silent.
+    void setLinksAside(const PeerAddress& peer) const
+    {
+        std::ranges::for_each(m_silent, [&peer](const auto& handler) { handler(peer); });
+    }
+
 private:
     FakeNetwork& m_network;
     PeerAddress m_self;
     FakeNetwork::Handlers m_handlers {};
     std::map<PeerAddress, TimePoint> m_unanswered;
     std::vector<LostHandler> m_lost;
+    std::vector<LostHandler> m_silent;
 };
 
 } // namespace pw::test
