--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -1,6 +1,6 @@
 #include "adapters/codec_call.h"
 
-#include "adapters/codec.h"
+#include "adapters/codec_packed.h"
 #include "call.capnp.h"
 
 #include <algorithm>
@@ -136,7 +136,7 @@
     message.setDepth(call.depth);
     message.setAttempts(call.attempts);
     message.setTimeLeftMicros(static_cast<std::uint32_t>(std::max<std::int64_t>(call.timeLeft.count(), 0)));
-    return detail::toBytes(builder);
+    return detail::toPackedBytes(builder);
 }
 
 Bytes encodeAnswer(const Answer& answer)
@@ -161,29 +161,29 @@
     if (!answer.demands.empty()) {
         writeDemands(message.initDemands(static_cast<unsigned>(answer.demands.size())), answer.demands);
     }
-    return detail::toBytes(builder);
+    return detail::toPackedBytes(builder);
 }
 
 Bytes encodeCancel(std::uint64_t callId)
 {
     capnp::MallocMessageBuilder builder;
     builder.initRoot<proto::Cancel>().setId(callId);
-    return detail::toBytes(builder);
+    return detail::toPackedBytes(builder);
 }
 
 std::optional<Call> decodeCall(std::span<const std::byte> bytes)
 {
-    return detail::fromBytes<proto::Call>(bytes, readCall);
+    return detail::fromPackedBytes<proto::Call>(bytes, readCall);
 }
 
 std::optional<Answer> decodeAnswer(std::span<const std::byte> bytes)
 {
-    return detail::fromBytes<proto::Answer>(bytes, readAnswer);
+    return detail::fromPackedBytes<proto::Answer>(bytes, readAnswer);
 }
 
 std::optional<std::uint64_t> decodeCancel(std::span<const std::byte> bytes)
 {
-    return detail::fromBytes<proto::Cancel>(bytes, [](proto::Cancel::Reader message) { return message.getId(); });
+    return detail::fromPackedBytes<proto::Cancel>(bytes, [](proto::Cancel::Reader message) { return message.getId(); });
 }
 
 } // namespace pw
