Tell calls and answers by their difference from the one before

With the packed form a call between failure domains took 297 bytes and an answer 890, of which 600 are the backend server's: the rest is header names, route, host, client and ids that hardly change. Each direction of a link keeps the last call and the last answer; Zstandard at its fastest level tells the next one by what differs.

Ruled out: Zstandard without the one before (264 bytes become 274); level 1 (3 times the time, 10% fewer bytes).

Links speak version 2: a fleet is replaced as a whole.

--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -14,7 +14,9 @@
 namespace pw {
 namespace {
 
-    constexpr std::uint16_t protocolVersion = 1;
+    constexpr std::uint16_t protocolVersion = 2;
+    /// The message is told by its difference from the last one of its kind in this direction.
+    constexpr std::uint16_t isDifference = 1;
     constexpr std::size_t nonceBytes = 16;
     constexpr std::size_t maxHandshakeFrameBytes = 1024;
 
@@ -29,7 +31,7 @@
     struct FrameHeader {
         std::uint32_t length;
         std::uint16_t kind;
-        std::uint16_t reserved;
+        std::uint16_t flags;
     };
     static_assert(sizeof(FrameHeader) == 8);
 
@@ -110,10 +112,13 @@
     if (m_dead || m_stream.backlog() > config::maxLinkBacklogBytes) {
         return false;
     }
-    writeFrame(static_cast<std::uint16_t>(kind), message);
-    auto& counted = traffic(static_cast<std::uint16_t>(kind));
+    const auto number = static_cast<std::uint16_t>(kind);
+    const auto difference = differenceOf(number, message);
+    const auto& told = difference ? *difference : message;
+    writeFrame(number, told, difference ? isDifference : 0);
+    auto& counted = traffic(number);
     ++counted.sentFrames;
-    counted.sentBytes += sizeof(FrameHeader) + message.size();
+    counted.sentBytes += sizeof(FrameHeader) + told.size();
     return true;
 }
 
@@ -204,12 +209,12 @@
     m_unanswered.reset();
     m_probed = false;
     setAside(false);
-    takeFrame(le16toh(frame.kind), std::as_bytes(std::span(input.substr(sizeof(frame), length))));
+    takeFrame(le16toh(frame.kind), le16toh(frame.flags), std::as_bytes(std::span(input.substr(sizeof(frame), length))));
     m_stream.consume(sizeof(frame) + length);
     return true;
 }
 
-void PeerLink::takeFrame(std::uint16_t kind, std::span<const std::byte> message)
+void PeerLink::takeFrame(std::uint16_t kind, std::uint16_t flags, std::span<const std::byte> message)
 {
     if (!m_open) {
         auto good = kind == LinkFrame::Hello ? takeHello(message) : kind == LinkFrame::Proof && takeProof(message);
@@ -224,12 +229,44 @@
         auto& counted = traffic(kind);
         ++counted.receivedFrames;
         counted.receivedBytes += sizeof(FrameHeader) + message.size();
-        m_received.emit(static_cast<MessageKind>(kind), message);
+        takeMessage(kind, flags, message);
     } else if (kind != LinkFrame::ProbeReply) {
         refuse("unknown frame kind");
     }
 }
 
+void PeerLink::takeMessage(std::uint16_t kind, std::uint16_t flags, std::span<const std::byte> message)
+{
+    const auto difference = flags & isDifference ? expanded(kind, message) : std::nullopt;
+    if (flags && !difference) {
+        refuse("difference cannot be applied");
+        return;
+    }
+    const auto whole = difference ? std::span<const std::byte>(*difference) : message;
+    if (kind < m_received.size()) {
+        m_received.at(kind).note(whole);
+    }
+    m_message.emit(static_cast<MessageKind>(kind), whole);
+}
+
+std::optional<Bytes> PeerLink::differenceOf(std::uint16_t kind, std::span<const std::byte> message)
+{
+    if (kind >= m_sent.size() || !m_context.differences) {
+        return std::nullopt;
+    }
+    auto& history = m_sent.at(kind);
+    const auto alike = !history.last().empty() && FrameHistory::holds(message.size());
+    auto difference = alike ? m_context.differences->make(message, history.last()) : std::nullopt;
+    history.note(message);
+    return difference;
+}
+
+std::optional<Bytes> PeerLink::expanded(std::uint16_t kind, std::span<const std::byte> message)
+{
+    const auto known = kind < m_received.size() && m_context.differences;
+    return known ? m_context.differences->apply(message, m_received.at(kind).last()) : std::nullopt;
+}
+
 bool PeerLink::takeHello(std::span<const std::byte> message)
 {
     if (!m_peerNonce.empty()) {
@@ -276,9 +313,9 @@
     });
 }
 
-void PeerLink::writeFrame(std::uint16_t kind, std::span<const std::byte> message)
+void PeerLink::writeFrame(std::uint16_t kind, std::span<const std::byte> message, std::uint16_t flags)
 {
-    FrameHeader frame { htole32(static_cast<std::uint32_t>(message.size())), htole16(kind), 0 };
+    FrameHeader frame { htole32(static_cast<std::uint32_t>(message.size())), htole16(kind), htole16(flags) };
     m_stream.write({ reinterpret_cast<const char*>(&frame), sizeof(frame) });
     m_stream.write({ reinterpret_cast<const char*>(message.data()), message.size() });
     if (!m_unanswered) {
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/frame_difference.h"
 #include "adapters/tcp_stream.h"
 #include "core/types.h"
 #include "ports/events.h"
@@ -32,6 +33,7 @@
     std::vector<std::string> fleetSecrets; ///< The first proves this daemon, every one is accepted. Empty: no proof is asked for.
     PeerAddress listen {}; ///< Where to listen and whose IP to dial from, when it is not the daemon's own address.
     LinkTrafficTable* traffic = nullptr; ///< Counted here when set.
+    FrameDifference* differences = nullptr;
 };
 
 /// One TCP connection between two daemons: framing, mutual proof of the fleet's secret, liveness.
@@ -80,23 +82,31 @@
     /// Emitted once when the link is of no more use; its owner must not destroy it inside the handler.
     sigc::signal<void()>& closed() { return m_closed; }
     /// Emitted for each message of an open link.
-    sigc::signal<void(MessageKind, std::span<const std::byte>)>& received() { return m_received; }
+    sigc::signal<void(MessageKind, std::span<const std::byte>)>& received() { return m_message; }
 
     void streamConnected() override;
     void streamReadable() override;
     void streamEnded(StreamEnd end) override;
 
 private:
+    /// Calls and answers: the only messages that come often enough to be alike.
+    using FrameHistories = std::array<FrameHistory, 2>;
+    static_assert(static_cast<int>(MessageKind::Call) == 0 && static_cast<int>(MessageKind::Answer) == 1);
+
     PeerLink(const LinkContext& context, bool dialled);
 
     bool connectTo(const PeerAddress& peer);
     void greet();
     bool readFrame();
-    void takeFrame(std::uint16_t kind, std::span<const std::byte> message);
+    void takeFrame(std::uint16_t kind, std::uint16_t flags, std::span<const std::byte> message);
+    void takeMessage(std::uint16_t kind, std::uint16_t flags, std::span<const std::byte> message);
     bool takeHello(std::span<const std::byte> message);
     bool takeProof(std::span<const std::byte> message);
     bool provesSecret(std::span<const std::byte> mac) const;
-    void writeFrame(std::uint16_t kind, std::span<const std::byte> message);
+    void writeFrame(std::uint16_t kind, std::span<const std::byte> message, std::uint16_t flags = 0);
+    /// \returns \p message as it is told on this link: as its difference where the kind has a history and that is shorter.
+    std::optional<Bytes> differenceOf(std::uint16_t kind, std::span<const std::byte> message);
+    std::optional<Bytes> expanded(std::uint16_t kind, std::span<const std::byte> message);
     std::string proofText(bool ofDialler) const;
     LinkTraffic& traffic(std::uint16_t kind) const;
     void setAside(bool aside);
@@ -116,11 +126,13 @@
     TimePoint m_started;
     TimePoint m_lastReceived;
     std::optional<TimePoint> m_unanswered; ///< First send since the last frame from the peer.
+    FrameHistories m_sent;
+    FrameHistories m_received;
     TcpStream m_stream;
     sigc::signal<void()> m_opened;
     sigc::signal<void()> m_closed;
     sigc::signal<void()> m_setAsideChanged;
-    sigc::signal<void(MessageKind, std::span<const std::byte>)> m_received;
+    sigc::signal<void(MessageKind, std::span<const std::byte>)> m_message;
 };
 
 } // namespace pw
--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -22,6 +22,7 @@
     , m_timers(timers)
 {
     m_context.traffic = &m_traffic;
+    m_context.differences = &m_differences;
 }
 
 PeerNetworkLibevent::~PeerNetworkLibevent()
--- a/src/adapters/peer_network_libevent.h
+++ b/src/adapters/peer_network_libevent.h
@@ -68,6 +68,7 @@
     void reportLost(const PeerAddress& peer);
 
     LinkTrafficTable m_traffic {};
+    FrameDifference m_differences;
     LinkContext m_context;
     Timers& m_timers;
     bool m_stopped = false;
--- a/src/config.h
+++ b/src/config.h
@@ -25,6 +25,10 @@
 inline constexpr std::size_t maxInterimAnswers = 8;
 /// Largest frame between two daemons, in bytes.
 inline constexpr std::size_t maxFrameBytes = 4 * 1024 * 1024;
+/// Largest message that is told by its difference from the one before, in bytes; as much is kept for each direction.
+inline constexpr std::size_t maxFrameHistoryBytes = 4 * 1024;
+/// Level of Zstandard for such differences; below zero it trades size for time.
+inline constexpr int frameCompressionLevel = -5;
 /// Unsent bytes on one link between daemons above which new messages are dropped.
 inline constexpr std::size_t maxLinkBacklogBytes = 16 * 1024 * 1024;
 /// Open files of one daemon, nearly all of them connections, above which it takes no new caller connections.
