Let a backend server come back whose daemon only stopped or heard nothing

An entry names the start of its server only when that start itself said that it leaves.

ServerRoles plays seven ways of leaving.

Conclusion: a daemon's stop and a server's leaving are two things in the view.

--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstring>
+#include <utility>
 #include <vector>
 
 namespace pw {
@@ -108,7 +109,7 @@
     m_entry.service = announcement.service;
     m_entry.slots = announcement.slots;
     m_entry.connections = announcement.connections;
-    m_entry.backend = backendOf(announcement);
+    m_backend = backendOf(announcement);
     m_announced = true;
     renewLease();
     if (announcement.leaving) {
@@ -144,6 +145,7 @@
 void ServerRole::takeIncarnation(const Announcement& announcement)
 {
     m_client.closeIdle();
+    m_serverLeft = false;
     if (m_stopping) {
         return;
     }
@@ -175,13 +177,17 @@
 
 void ServerRole::serverLeaves()
 {
+    const auto isNews = !std::exchange(m_serverLeft, true);
+    if (m_entry.leaving && isNews) {
+        publish();
+    }
     startLeaving();
 }
 
 void ServerRole::serverLeaves(const std::string& instance, std::uint64_t started)
 {
     if (instance == m_latest.instance && (started == 0 || started == m_latest.started)) {
-        startLeaving();
+        serverLeaves();
     }
 }
 
@@ -224,6 +230,8 @@
         return;
     }
     ++m_entry.sequence;
+    // One that only falls silent, or whose daemon stops, may come back.
+    m_entry.backend = !m_entry.leaving || m_serverLeft ? m_backend : 0;
     m_directory.publish(m_entry);
 }
 
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -142,6 +142,8 @@
     ServerEntry m_entry;
     Announcement m_latest;
     bool m_announced = false;
+    std::uint64_t m_backend = 0; ///< Start of the backend server, zero without a name.
+    bool m_serverLeft = false; ///< That start has said that it leaves.
     bool m_stopping = false; ///< This daemon leaves.
     bool m_refusing = false; ///< Leaving, and the fleet has had time to learn of it.
     TimerId m_leaseTimer = 0;
--- a/src/ports/fleet.h
+++ b/src/ports/fleet.h
@@ -92,7 +92,7 @@
     std::uint64_t incarnation = 0; ///< Grows with each start of its daemon.
     std::uint64_t sequence = 0; ///< Grows with each change within an incarnation.
     bool leaving = false;
-    std::uint64_t backend = 0; ///< Tells the starts of the backend server apart; zero when they have no names.
+    std::uint64_t backend = 0; ///< Start of the backend server; zero without a name, and of one that may come back.
 };
 
 /// Port: the membership view of backend servers.
--- /dev/null
+++ b/tests/unit/server_role_test.cpp
@@ -0,0 +1,124 @@
+#include "app/native_protocol.h"
+#include "app/server_role.h"
+#include "config.h"
+#include "support/fake_network.h"
+#include "support/fleet_fakes.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <event2/event.h>
+
+#include <memory>
+#include <ostream>
+
+namespace {
+
+using namespace pw;
+using namespace pw::test;
+using namespace std::chrono_literals;
+
+/// Keeps what was published last.
+class LastEntry : public ServerDirectory {
+public:
+    const std::vector<ServerEntry>& servers(const std::string&) const override { return m_none; }
+    std::size_t serverCount() const override { return 0; }
+    void publish(const ServerEntry& entry) override { last = entry; }
+    void onChanged(std::function<void(const std::string&)>) override { }
+
+    ServerEntry last;
+
+private:
+    std::vector<ServerEntry> m_none;
+};
+
+struct Role {
+    Announcement announcement(std::uint64_t started, bool leaving = false)
+    {
+        Announcement result;
+        result.service = "tides";
+        result.address = "127.0.0.1:9";
+        result.slots = 10;
+        result.connections = 20;
+        result.instance = "i-1";
+        result.started = started;
+        result.sequence = ++sequence;
+        result.leaving = leaving;
+        return result;
+    }
+
+    void announce(std::uint64_t started, bool leaving = false)
+    {
+        std::string reason;
+        BOOST_REQUIRE(role.announce(announcement(started, leaving), reason));
+    }
+
+    std::unique_ptr<event_base, decltype(&event_base_free)> base { event_base_new(), &event_base_free };
+    StreamLoop loop { base.get() };
+    Settings settings;
+    FakeTimers timers;
+    FakeNetwork network { timers, 1 };
+    FakePeer peer { network, "d" };
+    NoEvents log;
+    LastEntry directory;
+    NativeBackendProtocol protocol;
+    DemandBoard board;
+    ServerRole role { loop, settings, peer, timers, log, directory, protocol, board };
+    std::uint64_t sequence = 0;
+};
+
+/// Why a server is shown as leaving, and whether its start may be shown again by a later process of the daemon.
+struct Leaving {
+    const char* name;
+    void (*happens)(Role&);
+    bool mayComeBack;
+};
+
+std::ostream& operator<<(std::ostream& out, const Leaving& row)
+{
+    return out << row.name;
+}
+
+const std::vector<Leaving> leavings {
+    { "the daemon stops", [](Role& it) { it.role.leave(); }, true },
+    { "the server is silent", [](Role& it) { it.timers.run(it.settings.announcementLease + 1s); }, true },
+    { "the server leaves", [](Role& it) { it.announce(5, true); }, false },
+    { "the server leaves without a word before", [](Role& it) { it.role.serverLeaves("i-1", 5); }, false },
+    { "the daemon stops, then the server leaves",
+        [](Role& it) {
+            it.role.leave();
+            it.announce(5, true);
+        },
+        false },
+    { "the server leaves, then the daemon stops",
+        [](Role& it) {
+            it.announce(5, true);
+            it.role.leave();
+        },
+        false },
+    { "another start of the server comes while the daemon stops",
+        [](Role& it) {
+            it.announce(5, true);
+            it.role.leave();
+            it.announce(6);
+        },
+        true },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerRoles)
+
+BOOST_DATA_TEST_CASE(onlyAServerThatLeftIsNamedAsOneThatStaysAway, boost::unit_test::data::make(leavings), row)
+{
+    Role role;
+    role.announce(5);
+    BOOST_TEST(!role.directory.last.leaving);
+    BOOST_TEST(role.directory.last.backend != 0U);
+    row.happens(role);
+    BOOST_TEST(role.directory.last.leaving);
+    BOOST_TEST((role.directory.last.backend == 0) == row.mayComeBack);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
