Weigh the burden of a root by its work, not by the root of it

Hypothesis: with the root of the work, slots of a scarce service go to the long kind of request beyond what serves most callers.

RootGates/scarceSlotsServeAsManyCallersAsTheyCan plays the load.

--- a/src/config.h
+++ b/src/config.h
@@ -192,7 +192,7 @@
 /// Age from which a price fades by half in the same time again, and age at which it is forgotten.
 inline constexpr milliseconds demandFresh { 500 };
 inline constexpr milliseconds demandMemory { 5000 };
-/// Work that counts as itself in a request's burden; more counts less, less counts more, by the square root.
+/// Work that counts as one in a request's burden.
 inline constexpr milliseconds referenceWork { 50 };
 /// What a request is worth over one of the next lower rank.
 inline constexpr double rankWorth = 16.0;
--- a/src/core/root_gate.cpp
+++ b/src/core/root_gate.cpp
@@ -78,7 +78,7 @@
 {
     const auto burden = std::accumulate(demands.begin(), demands.end(), 0.0, [this](double sum, const ServiceDemand& it) {
         const auto work = std::chrono::duration<double>(it.work) / std::chrono::duration<double>(config::referenceWork);
-        return sum + it.price * scaleOf(it.service) * std::sqrt(work);
+        return sum + it.price * scaleOf(it.service) * work;
     });
     if (burden <= 0) {
         return 1;
--- a/src/core/root_gate.h
+++ b/src/core/root_gate.h
@@ -15,9 +15,9 @@
 /// Refuses roots that cost more, at the scarce services they lead to, than a request of their rank is worth: before any
 /// work is done for them.
 ///
-/// A request's burden is the sum of price and work over those services. The work counts by its root, so that of two
-/// kinds of equal rank the cheaper one is served more, but neither starves. The share that is let through is worth over
-/// burden, so that the work let through answers to the price in proportion; each rank is worth a fixed multiple of the
+/// A request's burden is the sum of price times work over those services, and the share that is let through is worth over
+/// burden: of two kinds of equal rank the cheaper one is served more, in proportion, so that the slots go to as many
+/// requests as they can serve and neither kind starves. Each rank is worth a fixed multiple of the
 /// next, and one by itself where no lower one leads to the service: its price needs no time to rise to where it counts.
 /// Requests of one route and rank share what is let through by the weights of their workspaces: none gets more for asking
 /// more.
--- a/tests/unit/root_gate_test.cpp
+++ b/tests/unit/root_gate_test.cpp
@@ -1,4 +1,5 @@
 #include "config.h"
+#include "core/pressure_meter.h"
 #include "core/root_gate.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -152,6 +153,49 @@
     BOOST_TEST(passed >= it.least);
 }
 
+/// The load: half as much work again as a scarce service can do, from many short and few long requests of equal rank.
+/// The slots go to as many callers as they can serve, and the long kind is not starved.
+BOOST_AUTO_TEST_CASE(scarceSlotsServeAsManyCallersAsTheyCan)
+{
+    struct Kind {
+        const char* route;
+        std::chrono::microseconds work;
+        int everyMillis;
+        int asked = 0;
+        int passed = 0;
+    };
+    std::vector<Kind> kinds { { "short", 50ms, 3 }, { "long", 350ms, 10 } };
+    constexpr double slots = 30;
+    constexpr int warmUp = 10'000;
+    constexpr int measured = 20'000;
+    RootGate gate;
+    PressureMeter meter;
+    gate.configure(deploymentWith(1, 1));
+    const TimePoint begin(1h);
+    for (int millis = 0; millis < warmUp + measured; ++millis) {
+        const auto now = begin + std::chrono::milliseconds(millis);
+        for (auto& it : kinds) {
+            if (millis % it.everyMillis) {
+                continue;
+            }
+            const auto lets = gate.lets(it.route, "a", normal, { { "deep", meter.price(), it.work } }, now);
+            if (lets) {
+                meter.arrived(it.work, now);
+            }
+            it.asked += millis >= warmUp ? 1 : 0;
+            it.passed += lets && millis >= warmUp ? 1 : 0;
+        }
+        meter.update(slots, {}, now);
+    }
+    const auto workOf = [](const Kind& it, int count) { return std::chrono::duration<double, std::milli>(it.work).count() * count; };
+    const auto capacity = config::pressureTarget * slots * measured;
+    // The most that can be served: every short one, and long ones with what is left.
+    const auto best = kinds[0].asked + (capacity - workOf(kinds[0], kinds[0].asked)) / workOf(kinds[1], 1);
+    BOOST_TEST(kinds[0].passed + kinds[1].passed >= 0.95 * best);
+    BOOST_TEST(kinds[1].passed >= 0.1 * kinds[1].asked);
+    BOOST_TEST(workOf(kinds[0], kinds[0].passed) + workOf(kinds[1], kinds[1].passed) <= 1.05 * capacity);
+}
+
 /// The load: a service that was overloaded for long carries everything again.
 BOOST_AUTO_TEST_CASE(theGateOpensAtOnceWhenThePriceEnds)
 {
