Give a server without an answer a first request; repeat at servers heard lately

And a request that left a silent daemon could go to another silent one that was not found out yet; what the budget did not carry at that moment was never offered again.

The play had passed by its seed: it runs 16 now, with the same checks.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -60,6 +60,7 @@
 Dispatcher::~Dispatcher()
 {
     std::ranges::for_each(m_jobs, [this](auto& it) { m_timers.cancel(it.second.backoff); });
+    m_timers.cancel(m_leaveTimer);
 }
 
 std::uint64_t Dispatcher::start(DispatchRequest request, Done done)
@@ -76,7 +77,11 @@
 const ServerEntry* Dispatcher::pick(const Job& job)
 {
     const auto& servers = m_directory.servers(job.request.call.service);
-    PickContext context { m_settings.failureDomain, m_settings.region, job.tried };
+    PickContext context { m_settings.failureDomain, m_settings.region, job.tried, {} };
+    if (job.reached > 0) {
+        // Others may have fallen silent with the server that was asked, and not be found out yet.
+        context.heardSince = std::max<TimePoint>(job.sent, m_timers.now() - config::peerSilentAfter / 2);
+    }
     auto index = m_picker.pick(servers, context, m_timers.now());
     if (!index && !job.tried.empty()) {
         // Every server was asked once; a refusal may have been of the moment.
@@ -173,34 +178,50 @@
 void Dispatcher::noteSilence(const PeerAddress& daemon, bool silent)
 {
     m_picker.setSilent(daemon, silent);
-    if (!silent) {
-        return;
+    if (silent) {
+        m_silent.insert(daemon);
+        leaveSilent();
+    } else {
+        m_silent.erase(daemon);
     }
-    std::vector<std::uint64_t> leaving;
+}
+
+/// Makes calls at silent daemons again elsewhere, as far as the budget goes, and the others when it has grown.
+void Dispatcher::leaveSilent()
+{
+    m_timers.cancel(std::exchange(m_leaveTimer, 0));
+    std::vector<std::uint64_t> waiting;
     for (const auto& [id, job] : m_jobs) {
-        if (canLeave(job, daemon)) {
-            leaving.push_back(id);
+        if (m_silent.contains(job.daemon) && isUnderWay(job) && job.request.call.idempotent) {
+            waiting.push_back(id);
         }
     }
-    for (const auto id : leaving) {
+    for (const auto id : waiting) {
         // Each one that leaves draws on the budget of the next.
-        if (const auto it = m_jobs.find(id); it != m_jobs.end() && canLeave(it->second, daemon)) {
+        if (const auto it = m_jobs.find(id); it != m_jobs.end() && isUnderWay(it->second) && canLeave(it->second)) {
             m_transport.cancel(it->second.call);
             Answer answer;
             answer.refusal = { Verdict::MayHaveRun, Reason::Unreachable, {} };
             answered(id, std::move(answer));
         }
     }
+    if (!waiting.empty()) {
+        m_leaveTimer = m_timers.after(config::peerWatchInterval, [this] { leaveSilent(); });
+    }
+}
+
+bool Dispatcher::isUnderWay(const Job& job)
+{
+    return job.call != 0 && job.backoff == 0;
 }
 
-/// \returns whether a call under way at \p daemon can be made again elsewhere; otherwise its answer is waited for.
-bool Dispatcher::canLeave(const Job& job, const PeerAddress& daemon) const
+/// \returns whether a call under way can be made again elsewhere; otherwise its answer is waited for.
+bool Dispatcher::canLeave(const Job& job) const
 {
     const auto& call = job.request.call;
-    const auto underWay = job.daemon == daemon && job.call != 0 && job.backoff == 0;
     const auto mayRepeat = call.idempotent && job.request.attempts > 0 && job.tries < config::maxTriesPerHop
         && job.reached + 1 < job.request.maxServers;
-    return underWay && mayRepeat && m_retries.tokens() >= 1 && m_budget.left(call.service, m_timers.now()) >= 1
+    return mayRepeat && m_retries.tokens() >= 1 && m_budget.left(call.service, m_timers.now()) >= 1
         && m_directory.servers(call.service).size() > 1;
 }
 
@@ -230,7 +251,7 @@
         return false;
     }
     const auto& servers = m_directory.servers(job.request.call.service);
-    const PickContext context { m_settings.failureDomain, m_settings.region, job.tried };
+    const PickContext context { m_settings.failureDomain, m_settings.region, job.tried, {} };
     const auto next = m_picker.pick(servers, context, m_timers.now());
     // One that is as full as the one that refused would refuse as well.
     return next && (refusal.reason != Reason::Overloaded || m_picker.hasRoom(servers[*next], m_timers.now()));
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace pw {
 
@@ -73,7 +74,9 @@
     bool canHandOver(const Job& job, const Refusal& refusal);
     void followDirectory();
     void noteSilence(const PeerAddress& daemon, bool silent);
-    bool canLeave(const Job& job, const PeerAddress& daemon) const;
+    void leaveSilent();
+    static bool isUnderWay(const Job& job);
+    bool canLeave(const Job& job) const;
     void end(std::uint64_t id, Answer answer);
     void endWith(std::uint64_t id, Refusal refusal);
 
@@ -88,6 +91,8 @@
     RetryBudget m_budget;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, Job> m_jobs;
+    std::unordered_set<PeerAddress> m_silent;
+    TimerId m_leaveTimer = 0; ///< Pending while calls wait for silent daemons.
 };
 
 } // namespace pw
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <limits>
 #include <ranges>
+#include <utility>
 
 namespace pw {
 
@@ -117,7 +118,20 @@
     std::ranges::copy_if(allowed, std::back_inserter(healthy),
         [&](std::size_t n) { return !m_silent.contains(servers[n].daemon) && !avoided(observation(servers[n].name), scene.now); });
     // With every server failing, avoiding all of them would only turn failures into refusals.
-    return healthy.empty() ? allowed : healthy;
+    return heardSince(context.heardSince, scene, healthy.empty() ? std::move(allowed) : std::move(healthy));
+}
+
+Picker::Candidates Picker::heardSince(TimePoint since, const Scene& scene, Candidates candidates) const
+{
+    if (since == TimePoint {}) {
+        return candidates;
+    }
+    Candidates heard;
+    std::ranges::copy_if(candidates, std::back_inserter(heard), [&](std::size_t n) {
+        const auto& seen = observation(scene.servers[n].name);
+        return seen.hint && seen.hintAt >= since;
+    });
+    return heard.empty() ? candidates : heard;
 }
 
 std::size_t Picker::twoChoices(const Scene& scene, const Candidates& candidates)
@@ -148,7 +162,9 @@
     if (seen.hint && scene.now - seen.hintAt < config::loadHintMemory) {
         busy = std::max(busy, static_cast<double>(seen.hint->running + seen.hint->queued + seen.sentSinceHint));
     }
-    return (busy + 1) / limit * slowFactor(seen, scene);
+    // Nothing is known of a server that has not answered: without a first request that would stay so while others are idle.
+    const auto added = seen.hint || busy > 0 ? 1.0 : 0.0;
+    return (busy + added) / limit * slowFactor(seen, scene);
 }
 
 double Picker::slowFrom(const std::vector<ServerEntry>& servers) const
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -20,6 +20,7 @@
     std::string failureDomain;
     std::string region;
     std::vector<std::string> excluded; ///< Servers already tried for this call.
+    TimePoint heardSince {}; ///< Servers that answered since then go first, when it is set.
 };
 
 /// Picks the backend server of a call: two random choices by load over limit, own failure domain first until it is
@@ -73,6 +74,7 @@
     };
 
     Candidates usable(const Scene& scene, const PickContext& context) const;
+    Candidates heardSince(TimePoint since, const Scene& scene, Candidates candidates) const;
     std::size_t twoChoices(const Scene& scene, const Candidates& candidates);
     double load(const Scene& scene, std::size_t server) const;
     double slowFrom(const std::vector<ServerEntry>& servers) const;
--- a/tests/unit/picker_test.cpp
+++ b/tests/unit/picker_test.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-const pw::PickContext here { "d0", "west", {} };
+const pw::PickContext here { "d0", "west", {}, {} };
 
 /// Six servers, two in each of three failure domains, and the picker of one daemon in the first.
 struct Fleet {
@@ -163,4 +163,19 @@
     BOOST_TEST(fleet.picker.outstanding("new") == static_cast<std::uint32_t>(sent));
 }
 
+/// The load: a server joins a service whose others are nearly idle.
+BOOST_AUTO_TEST_CASE(aNewServerGetsARequestAlthoughOthersAreIdle)
+{
+    Fleet fleet(1);
+    fleet.introduce();
+    fleet.servers[0].name = "new";
+    auto picked = 0;
+    for (auto n = 0; n < 20; ++n) {
+        const auto name = fleet.pick();
+        picked += name == "new" ? 1 : 0;
+        fleet.call(name, RunOutcome::Ok);
+    }
+    BOOST_TEST(picked > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/silence_play_test.cpp
+++ b/tests/unit/silence_play_test.cpp
@@ -56,7 +56,7 @@
 
 /// A caller's daemon that sends requests to a service of many servers.
 struct Play {
-    explicit Play(std::size_t servers)
+    explicit Play(std::size_t servers, std::uint64_t seed = 7)
     {
         settings.peerAddress = "entry";
         settings.retryBudget.ratio = 0.2;
@@ -67,7 +67,7 @@
             directory.entries.push_back({ .name = name, .service = "s", .daemon = name, .slots = 10, .connections = 100 });
             backends.push_back(std::make_unique<SteadyServer>(network, timers, name));
         }
-        dispatcher = std::make_unique<pw::Dispatcher>(settings, transport, timers, log, directory, 7);
+        dispatcher = std::make_unique<pw::Dispatcher>(settings, transport, timers, log, directory, seed);
     }
 
     void send(bool idempotent)
@@ -129,9 +129,9 @@
 
 /// The load: 200 requests a second over 95 servers, of which 16 in 100 fall silent at once, as VMs that freeze or are cut
 /// off. Until they are found out, 0.5 s and one interval, about 16 in 100 of the requests reach them.
-BOOST_DATA_TEST_CASE(silentDaemonsAreLeftWithinASecond, silences)
+BOOST_DATA_TEST_CASE(silentDaemonsAreLeftWithinASecond, boost::unit_test::data::make(silences) * boost::unit_test::data::xrange(1, 17), sample, seed)
 {
-    Play play(fleetSize);
+    Play play(fleetSize, static_cast<std::uint64_t>(seed));
     play.run(3s, sample.idempotent);
     BOOST_REQUIRE(play.failed == 0);
     for (std::size_t n = 0; n < silentCount; ++n) {
