--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -120,7 +120,7 @@
     m_lost.connect(handler);
 }
 
-void PeerNetworkLibevent::onSilent(LostHandler handler)
+void PeerNetworkLibevent::onSilent(const LostHandler& handler)
 {
     m_silent.connect(handler);
 }
--- a/src/adapters/peer_network_libevent.h
+++ b/src/adapters/peer_network_libevent.h
@@ -27,7 +27,7 @@
     bool send(const PeerAddress& to, MessageKind kind, const Bytes& message) override;
     void onMessage(MessageKind kind, Handler handler) override;
     void onLost(LostHandler handler) override;
-    void onSilent(LostHandler handler) override;
+    void onSilent(const LostHandler& handler) override;
     void onUnsent(MessageKind kind, const UnsentHandler& handler) override;
     void probe(const PeerAddress& peer) override;
     PeerSign signOf(const PeerAddress& peer) const override;
--- a/src/ports/peer_network.h
+++ b/src/ports/peer_network.h
@@ -64,7 +64,7 @@
 
     /// Adds a handler called when the links to a peer are silent: what is sent from then on goes over a new one, and what
     /// the peer says on the old ones is still taken.
-    virtual void onSilent(LostHandler /*handler*/) { }
+    virtual void onSilent(const LostHandler& /*handler*/) { }
 
     /// Sets the one handler of messages of \p kind that send() took but that certainly never left this process,
     /// because no link could be opened.
--- a/tests/unit/support/fake_network.h
+++ b/tests/unit/support/fake_network.h
@@ -229,7 +229,7 @@
     }
 
     void onLost(LostHandler handler) override { m_lost.push_back(std::move(handler)); }
-    void onSilent(LostHandler handler) override { m_silent.push_back(std::move(handler)); }
+    void onSilent(const LostHandler& handler) override { m_silent.push_back(handler); }
 
     const PeerAddress& self() const override { return m_self; }
 
