Try a daemon again that was silent for long; name the state of a link once

A silent daemon that nothing is sent to is not asked any more after 30 s, and nobody said so: the picker kept it set aside for good, also when it was back.

Ruled out: asking for ever (1,200 daemons would ask for VMs that are gone).

Before: SilencePlays/daemonThatIsBackAfterALongSilenceGetsCallsAgain red, 99 calls before and after the return.

The links' getter and setter no longer share a name.

--- a/src/adapters/peer_link.cpp
+++ b/src/adapters/peer_link.cpp
@@ -147,9 +147,9 @@
 
 void PeerLink::setAside(bool aside)
 {
-    if (std::exchange(m_setAside, aside) != aside) {
+    if (std::exchange(m_aside, aside) != aside) {
         PW_EVENT(*m_context.log, aside ? Event::LinkSetAside : Event::LinkHeardAgain, { "peer", m_peer });
-        m_setAsideChanged.emit();
+        m_asideChanged.emit();
     }
 }
 
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -75,10 +75,10 @@
     /// Emitted when the peer's proof was accepted.
     sigc::signal<void()>& opened() { return m_opened; }
     /// \returns whether the peer is silent: nothing should be sent here, what it still says is taken.
-    bool setAside() const { return m_setAside; }
+    bool isAside() const { return m_aside; }
 
     /// Emitted when the link is set aside, and when its peer is heard again.
-    sigc::signal<void()>& setAsideChanged() { return m_setAsideChanged; }
+    sigc::signal<void()>& asideChanged() { return m_asideChanged; }
     /// Emitted once when the link is of no more use; its owner must not destroy it inside the handler.
     sigc::signal<void()>& closed() { return m_closed; }
     /// Emitted for each message of an open link.
@@ -118,7 +118,7 @@
     bool m_open = false;
     bool m_dead = false;
     bool m_probed = false;
-    bool m_setAside = false;
+    bool m_aside = false;
     PeerAddress m_peer;
     PeerAddress m_claimedPeer; ///< What Hello said, trusted only after the proof.
     std::string m_nonce;
@@ -131,7 +131,7 @@
     TcpStream m_stream;
     sigc::signal<void()> m_opened;
     sigc::signal<void()> m_closed;
-    sigc::signal<void()> m_setAsideChanged;
+    sigc::signal<void()> m_asideChanged;
     sigc::signal<void(MessageKind, std::span<const std::byte>)> m_message;
 };
 
--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -141,7 +141,7 @@
     auto* raw = link.get();
     raw->opened().connect([this, raw] { opened(raw); });
     raw->closed().connect([this, raw] { closed(raw); });
-    raw->setAsideChanged().connect([this, raw] { asideChanged(raw); });
+    raw->asideChanged().connect([this, raw] { asideChanged(raw); });
     raw->received().connect([this, raw](MessageKind kind, std::span<const std::byte> message) { received(raw, kind, message); });
     m_links.emplace(raw, std::move(link));
 }
@@ -184,8 +184,8 @@
         return;
     }
     auto& [open, aside, waiting, dialling] = it->second;
-    auto& from = link->setAside() ? open : aside;
-    auto& to = link->setAside() ? aside : open;
+    auto& from = link->isAside() ? open : aside;
+    auto& to = link->isAside() ? aside : open;
     if (!std::erase(from, link)) {
         return;
     }
--- a/src/app/peer_watch.cpp
+++ b/src/app/peer_watch.cpp
@@ -43,9 +43,14 @@
     if (!paused) {
         std::ranges::for_each(m_watched, [&](auto& it) { look(it.first, it.second, news); });
     }
-    std::erase_if(m_watched, [now](const auto& it) {
+    std::erase_if(m_watched, [now, &news](const auto& it) {
         const auto& watched = it.second;
-        return watched.calls == 0 && (!watched.silent || now - watched.since >= config::peerForgottenAfter);
+        const auto forgotten = watched.calls == 0 && (!watched.silent || now - watched.since >= config::peerForgottenAfter);
+        // What is not asked any more must be tried again: nothing else would tell that it is back.
+        if (forgotten && watched.silent) {
+            news.emplace_back(it.first, false);
+        }
+        return forgotten;
     });
     std::ranges::for_each(news, [this](const auto& it) { m_changed.emit(it.first, it.second); });
     m_timer = m_timers.after(config::peerWatchInterval, [this] { tick(); });
--- a/tests/unit/silence_play_test.cpp
+++ b/tests/unit/silence_play_test.cpp
@@ -190,6 +190,20 @@
     BOOST_TEST((told == std::vector { true, false }));
 }
 
+BOOST_AUTO_TEST_CASE(daemonThatIsBackAfterALongSilenceGetsCallsAgain)
+{
+    Play play(2);
+    const auto& server = *play.backends.front();
+    play.run(1s, true);
+    play.network.isolate("server0");
+    play.run(1s, true);
+    play.timers.run(pw::config::peerForgottenAfter + 5s);
+    play.network.rejoin("server0");
+    const auto before = server.calls;
+    play.run(2s, true);
+    BOOST_TEST(server.calls > before);
+}
+
 BOOST_DATA_TEST_CASE(onlyWhatMayRunTwiceIsGivenUpAtASilentDaemon, boost::unit_test::data::make({ true, false }), idempotent)
 {
     pw::test::FakeTimers timers;
