Read what a backend server states of its rate and its leaving, log and measure it

The daemon beside the server keeps the stated rate (event 407, gauge pistachiowheel_backend_rate_limit), so that logs tell whether a limit was read. An answer to a request from an earlier start of the server is not listened to, and one to a request sent before the limit was stated does not lift it.

--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -134,6 +134,9 @@
     result.refusal = refusals.at(static_cast<std::size_t>(meaning));
     result.sent = true;
     result.connectionWasNew = running.connectionWasNew;
+    if (meaning == AnswerKind::Complete || meaning == AnswerKind::NotRun) {
+        result.statement = m_protocol.statement(answer);
+    }
     if (result.refusal.reason == Reason::None) {
         m_protocol.strip(answer);
         result.response = std::move(answer);
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -21,6 +21,7 @@
     Refusal refusal; ///< Reason::None with Verdict::Ran when a complete response arrived.
     HttpResponse response; ///< Set only when the response is complete.
     std::string detail; ///< Why no complete response arrived, for logs.
+    std::optional<BackendStatement> statement; ///< Set if the backend server answered this request, also without running it.
     bool sent = false; ///< The request may have reached the backend server.
     bool connectionWasNew = false;
 };
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -3,6 +3,7 @@
 #include "app/metric_catalogue.h"
 
 #include <array>
+#include <limits>
 
 namespace pw {
 namespace {
@@ -79,6 +80,8 @@
     gauge(Metric::BackendRunning, &LoadHint::running);
     gauge(Metric::BackendQueued, &LoadHint::queued);
     gauge(Metric::BackendLimit, &LoadHint::limit);
+    const auto& rate = metricInfo(Metric::BackendRateLimit);
+    m_metrics.gauge(rate.name, rate.help, {}, [&server] { return server.rateLimit().value_or(std::numeric_limits<double>::infinity()); });
 }
 
 void DaemonMetrics::addLinkGauges(const LinkTrafficTable& traffic)
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -15,6 +15,7 @@
     BackendRunning,
     BackendQueued,
     BackendLimit,
+    BackendRateLimit,
     LinkSentBytes,
     LinkReceivedBytes,
     LinkSentFrames,
--- a/src/app/native_protocol.cpp
+++ b/src/app/native_protocol.cpp
@@ -133,6 +133,11 @@
     return singleHeader(earlier.headers, header::exchange) == singleHeader(later.headers, header::exchange);
 }
 
+BackendStatement NativeBackendProtocol::statement(const HttpResponse& answer) const
+{
+    return readStatement(answer.headers, { header::rateLimit, header::leaving });
+}
+
 void NativeBackendProtocol::strip(HttpResponse& answer) const
 {
     answer.headers = forwardedHeaders(answer.headers, header::ownPrefix);
--- a/src/app/native_protocol.h
+++ b/src/app/native_protocol.h
@@ -23,6 +23,7 @@
     AnswerKind classify(const HttpRequest& request, const HttpResponse& answer) const override;
     bool identifiesRequest(const HttpRequest& request, const HttpResponse& answer) const override;
     bool haveSameIdentity(const HttpRequest& earlier, const HttpRequest& later) const override;
+    BackendStatement statement(const HttpResponse& answer) const override;
     void strip(HttpResponse& answer) const override;
 };
 
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -145,6 +145,7 @@
 void ServerRole::onServerStarted(const Announcement& announcement)
 {
     m_client.closeIdle();
+    m_admission.rate().reset();
     m_serverLeft = false;
     if (m_stopping) {
         return;
@@ -355,6 +356,7 @@
     auto& work = m_calls.at(id);
     work.running = true;
     work.startedAt = m_timers.now();
+    work.backendId = m_backendId;
     m_demand.started(work.call.route);
     if (m_protocol.usesContextTokens()) {
         work.token = m_contexts.open(work.call, m_timers.now());
@@ -363,6 +365,34 @@
         [this, id](BackendResult result) { onRunFinished(id, std::move(result)); });
 }
 
+void ServerRole::onStatement(const PendingCall& work, const BackendStatement& statement)
+{
+    if (work.backendId != m_backendId) {
+        return; // From an earlier start of the backend server.
+    }
+    if (!statement.readable) {
+        PW_EVENT(m_log, Event::BackendStatementUnreadable, { "request", work.call.requestId }, { "instance", m_lastAnnouncement.instance });
+        return;
+    }
+    const auto now = m_timers.now();
+    m_admission.rate().learn(statement.requestsPerSecond, work.startedAt, now);
+    reportRate(now);
+}
+
+/// Logs changes of the stated rate limit, at most once per config::rateLogInterval.
+void ServerRole::reportRate(TimePoint now)
+{
+    const auto rate = rateLimit();
+    if (rate == m_reportedRate || now - m_rateReported < config::rateLogInterval) {
+        return;
+    }
+    const auto textOf = [](const std::optional<double>& value) { return value ? std::to_string(*value) : "none"; };
+    PW_EVENT(m_log, Event::BackendRateChanged, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance }, { "rate", textOf(rate) },
+        { "previous", textOf(m_reportedRate) }, { "running", m_admission.running() }, { "queued", m_admission.queued() });
+    m_reportedRate = rate;
+    m_rateReported = now;
+}
+
 ClosedContext ServerRole::closeContext(const PendingCall& work)
 {
     if (work.token.empty()) {
@@ -381,6 +411,9 @@
     m_demand.ended(work.call.route, now - work.startedAt, now);
     m_runFinished.emit({ work.call.route, work.startedAt - work.arrived, now - work.startedAt });
     m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
+    if (result.statement) {
+        onStatement(work, *result.statement);
+    }
     Answer reply;
     reply.refusal = result.refusal;
     reply.arrived = result.sent;
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -82,6 +82,8 @@
     /// \returns the backend server's entry in the membership view, as last published.
     const ServerEntry& entry() const { return m_entry; }
     LoadHint load() const;
+    /// \returns the requests per second that the backend server states as its limit; empty if it states none.
+    std::optional<double> rateLimit() const { return m_admission.rate().limit(); }
 
 private:
     using CallKey = std::pair<PeerAddress, std::uint64_t>;
@@ -96,6 +98,7 @@
         TimePoint arrived {};
         TimePoint startedAt {}; ///< Time when it left the queue.
         std::string token; ///< Context token while running, if the protocol uses tokens.
+        std::uint64_t backendId = 0; ///< Start of the backend server that it runs at.
         std::uint64_t exchange = 0; ///< Handle of its HTTP exchange in the client.
     };
 
@@ -115,6 +118,8 @@
     Duration timeLeft(const PendingCall& work) const;
     std::string exchangeId(std::uint64_t id) const;
     void onRunFinished(std::uint64_t id, BackendResult result);
+    void onStatement(const PendingCall& work, const BackendStatement& statement);
+    void reportRate(TimePoint now);
     ClosedContext closeContext(const PendingCall& work);
     void refuse(std::uint64_t id, Refusal refusal);
     void answer(std::uint64_t id, Answer answer);
@@ -139,6 +144,8 @@
     ServerDemand m_demand;
     int m_priceStep = 0; ///< Logarithmic step of the last reported price; zero while slots are not scarce.
     TimePoint m_priceReported {};
+    std::optional<double> m_reportedRate; ///< Rate limit as last logged.
+    TimePoint m_rateReported {};
     ContextTable m_contexts;
     ServerEntry m_entry;
     Announcement m_lastAnnouncement;
--- a/src/config.h
+++ b/src/config.h
@@ -208,6 +208,8 @@
 inline constexpr double minTrackedRootRate = 0.001;
 /// Retry-after time of a root that was refused because of the price of downstream slots.
 inline constexpr milliseconds throttledRetryAfter { 300 };
+/// Minimum interval between two log lines on the rate limit that a backend server states.
+inline constexpr milliseconds rateLogInterval { 250 };
 /// Ratio of load to concurrency limit from which a backend server counts as loaded.
 inline constexpr double loadedThreshold = 0.8;
 /// Load difference up to which a server in the same failure domain or region is preferred to a farther one.
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/admission_queue.h"
+#include "core/backend_rate.h"
 #include "core/call.h"
 #include "core/limit.h"
 #include "core/service_time.h"
@@ -91,6 +92,10 @@
     /// Sets the workspace rates, in proportion to which workspaces share this server when it is saturated.
     void setWorkspaceWeights(std::map<std::string, double> rates);
 
+    /// Request rate limit that the backend server states.
+    BackendRate& rate() { return m_rate; }
+    const BackendRate& rate() const { return m_rate; }
+
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::uint32_t queued() const { return static_cast<std::uint32_t>(m_queue.size()); }
     std::uint32_t limit() const { return m_limit->current(); }
@@ -119,6 +124,7 @@
     std::unordered_map<std::uint64_t, Running> m_running;
     std::vector<ShedRequest> m_shed;
     ServiceTime m_serviceTime;
+    BackendRate m_rate;
     bool m_leaving = false;
     std::optional<TimePoint> m_nonEmptySince; ///< When the queue last became non-empty; empty while the queue is.
     bool m_hasStandingQueue = false; ///< Whether the queue persists beyond a burst, so that it adds delay but no throughput.
--- a/src/core/header_rules.h
+++ b/src/core/header_rules.h
@@ -17,6 +17,8 @@
     inline constexpr std::string_view workspace = "Pistachio-Workspace";
     inline constexpr std::string_view exchange = "Pistachio-Exchange";
     inline constexpr std::string_view notRun = "Pistachio-Not-Run";
+    inline constexpr std::string_view rateLimit = "Pistachio-Rate-Limit";
+    inline constexpr std::string_view leaving = "Pistachio-Leaving";
     inline constexpr std::string_view verdict = "Pistachio-Verdict";
     inline constexpr std::string_view reason = "Pistachio-Reason";
     inline constexpr std::string_view retryAfterMs = "Pistachio-Retry-After-Ms";
--- a/src/ports/backend_protocol.h
+++ b/src/ports/backend_protocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/backend_statement.h"
 #include "core/call.h"
 #include "core/http_message.h"
 
@@ -49,6 +50,9 @@
     /// \returns whether an answer that identifies \p earlier would also identify \p later.
     virtual bool haveSameIdentity(const HttpRequest& earlier, const HttpRequest& later) const = 0;
 
+    /// \returns what the backend server states about itself in \p answer.
+    virtual BackendStatement statement(const HttpResponse& answer) const = 0;
+
     /// Removes the headers from \p answer that are only for this daemon.
     virtual void strip(HttpResponse& answer) const = 0;
 };
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -35,6 +35,8 @@
         { 402, "backend-lapsed", Level::Warning, false },
         { 403, "backend-failed", Level::Warning, true },
         { 406, "backend-error", Level::Info, true },
+        { 407, "backend-rate-changed", Level::Info, false },
+        { 408, "backend-statement-unreadable", Level::Warning, true },
         { 500, "configuration-applied", Level::Info, false },
         { 501, "validity-lapsed", Level::Warning, false },
         { 502, "validity-renewed", Level::Info, false },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -50,6 +50,8 @@
     BackendLapsed,
     BackendFailed,
     BackendError,
+    BackendRateChanged,
+    BackendStatementUnreadable,
     ConfigurationApplied,
     ValidityLapsed,
     ValidityRenewed,
--- a/tests/process/http_end_test.cpp
+++ b/tests/process/http_end_test.cpp
@@ -70,6 +70,7 @@
 
     bool identifiesRequest(const pw::HttpRequest& request, const pw::HttpResponse& answer) const override { return nameOf(request.headers) == nameOf(answer.headers); }
     bool haveSameIdentity(const pw::HttpRequest& earlier, const pw::HttpRequest& later) const override { return nameOf(earlier.headers) == nameOf(later.headers); }
+    pw::BackendStatement statement(const pw::HttpResponse&) const override { return {}; }
     void strip(pw::HttpResponse&) const override { }
 
 private:
