--- a/tests/process/support/standin.h
+++ b/tests/process/support/standin.h
@@ -29,7 +29,7 @@
 
     /// Switches the failure mode, for example "mode=slow&factor=5".
     void mode(const std::string& query) const;
-    /// Sends a command: "/leave", "/join", "/silence?on=1".
+    /// Sends a command: "/leave", "/join", "/silence?on=1", "/statement?rate-limit=5&leaving=1".
     void command(const std::string& target) const;
 
     std::vector<RecordedRun> records(const std::string& markerPrefix = {}) const;
--- /dev/null
+++ b/tests/unit/rate_limit_play_test.cpp
@@ -0,0 +1,181 @@
+#include "core/admission.h"
+#include "ports/random.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <ostream>
+#include <random>
+#include <vector>
+
+namespace {
+
+using namespace pw;
+using namespace std::chrono_literals;
+
+namespace data = boost::unit_test::data;
+
+constexpr auto tick = 1ms;
+/// The stated target: in any window no more than 1.5 times what the limit allows, and 5 requests, once the limit has been
+/// known for the contact time.
+constexpr auto window = 4s;
+constexpr auto contactTime = 3s;
+constexpr double overage = 1.5;
+constexpr double slack = 5;
+
+/// A limit that the server states from some time on.
+struct Stated {
+    Duration from;
+    std::optional<double> limit;
+};
+
+struct Scenario {
+    const char* name;
+    std::vector<Stated> stated;
+    Duration serviceTime;
+    double rootsPerSecond;
+    double nestedPerSecond;
+};
+
+std::ostream& operator<<(std::ostream& out, const Scenario& row)
+{
+    return out << row.name;
+}
+
+const std::vector<Scenario> scenarios {
+    { "stated once", { { 6s, 15.2 } }, 220ms, 40, 10 },
+    { "stated from the start", { { 0s, 24.2 } }, 90ms, 60, 0 },
+    { "nested calls only", { { 6s, 20 } }, 90ms, 0, 60 },
+    { "many times the limit arrives", { { 6s, 20 } }, 60ms, 400, 200 },
+    { "slow server", { { 6s, 18 } }, 1100ms, 40, 0 },
+    { "tiny", { { 6s, 1.5 } }, 220ms, 30, 10 },
+    { "less than one a second", { { 6s, 0.3 } }, 60ms, 40, 0 },
+    { "zero", { { 6s, 0 } }, 60ms, 40, 0 },
+    { "changed", { { 6s, 40 }, { 14s, 8 }, { 20s, 25 } }, 90ms, 60, 10 },
+    { "lifted and stated again", { { 6s, 20 }, { 12s, std::nullopt }, { 18s, 15 } }, 90ms, 50, 10 },
+};
+
+/// Simulates a backend server that runs whatever it gets, behind an admission that it tells its limit with each answer.
+class Simulation {
+public:
+    explicit Simulation(const Scenario& scenario, std::uint64_t seed)
+        : m_scenario(scenario)
+        , m_random(seed)
+        , m_admission(makeLimit("delay", { 87, 622, false }))
+    {
+    }
+
+    void run(Duration time)
+    {
+        for (const auto end = m_now + time; m_now < end; m_now += tick) {
+            endRuns();
+            arrive(m_scenario.rootsPerSecond, false);
+            arrive(m_scenario.nestedPerSecond, true);
+            poll();
+        }
+    }
+
+    /// \returns the requests that started in the window up to \p end.
+    double startedIn(Duration end) const
+    {
+        const auto inside = [&](Duration at) { return at > end - window && at <= end; };
+        return static_cast<double>(std::ranges::count_if(m_starts, inside));
+    }
+
+    /// \returns how many requests the stated target allows in the window up to \p end.
+    double allowedIn(Duration end) const
+    {
+        const auto& stated = m_scenario.stated;
+        double allowed = 0;
+        for (std::size_t n = 0; n < stated.size(); ++n) {
+            const auto from = std::max<Duration>(stated[n].from, end - window);
+            const auto to = n + 1 < stated.size() ? std::min(stated[n + 1].from, end) : end;
+            if (to > from && !stated[n].limit) {
+                return std::numeric_limits<double>::infinity();
+            }
+            allowed += to > from ? *stated[n].limit * std::chrono::duration<double>(to - from).count() : 0;
+        }
+        return overage * allowed + slack;
+    }
+
+private:
+    std::optional<double> statedAt(Duration at) const
+    {
+        std::optional<double> limit;
+        for (const auto& it : m_scenario.stated) {
+            limit = it.from <= at ? it.limit : limit;
+        }
+        return limit;
+    }
+
+    Duration elapsed() const { return m_now - m_begin; }
+
+    void arrive(double perSecond, bool nested)
+    {
+        std::poisson_distribution<int> arrivals(std::max(perSecond, 1e-9) * std::chrono::duration<double>(tick).count());
+        for (auto left = arrivals(m_random); left > 0; --left) {
+            const auto id = ++m_lastId;
+            const AdmissionItem item { id, Importance::Normal, nested, "a", m_now + 6s };
+            if (m_admission.offer(item, m_now).outcome == AdmissionOutcome::Started) {
+                begin(id);
+            }
+        }
+    }
+
+    void poll()
+    {
+        for (const auto id : m_admission.poll(m_now).start) {
+            begin(id);
+        }
+    }
+
+    void begin(std::uint64_t id)
+    {
+        m_starts.push_back(elapsed());
+        m_runs.emplace(m_now + m_scenario.serviceTime, std::pair(id, m_now));
+    }
+
+    void endRuns()
+    {
+        while (!m_runs.empty() && m_runs.begin()->first <= m_now) {
+            const auto [id, sentAt] = m_runs.begin()->second;
+            m_runs.erase(m_runs.begin());
+            m_admission.finish(id, { RunOutcome::Ok, {} }, m_now);
+            m_admission.rate().learn(statedAt(elapsed()), sentAt, m_now);
+        }
+    }
+
+    const Scenario& m_scenario;
+    Random m_random;
+    Admission m_admission;
+    const TimePoint m_begin { 100s };
+    TimePoint m_now = m_begin;
+    std::uint64_t m_lastId = 0;
+    std::multimap<TimePoint, std::pair<std::uint64_t, TimePoint>> m_runs; ///< By their end: request, and when it was sent.
+    std::vector<Duration> m_starts;
+};
+
+constexpr std::uint64_t seeds = 3;
+constexpr auto playTime = 26s;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RateLimitPlays)
+
+/// Guards against a backend server getting more requests than the rate that it states.
+BOOST_DATA_TEST_CASE(aServerGetsNoMoreThanTheRateThatItStates, data::make(scenarios) * data::xrange(seeds), row, seed)
+{
+    Simulation simulation(row, seed + 1);
+    simulation.run(playTime);
+    double worst = 0;
+    for (auto end = row.stated.front().from + contactTime + window; end <= playTime; end += 10 * tick) {
+        worst = std::max(worst, simulation.startedIn(end) - simulation.allowedIn(end));
+    }
+    BOOST_TEST(worst <= 0, "a window has " << worst << " requests too many");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tools/standin-backend/backend.cpp
+++ b/tools/standin-backend/backend.cpp
@@ -281,6 +281,23 @@
     (this->*steps.at(static_cast<std::size_t>(exchange.mode)))(exchange);
 }
 
+void Backend::setStatement(const std::string& rateLimit, const std::string& leaving)
+{
+    m_rateLimit = rateLimit;
+    m_leaving = leaving;
+}
+
+void Backend::addStatement(evhttp_request* request) const
+{
+    const auto add = [request](const char* name, const std::string& value) {
+        if (!value.empty()) {
+            evhttp_add_header(evhttp_request_get_output_headers(request), name, value.c_str());
+        }
+    };
+    add(support::http::rateLimitHeader, m_rateLimit);
+    add(support::http::leavingHeader, m_leaving);
+}
+
 void Backend::answerWhole(Exchange& exchange)
 {
     evhttp_request* request = exchange.request;
@@ -289,6 +306,7 @@
     if (!exchange.exchangeId.empty()) {
         evhttp_add_header(evhttp_request_get_output_headers(request), support::http::exchangeHeader, exchange.exchangeId.c_str());
     }
+    addStatement(request);
     finish(exchange, failed ? Outcome::Failed : Outcome::Answered);
     reply(request, failed ? badGateway : HTTP_OK, body);
 }
@@ -318,6 +336,7 @@
 void Backend::answerRefused(Exchange& exchange)
 {
     evhttp_request* request = exchange.request;
+    addStatement(request);
     finish(exchange, Outcome::Refused);
     evhttp_add_header(evhttp_request_get_output_headers(request), support::http::notRunHeader, "1");
     reply(request, serviceUnavailable, {});
--- a/tools/standin-backend/backend.h
+++ b/tools/standin-backend/backend.h
@@ -40,6 +40,9 @@
     /// Switches whether answers echo the exchange id of their request.
     void setEcho(bool echo) { m_echo = echo; }
 
+    /// Sets the headers by which every answer states a rate limit or that the server is leaving; empty for none.
+    void setStatement(const std::string& rateLimit, const std::string& leaving);
+
     const Journal& journal() const { return m_journal; }
 
     /// \returns counts as one JSON object.
@@ -70,6 +73,7 @@
     void answerClosed(Exchange& exchange);
     void answerTwice(Exchange& exchange);
 
+    void addStatement(evhttp_request* request) const;
     bool isOpen(evhttp_connection* connection, std::uint64_t number) const;
     void closeConnection(Exchange& exchange, std::chrono::milliseconds delay);
     void finish(Exchange& exchange, Outcome outcome);
@@ -81,6 +85,8 @@
     Options m_options;
     Journal m_journal;
     Behaviour m_behaviour;
+    std::string m_rateLimit;
+    std::string m_leaving;
     bool m_echo = true; ///< Answers carry the exchange id of their request.
     std::mt19937_64 m_random;
     std::unique_ptr<support::HttpClient> m_daemon;
--- a/tools/standin-backend/main.cpp
+++ b/tools/standin-backend/main.cpp
@@ -39,6 +39,10 @@
         if (request.path == "/announced") {
             return { 200, std::to_string(m_announcer ? m_announcer->accepted() : 0) };
         }
+        if (request.path == "/statement") {
+            m_backend.setStatement(request.text("rate-limit"), request.text("leaving"));
+            return {};
+        }
         if (request.path == "/echo") {
             return switchEcho(request);
         }
--- a/tools/support/http_names.h
+++ b/tools/support/http_names.h
@@ -11,6 +11,8 @@
 inline constexpr const char* verdictHeader = "Pistachio-Verdict";
 inline constexpr const char* reasonHeader = "Pistachio-Reason";
 inline constexpr const char* notRunHeader = "Pistachio-Not-Run";
+inline constexpr const char* rateLimitHeader = "Pistachio-Rate-Limit";
+inline constexpr const char* leavingHeader = "Pistachio-Leaving";
 inline constexpr const char* announcePath = "/v1/announce";
 inline constexpr const char* leavePath = "/v1/leave";
 
