Keep the requests to a backend server within the rate that it states

What callers saw: nothing; the server got 1.5 times what the rule allows and more. Ruled out: a part of the traffic passing a limit that held for others (nothing changed at all), and a limit lost at a restart (the break came before any). Fix: core/backend_rate, a token bucket in front of the server in the one place that all its requests pass: first tries, repeats, nested calls and queued work. Its queue for roots is bounded by time at the rate; Retry-After and the expected wait follow it. The price of slots counts the capacity that the rate leaves. Answers carry the rate and what is offered, so that entry daemons send a limited server its share: with the concurrency limit alone, a limited server beside an idle one got nothing any more and was never asked whether its limit still held.

--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -47,12 +47,16 @@
         message.setLimit(load.limit);
         message.setAdmissionFloor(static_cast<std::uint8_t>(load.admissionFloor));
         message.setLeaving(load.leaving);
+        message.setHasRateLimit(load.requestsPerSecond.has_value());
+        message.setRequestsPerSecond(static_cast<float>(load.requestsPerSecond.value_or(0)));
+        message.setOfferedPerSecond(static_cast<float>(load.offeredPerSecond));
     }
 
     LoadHint readLoad(proto::LoadHint::Reader message)
     {
-        return { message.getRunning(), message.getQueued(), message.getLimit(),
-            readEnum<Importance>(message.getAdmissionFloor()), message.getLeaving() };
+        const auto rate = message.getHasRateLimit() ? std::optional<double>(message.getRequestsPerSecond()) : std::nullopt;
+        return { message.getRunning(), message.getQueued(), message.getLimit(), readEnum<Importance>(message.getAdmissionFloor()),
+            message.getLeaving(), rate, message.getOfferedPerSecond() };
     }
 
     void writeDemands(capnp::List<proto::ServiceDemand>::Builder list, const std::vector<ServiceDemand>& demands)
--- a/src/app/operator_status.cpp
+++ b/src/app/operator_status.cpp
@@ -27,6 +27,9 @@
             writeServer(json, report.server->entry);
             const auto& load = report.server->load;
             json.field("running", load.running).field("queued", load.queued).field("limit", load.limit);
+            if (load.requestsPerSecond) {
+                json.field("rateLimit", *load.requestsPerSecond).field("offeredPerSecond", load.offeredPerSecond);
+            }
             json.field("admissionFloor", importanceName(load.admissionFloor));
             json.endObject();
         }
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -244,7 +244,7 @@
 
 LoadHint ServerRole::load() const
 {
-    auto hint = m_admission.loadHint();
+    auto hint = m_admission.loadHint(m_timers.now());
     hint.leaving = m_entry.leaving || !m_announced;
     return hint;
 }
@@ -303,7 +303,7 @@
 void ServerRole::updateDemand()
 {
     const auto now = m_timers.now();
-    m_demand.update(m_admission.capacity(), m_admission.expectedNestedWait(now), now);
+    m_demand.update(m_admission.capacity(now), m_admission.expectedNestedWait(now), now);
     reportPrice(now);
 }
 
@@ -318,7 +318,7 @@
     m_priceStep = step;
     m_priceReported = now;
     PW_EVENT(m_log, Event::PriceChanged, { "service", m_entry.service }, { "price", price }, { "offered", m_demand.offered(now) },
-        { "slots", m_admission.capacity() }, { "limit", m_admission.limit() }, { "running", m_admission.running() },
+        { "slots", m_admission.capacity(now) }, { "limit", m_admission.limit() }, { "running", m_admission.running() },
         { "queued", m_admission.queued() },
         { "nested_wait_ms", std::chrono::duration_cast<std::chrono::milliseconds>(m_admission.expectedNestedWait(now)).count() });
 }
--- a/src/config.h
+++ b/src/config.h
@@ -208,6 +208,17 @@
 inline constexpr double minTrackedRootRate = 0.001;
 /// Retry-after time of a root that was refused because of the price of downstream slots.
 inline constexpr milliseconds throttledRetryAfter { 300 };
+/// Lowest rate, in requests per second, at which a backend server is sent requests whatever limit it states: only an answer
+/// can lift the limit.
+inline constexpr double minBackendRate = 0.2;
+/// Burst allowed within the rate limit of a backend server, as the time in which it accepts as many requests.
+inline constexpr milliseconds backendRateBurst { 100 };
+/// Roots that wait for the rate limit of a backend server, as the time in which it accepts as many: in a queue that persists,
+/// and in a burst.
+inline constexpr milliseconds pacedStandingQueue { 250 };
+inline constexpr milliseconds pacedBurstQueue { 500 };
+/// Averaging time of the rate of requests that are offered to a backend server with a rate limit.
+inline constexpr milliseconds offeredRateWindow { 1000 };
 /// Minimum interval between two log lines on the rate limit that a backend server states.
 inline constexpr milliseconds rateLogInterval { 250 };
 /// Ratio of load to concurrency limit from which a backend server counts as loaded.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -32,14 +32,14 @@
 OfferResult Admission::offer(const AdmissionItem& item, TimePoint now)
 {
     updateAdmissionFloor(now);
+    m_offered.add(now);
     if (m_leaving) {
         return { AdmissionOutcome::Refused, { Verdict::NotRun, Reason::Leaving, config::minRetryAfter } };
     }
     if (item.deadline <= now) {
         return { AdmissionOutcome::Refused, { Verdict::NotRun, Reason::DeadlineExceeded, {} } };
     }
-    auto free = running() < m_limit->current();
-    if (free && m_queue.size() == 0) {
+    if (canStart(now) && m_queue.size() == 0) {
         // The service time estimate may be wrong, so a request is never refused because of it while a slot is idle.
         m_queue.charge(item);
         start(item, now, now);
@@ -99,7 +99,7 @@
         recordShed(waiting.item.rank, now);
         work.shed.push_back({ waiting.item.id, refusal(Reason::Overloaded, now) });
     }
-    while (running() < m_limit->current()) {
+    while (canStart(now)) {
         auto next = m_queue.pop();
         if (!next) {
             break;
@@ -120,18 +120,23 @@
     if (!earliest) {
         return std::nullopt;
     }
-    return *earliest - scaled(m_serviceTime.estimate(*earliest), config::requiredServiceTimeShare);
+    auto wake = *earliest - scaled(m_serviceTime.estimate(*earliest), config::requiredServiceTimeShare);
+    if (auto token = m_rate.nextToken(); token && running() < m_limit->current()) {
+        wake = std::min(wake, *token);
+    }
+    return wake;
 }
 
-LoadHint Admission::loadHint() const
+LoadHint Admission::loadHint(TimePoint now) const
 {
-    return { running(), queued(), m_limit->current(), m_floor, m_leaving };
+    const auto limit = m_rate.limit();
+    return { running(), queued(), m_limit->current(), m_floor, m_leaving, limit, limit ? m_offered.rate(now) : 0 };
 }
 
 Duration Admission::expectedNestedWait(TimePoint now) const
 {
     const auto nested = static_cast<double>(m_queue.size() - m_queue.roots());
-    return scaled(m_serviceTime.estimate(now), nested / m_limit->current());
+    return scaled(m_serviceTime.estimate(now), nested / boundedByRate(m_limit->current(), now));
 }
 
 void Admission::setCapacity(std::uint32_t slots, std::uint32_t connections)
@@ -157,6 +162,7 @@
 void Admission::start(const AdmissionItem& item, TimePoint queuedAt, TimePoint now)
 {
     assert(!m_running.contains(item.id));
+    m_rate.takeToken(now);
     m_running.emplace(item.id, Running { now, now - queuedAt });
     recordStart(item.rank, now);
 }
@@ -169,8 +175,24 @@
 
 Duration Admission::expectedWait(const AdmissionItem& item, TimePoint now) const
 {
-    auto turns = static_cast<double>(m_queue.countAhead(item) + 1) / m_limit->current();
-    return scaled(m_serviceTime.estimate(now), turns);
+    const auto turn = m_queue.countAhead(item) + 1;
+    const auto forSlot = scaled(m_serviceTime.estimate(now), static_cast<double>(turn) / m_limit->current());
+    return std::max(forSlot, m_rate.timeToSend(turn, now));
+}
+
+bool Admission::canStart(TimePoint now) const
+{
+    return running() < m_limit->current() && m_rate.hasToken(now);
+}
+
+/// \returns \p concurrency, or how many requests run at once at the rate limit of the backend server if that is less.
+double Admission::boundedByRate(double concurrency, TimePoint now) const
+{
+    if (!m_rate.limit()) {
+        return concurrency;
+    }
+    const auto busy = *m_rate.limit() * std::chrono::duration<double>(m_serviceTime.estimate(now)).count();
+    return std::clamp(busy, 1.0, std::max(1.0, concurrency));
 }
 
 bool Admission::evictForNewcomer(const AdmissionItem& item, TimePoint now)
@@ -186,6 +208,10 @@
 
 std::size_t Admission::queueCapacity(bool standing) const
 {
+    if (const auto rate = m_rate.limit()) {
+        const auto time = standing ? config::pacedStandingQueue : config::pacedBurstQueue;
+        return static_cast<std::size_t>(*rate * std::chrono::duration<double>(time).count());
+    }
     auto share = standing ? config::standingQueueRatio : config::burstQueueRatio;
     auto least = standing ? config::minStandingQueue : config::minBurstQueue;
     return std::max(least, static_cast<std::size_t>(std::ceil(m_limit->current() * share)));
@@ -205,8 +231,9 @@
 Refusal Admission::refusal(Reason reason, TimePoint now) const
 {
     // Expected time in which the queue in front of a new request drains if no further requests arrive.
-    auto drain = scaled(m_serviceTime.estimate(now), static_cast<double>(m_queue.size() + 1) / m_limit->current());
-    auto rounded = std::chrono::ceil<std::chrono::milliseconds>(drain);
+    const auto turn = m_queue.size() + 1;
+    const auto forSlot = scaled(m_serviceTime.estimate(now), static_cast<double>(turn) / m_limit->current());
+    auto rounded = std::chrono::ceil<std::chrono::milliseconds>(std::max(forSlot, m_rate.timeToSend(turn, now)));
     return { Verdict::NotRun, reason, std::clamp(rounded, config::minRetryAfter, config::maxRetryAfter) };
 }
 
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "config.h"
 #include "core/admission_queue.h"
 #include "core/backend_rate.h"
 #include "core/call.h"
 #include "core/limit.h"
+#include "core/request_rate_estimate.h"
 #include "core/service_time.h"
 #include "core/types.h"
 
@@ -76,7 +78,7 @@
     std::optional<TimePoint> nextWake() const;
 
     /// \returns the load hint to send with each answer.
-    LoadHint loadHint() const;
+    LoadHint loadHint(TimePoint now) const;
 
     /// \returns the expected time until all queued nested calls have started.
     Duration expectedNestedWait(TimePoint now) const;
@@ -99,8 +101,9 @@
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::uint32_t queued() const { return static_cast<std::uint32_t>(m_queue.size()); }
     std::uint32_t limit() const { return m_limit->current(); }
-    /// \returns the smaller of the announced slots and connections of the backend server.
-    double capacity() const { return m_limit->announced(); }
+    /// \returns how many requests the backend server can run at once: the smaller of its announced slots and connections, and
+    /// of what its rate limit keeps busy.
+    double capacity(TimePoint now) const { return boundedByRate(m_limit->announced(), now); }
 
 private:
     struct Running {
@@ -112,6 +115,8 @@
     bool canMeetDeadline(const AdmissionItem& item, Duration wait, TimePoint now) const;
     Duration expectedWait(const AdmissionItem& item, TimePoint now) const;
     bool evictForNewcomer(const AdmissionItem& item, TimePoint now);
+    bool canStart(TimePoint now) const;
+    double boundedByRate(double concurrency, TimePoint now) const;
     std::size_t queueCapacity(bool standing) const;
     void updateQueueState(TimePoint now);
     Refusal refusal(Reason reason, TimePoint now) const;
@@ -125,6 +130,7 @@
     std::vector<ShedRequest> m_shed;
     ServiceTime m_serviceTime;
     BackendRate m_rate;
+    RequestRateEstimate m_offered { config::offeredRateWindow };
     bool m_leaving = false;
     std::optional<TimePoint> m_nonEmptySince; ///< When the queue last became non-empty; empty while the queue is.
     bool m_hasStandingQueue = false; ///< Whether the queue persists beyond a burst, so that it adds delay but no throughput.
--- a/src/core/backend_rate.h
+++ b/src/core/backend_rate.h
@@ -2,11 +2,12 @@
 
 #include "core/types.h"
 
+#include <cstddef>
 #include <optional>
 
 namespace pw {
 
-/// Request rate limit that a backend server states in its answers.
+/// Request rate limit that a backend server states in its answers, and the token bucket that keeps requests to it.
 class BackendRate {
 public:
     /// Takes over the limit stated in an answer; empty if the answer states none.
@@ -19,9 +20,27 @@
     /// \returns the limit in requests per second; empty if there is none.
     std::optional<double> limit() const { return m_limit; }
 
+    /// \returns whether a request may be sent now.
+    bool hasToken(TimePoint now) const;
+
+    /// Takes the token of a request that is sent.
+    void takeToken(TimePoint now);
+
+    /// \returns the time until \p count more requests may have been sent; zero without a limit.
+    Duration timeToSend(std::size_t count, TimePoint now) const;
+
+    /// \returns when the next token is available; empty without a limit.
+    std::optional<TimePoint> nextToken() const;
+
 private:
+    double pace() const;
+    double bucketSize() const;
+    double tokensAt(TimePoint now) const;
+
     std::optional<double> m_limit;
     TimePoint m_statedAt {}; ///< When a limit was last stated.
+    double m_tokens = 0; ///< At m_refilledAt.
+    TimePoint m_refilledAt {};
 };
 
 } // namespace pw
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -4,6 +4,7 @@
 #include "core/types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
     std::uint32_t limit = 0; ///< Current concurrency limit; zero if unknown.
     Importance admissionFloor = Importance::Low; ///< Lowest importance that is currently admitted.
     bool leaving = false;
+    std::optional<double> requestsPerSecond; ///< Rate limit that the backend server states; empty if it states none.
+    double offeredPerSecond = 0; ///< Recent rate of requests for it, whether or not they were admitted; set with a rate limit.
 };
 
 /// Result of a call.
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <ranges>
 #include <utility>
@@ -164,7 +165,20 @@
     }
     // A server without answers and calls counts as unloaded. Otherwise it would never get a first request while others are idle.
     const auto added = observed.hint || busy > 0 ? 1.0 : 0.0;
-    return (busy + added) / limit * slowPenalty(observed, state);
+    return std::max((busy + added) / limit, rateLoad(observed, state.now)) * slowPenalty(observed, state);
+}
+
+/// \returns the rate of requests for a server with a rate limit, relative to the limit; zero for one without.
+double Picker::rateLoad(const Observation& observed, TimePoint now)
+{
+    if (!observed.hint || !observed.hint->requestsPerSecond) {
+        return 0;
+    }
+    const std::chrono::duration<double> window = config::offeredRateWindow;
+    const std::chrono::duration<double> age = now - observed.hintReceivedAt;
+    // Without the decay, a server that is avoided would never be asked whether its limit still holds.
+    const auto offered = observed.hint->offeredPerSecond * std::exp(-age / window) + observed.sentSinceHint / window.count();
+    return offered / std::max(*observed.hint->requestsPerSecond, config::minBackendRate);
 }
 
 double Picker::slowThreshold(const std::vector<ServerEntry>& servers) const
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -79,6 +79,7 @@
     Candidates answeredSince(TimePoint since, const PickState& state, Candidates candidates) const;
     std::size_t pickLessLoaded(const PickState& state, const Candidates& candidates);
     double load(const PickState& state, std::size_t server) const;
+    static double rateLoad(const Observation& observed, TimePoint now);
     double slowThreshold(const std::vector<ServerEntry>& servers) const;
     static double slowPenalty(const Observation& observed, const PickState& state);
     static bool reportedLeaving(const Observation& observed, TimePoint now);
--- a/src/proto/call.capnp
+++ b/src/proto/call.capnp
@@ -42,6 +42,9 @@
   limit @2 :UInt32;
   admissionFloor @3 :UInt8;
   leaving @4 :Bool;
+  hasRateLimit @5 :Bool;
+  requestsPerSecond @6 :Float32;
+  offeredPerSecond @7 :Float32;
 }
 
 struct Answer {
--- a/src/proto/call.capnp.h
+++ b/src/proto/call.capnp.h
@@ -82,7 +82,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -546,6 +546,12 @@
 
   inline bool getLeaving() const;
 
+  inline bool getHasRateLimit() const;
+
+  inline float getRequestsPerSecond() const;
+
+  inline float getOfferedPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -589,6 +595,15 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline bool getHasRateLimit();
+  inline void setHasRateLimit(bool value);
+
+  inline float getRequestsPerSecond();
+  inline void setRequestsPerSecond(float value);
+
+  inline float getOfferedPerSecond();
+  inline void setOfferedPerSecond(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1527,6 +1542,48 @@
       ::capnp::bounded<104>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadHint::Reader::getHasRateLimit() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<105>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadHint::Builder::getHasRateLimit() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<105>() * ::capnp::ELEMENTS);
+}
+inline void LoadHint::Builder::setHasRateLimit(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<105>() * ::capnp::ELEMENTS, value);
+}
+
+inline float LoadHint::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float LoadHint::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LoadHint::Builder::setRequestsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline float LoadHint::Reader::getOfferedPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline float LoadHint::Builder::getOfferedPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void LoadHint::Builder::setOfferedPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Answer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -188,7 +188,7 @@
         admission.offer(item(id, id % 2 ? Importance::Low : Importance::Critical), now);
         admission.poll(now);
     }
-    auto hint = admission.loadHint();
+    auto hint = admission.loadHint(now);
     BOOST_TEST(hint.running == 1U);
     BOOST_TEST(hint.limit == 1U);
     BOOST_TEST((hint.admissionFloor > Importance::Low));
@@ -196,7 +196,7 @@
     admission.poll(now);
     now += 1s;
     admission.poll(now);
-    BOOST_TEST((admission.loadHint().admissionFloor == Importance::Low));
+    BOOST_TEST((admission.loadHint(now).admissionFloor == Importance::Low));
 }
 
 /// Load of a saturated server; workspace "g" sends more than its share.
--- a/tests/unit/overload_play_test.cpp
+++ b/tests/unit/overload_play_test.cpp
@@ -53,7 +53,7 @@
                 }
             }
             pollAdmission();
-            m_priceController.update(m_admission.capacity(), m_admission.expectedNestedWait(m_now), m_now);
+            m_priceController.update(m_admission.capacity(m_now), m_admission.expectedNestedWait(m_now), m_now);
             if (m_now >= m_nextReport) {
                 m_nextReport = m_now + priceReportDelay;
                 m_reportedPrice = m_priceController.price();
--- a/tools/measure-overload/node.cpp
+++ b/tools/measure-overload/node.cpp
@@ -111,7 +111,7 @@
 void Node::updateDemand()
 {
     const auto now = m_world.events.now();
-    m_demand.update(m_admission->capacity(), m_admission->expectedNestedWait(now), now);
+    m_demand.update(m_admission->capacity(now), m_admission->expectedNestedWait(now), now);
 }
 
 Answer Node::signedAnswer(const Request& request, Answer answer)
@@ -120,7 +120,7 @@
         return answer;
     }
     updateDemand();
-    answer.load = m_admission->loadHint();
+    answer.load = m_admission->loadHint(m_world.events.now());
     answer.demands = m_demand.demandsToReport(*request.from, m_world.deployment.routes[request.route].name, m_entry.service, m_world.events.now());
     return answer;
 }
