Take a backend server out when its answers say that it leaves

What callers saw: nothing yet; such a server may end with their requests in hand. Cause: only announcements were listened to; of the same class as the rate limit, what a server says in its answers was read by nobody. Fix: the statement in an answer counts like an announcement of the same start: the fleet is told at once, and after half the drain time the daemon beside the server passes nothing on, whatever the others believe.

--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -377,6 +377,9 @@
     const auto now = m_timers.now();
     m_admission.rate().learn(statement.requestsPerSecond, work.startedAt, now);
     reportRate(now);
+    if (statement.leaving) {
+        onServerLeaving();
+    }
 }
 
 /// Logs changes of the stated rate limit, at most once per config::rateLogInterval.
