Keep a start that has left out of use at the daemons that heard it

What callers saw: nothing yet. Cause: an entry daemon avoided a server that said it leaves for 2 s and then relied on the view; if control was out of reach and the daemon beside the server restarted, the new process listed the same start again. The hint now names the start, and an entry daemon never uses that start again. Pickers/aStartThatHasLeftIsNotUsedAgain: without the check (trial) s0 was picked again after 60 s. Picker rows for servers at, above and below their rate limit.

--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -50,13 +50,14 @@
         message.setHasRateLimit(load.requestsPerSecond.has_value());
         message.setRequestsPerSecond(static_cast<float>(load.requestsPerSecond.value_or(0)));
         message.setOfferedPerSecond(static_cast<float>(load.offeredPerSecond));
+        message.setDepartedStart(load.departedStart);
     }
 
     LoadHint readLoad(proto::LoadHint::Reader message)
     {
         const auto rate = message.getHasRateLimit() ? std::optional<double>(message.getRequestsPerSecond()) : std::nullopt;
         return { message.getRunning(), message.getQueued(), message.getLimit(), readEnum<Importance>(message.getAdmissionFloor()),
-            message.getLeaving(), rate, message.getOfferedPerSecond() };
+            message.getLeaving(), rate, message.getOfferedPerSecond(), message.getDepartedStart() };
     }
 
     void writeDemands(capnp::List<proto::ServiceDemand>::Builder list, const std::vector<ServiceDemand>& demands)
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -246,6 +246,7 @@
 {
     auto hint = m_admission.loadHint(m_timers.now());
     hint.leaving = m_entry.leaving || !m_announced;
+    hint.departedStart = m_serverLeft ? m_backendId : 0;
     return hint;
 }
 
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -48,6 +48,7 @@
     bool leaving = false;
     std::optional<double> requestsPerSecond; ///< Rate limit that the backend server states; empty if it states none.
     double offeredPerSecond = 0; ///< Recent rate of requests for it, whether or not they were admitted; set with a rate limit.
+    std::uint64_t departedStart = 0; ///< ServerEntry::backendIncarnation of the start that has said it is leaving; zero if none.
 };
 
 /// Result of a call.
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -69,6 +69,7 @@
         observed.hint = *hint;
         observed.hintReceivedAt = now;
         observed.sentSinceHint = 0;
+        observed.departedStart = hint->departedStart != 0 ? hint->departedStart : observed.departedStart;
     }
     if (outcome == RunOutcome::Failed || outcome == RunOutcome::Timeout) {
         recordFailure(observed, now);
@@ -110,7 +111,7 @@
     const auto& servers = state.servers;
     Candidates allowed;
     for (std::size_t n = 0; n < servers.size(); ++n) {
-        auto leaving = servers[n].leaving || reportedLeaving(observation(servers[n].name), state.now);
+        auto leaving = servers[n].leaving || reportedLeaving(servers[n], observation(servers[n].name), state.now);
         if (!leaving && std::ranges::find(context.excluded, servers[n].name) == context.excluded.end()) {
             allowed.push_back(n);
         }
@@ -206,8 +207,12 @@
     return observed.ejectionTime > Duration(0) && now < observed.ejectedUntil;
 }
 
-bool Picker::reportedLeaving(const Observation& observed, TimePoint now)
+bool Picker::reportedLeaving(const ServerEntry& server, const Observation& observed, TimePoint now)
 {
+    // A start that has said so does not come back, even if a restarted daemon beside it lists it again.
+    if (server.backendIncarnation != 0 && server.backendIncarnation == observed.departedStart) {
+        return true;
+    }
     // The membership view will follow. The hint expires, so that a server that came back is used again even if the view is late.
     return observed.hint && observed.hint->leaving && now - observed.hintReceivedAt < config::leavingHintLifetime;
 }
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -59,6 +59,7 @@
         std::uint32_t sentSinceHint = 0;
         std::optional<LoadHint> hint;
         TimePoint hintReceivedAt {};
+        std::uint64_t departedStart = 0; ///< Last start of the backend server that has said it is leaving.
         std::uint32_t consecutiveFailures = 0;
         Duration ejectionTime { 0 };
         TimePoint ejectedUntil {};
@@ -82,7 +83,7 @@
     static double rateLoad(const Observation& observed, TimePoint now);
     double slowThreshold(const std::vector<ServerEntry>& servers) const;
     static double slowPenalty(const Observation& observed, const PickState& state);
-    static bool reportedLeaving(const Observation& observed, TimePoint now);
+    static bool reportedLeaving(const ServerEntry& server, const Observation& observed, TimePoint now);
     static bool isEjected(const Observation& observed, TimePoint now);
     const Observation& observation(const std::string& server) const;
     void recordFailure(Observation& observed, TimePoint now);
--- a/src/proto/call.capnp
+++ b/src/proto/call.capnp
@@ -45,6 +45,7 @@
   hasRateLimit @5 :Bool;
   requestsPerSecond @6 :Float32;
   offeredPerSecond @7 :Float32;
+  departedStart @8 :UInt64;
 }
 
 struct Answer {
--- a/src/proto/call.capnp.h
+++ b/src/proto/call.capnp.h
@@ -82,7 +82,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -552,6 +552,8 @@
 
   inline float getOfferedPerSecond() const;
 
+  inline  ::uint64_t getDepartedStart() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -604,6 +606,9 @@
   inline float getOfferedPerSecond();
   inline void setOfferedPerSecond(float value);
 
+  inline  ::uint64_t getDepartedStart();
+  inline void setDepartedStart( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1584,6 +1589,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t LoadHint::Reader::getDepartedStart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadHint::Builder::getDepartedStart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LoadHint::Builder::setDepartedStart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Answer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/picker_test.cpp
+++ b/tests/unit/picker_test.cpp
@@ -179,4 +179,55 @@
     BOOST_TEST(picked > 0);
 }
 
+/// Guards against requests for a server that has left, listed again by a restarted daemon that does not know it.
+BOOST_AUTO_TEST_CASE(aStartThatHasLeftIsNotUsedAgain)
+{
+    Fleet fleet(1);
+    fleet.servers.resize(2);
+    fleet.servers[0].backendIncarnation = 7;
+    fleet.reportLimits();
+    fleet.picker.started("s0", fleet.now);
+    pw::LoadHint hint { .limit = 10, .leaving = true, .departedStart = 7 };
+    fleet.picker.finished("s0", RunOutcome::Ok, 10ms, &hint, fleet.now);
+    fleet.now += 60s;
+    BOOST_TEST(fleet.count(50)["s0"] == 0);
+    fleet.servers[0].backendIncarnation = 8;
+    BOOST_TEST(fleet.count(50)["s0"] > 0);
+}
+
+struct RateRow {
+    const char* name;
+    double limit;
+    double offered; ///< Requests per second for the limited server.
+    pw::Duration age; ///< Of its load hint.
+    bool avoided;
+};
+
+std::ostream& operator<<(std::ostream& out, const RateRow& row)
+{
+    return out << row.name;
+}
+
+const std::vector<RateRow> rateRows {
+    { "at its limit", 10, 10, 0s, true },
+    { "above its limit", 10, 200, 1s, true },
+    { "far below its limit", 10, 0.5, 0s, false },
+    { "avoided for some time", 10, 10, 5s, false },
+    { "a limit of zero", 0, 1, 0s, true },
+    { "a limit of zero, avoided for some time", 0, 1, 10s, false },
+};
+
+/// Guards against overloading a server with a rate limit, and against never asking it again whether the limit still holds.
+BOOST_DATA_TEST_CASE(aServerAtItsRateLimitIsAvoidedForAWhile, data::make(rateRows), row)
+{
+    Fleet fleet(1);
+    fleet.servers.resize(2);
+    fleet.reportLimits();
+    fleet.picker.started("s0", fleet.now);
+    pw::LoadHint hint { .limit = 10, .requestsPerSecond = row.limit, .offeredPerSecond = row.offered };
+    fleet.picker.finished("s0", RunOutcome::Ok, 10ms, &hint, fleet.now);
+    fleet.now += row.age;
+    BOOST_TEST((fleet.count(50)["s0"] == 0) == row.avoided);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
