Pace requests to a backend server until its first answer after a start of the daemon

Cause: the new process knows no limit until the first answer comes. Ruled out: keeping the rate in the membership view (a push to all daemons at each change of a limit).

--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -121,6 +121,9 @@
         if ((isFirst || isNewStart) && !announcement.warmUpTime) {
             m_admission.beginColdStart();
         }
+        if (isFirst) {
+            m_admission.rate().beginUnconfirmed(m_timers.now());
+        }
         PW_EVENT(m_log, Event::BackendAnnounced, { "service", m_entry.service }, { "address", announcement.address }, { "slots", m_entry.slots });
         publish();
         processQueue();
--- a/src/core/backend_rate.cpp
+++ b/src/core/backend_rate.cpp
@@ -26,6 +26,8 @@
 
 void BackendRate::learn(std::optional<double> requestsPerSecond, TimePoint sentAt, TimePoint now)
 {
+    const auto wasLimited = m_limit.has_value();
+    m_unconfirmed = false;
     if (!requestsPerSecond) {
         // An answer to an earlier request may have been composed before the limit was stated.
         if (sentAt >= m_statedAt) {
@@ -33,13 +35,20 @@
         }
         return;
     }
-    m_tokens = m_limit ? tokensAt(now) : 0;
+    m_tokens = wasLimited ? tokensAt(now) : 0;
     m_refilledAt = now;
     m_statedAt = now;
     m_limit = requestsPerSecond;
     m_tokens = std::min(m_tokens, bucketSize());
 }
 
+void BackendRate::beginUnconfirmed(TimePoint now)
+{
+    m_unconfirmed = true;
+    m_refilledAt = now;
+    m_tokens = bucketSize();
+}
+
 void BackendRate::reset()
 {
     *this = {};
@@ -47,12 +56,12 @@
 
 bool BackendRate::hasToken(TimePoint now) const
 {
-    return !m_limit || tokensAt(now) >= 1 - tokenTolerance;
+    return !isPaced() || tokensAt(now) >= 1 - tokenTolerance;
 }
 
 void BackendRate::takeToken(TimePoint now)
 {
-    if (m_limit) {
+    if (isPaced()) {
         m_tokens = std::max(0.0, tokensAt(now) - 1);
         m_refilledAt = now;
     }
@@ -68,17 +77,17 @@
 
 std::optional<TimePoint> BackendRate::nextToken() const
 {
-    return m_limit ? std::optional(m_refilledAt + fromSeconds(std::max(0.0, 1 - m_tokens) / pace())) : std::nullopt;
+    return isPaced() ? std::optional(m_refilledAt + fromSeconds(std::max(0.0, 1 - m_tokens) / pace())) : std::nullopt;
 }
 
 double BackendRate::pace() const
 {
-    return std::max(*m_limit, config::minBackendRate);
+    return m_limit ? std::max(*m_limit, config::minBackendRate) : config::unconfirmedBackendRate;
 }
 
 double BackendRate::bucketSize() const
 {
-    return std::max(1.0, pace() * seconds(config::backendRateBurst));
+    return m_limit ? std::max(1.0, pace() * seconds(config::backendRateBurst)) : config::unconfirmedBackendBurst;
 }
 
 double BackendRate::tokensAt(TimePoint now) const
--- a/src/core/backend_rate.h
+++ b/src/core/backend_rate.h
@@ -14,6 +14,10 @@
     /// \param sentAt when the request was sent that the answer belongs to.
     void learn(std::optional<double> requestsPerSecond, TimePoint sentAt, TimePoint now);
 
+    /// Paces requests to config::unconfirmedBackendRate until the first answer: a limit stated to an earlier process of this
+    /// daemon may still hold.
+    void beginUnconfirmed(TimePoint now);
+
     /// Forgets what is known, for a new start of the backend server.
     void reset();
 
@@ -29,15 +33,17 @@
     /// \returns the time until \p count more requests may have been sent; zero without a limit.
     Duration timeToSend(std::size_t count, TimePoint now) const;
 
-    /// \returns when the next token is available; empty without a limit.
+    /// \returns when the next token is available; empty if requests are not paced.
     std::optional<TimePoint> nextToken() const;
 
 private:
+    bool isPaced() const { return m_limit || m_unconfirmed; }
     double pace() const;
     double bucketSize() const;
     double tokensAt(TimePoint now) const;
 
     std::optional<double> m_limit;
+    bool m_unconfirmed = false; ///< No answer has arrived yet.
     TimePoint m_statedAt {}; ///< When a limit was last stated.
     double m_tokens = 0; ///< At m_refilledAt.
     TimePoint m_refilledAt {};
--- a/tests/unit/rate_limit_play_test.cpp
+++ b/tests/unit/rate_limit_play_test.cpp
@@ -39,6 +39,7 @@
     Duration serviceTime;
     double rootsPerSecond;
     double nestedPerSecond;
+    std::optional<Duration> restart {}; ///< When the daemon beside the server restarts; running requests are lost.
 };
 
 std::ostream& operator<<(std::ostream& out, const Scenario& row)
@@ -57,6 +58,9 @@
     { "zero", { { 6s, 0 } }, 60ms, 40, 0 },
     { "changed", { { 6s, 40 }, { 14s, 8 }, { 20s, 25 } }, 90ms, 60, 10 },
     { "lifted and stated again", { { 6s, 20 }, { 12s, std::nullopt }, { 18s, 15 } }, 90ms, 50, 10 },
+    { "the daemon restarts", { { 6s, 20 } }, 220ms, 60, 10, 14s },
+    { "the daemon restarts beside a slow server", { { 6s, 6 } }, 1100ms, 60, 10, 14s },
+    { "the daemon restarts, tiny limit", { { 6s, 1 } }, 450ms, 60, 10, 14s },
 };
 
 /// Simulates a backend server that runs whatever it gets, behind an admission that it tells its limit with each answer.
@@ -72,6 +76,9 @@
     void run(Duration time)
     {
         for (const auto end = m_now + time; m_now < end; m_now += tick) {
+            if (m_scenario.restart && elapsed() == *m_scenario.restart) {
+                restart();
+            }
             endRuns();
             arrive(m_scenario.rootsPerSecond, false);
             arrive(m_scenario.nestedPerSecond, true);
@@ -126,6 +133,13 @@
         }
     }
 
+    void restart()
+    {
+        m_runs.clear();
+        m_admission = Admission(makeLimit("delay", { 87, 622, false }));
+        m_admission.rate().beginUnconfirmed(m_now);
+    }
+
     void poll()
     {
         for (const auto id : m_admission.poll(m_now).start) {
