--- a/tests/unit/rate_limit_play_test.cpp
+++ b/tests/unit/rate_limit_play_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <numeric>
 #include <ostream>
 #include <random>
 #include <vector>
@@ -192,4 +193,94 @@
     BOOST_TEST(worst <= 0, "a window has " << worst << " requests too many");
 }
 
+/// Requests of one workspace and importance.
+struct Sender {
+    const char* workspace;
+    Importance importance;
+    double perSecond;
+    double share; ///< Requests per second that must be served of them, or all if fewer are sent; less a tenth.
+};
+
+struct ShareRow {
+    const char* name;
+    double limit;
+    std::vector<Sender> senders;
+};
+
+std::ostream& operator<<(std::ostream& out, const ShareRow& row)
+{
+    return out << row.name;
+}
+
+constexpr double tolerance = 0.9;
+
+const std::vector<ShareRow> shareRows {
+    { "one sender uses the whole limit", 20, { { "a", Importance::Normal, 60, 20 } } },
+    { "the more urgent first", 20, { { "a", Importance::Critical, 12, 12 }, { "a", Importance::Low, 60, 7 } } },
+    { "a greedy workspace", 20, { { "a", Importance::Normal, 15, 10 }, { "g", Importance::Normal, 300, 10 } } },
+    { "a small workspace beside a greedy one", 20, { { "a", Importance::Normal, 2, 2 }, { "g", Importance::Normal, 300, 18 } } },
+    { "a small limit", 4, { { "a", Importance::Normal, 10, 2 }, { "g", Importance::Normal, 40, 2 } } },
+};
+
+/// Guards against a rate limit that is used up by the less urgent or by one workspace.
+BOOST_DATA_TEST_CASE(theRateIsSharedByUrgencyAndWorkspace, data::make(shareRows) * data::xrange(seeds), row, seed)
+{
+    constexpr auto length = 60s;
+    constexpr auto serviceTime = 90ms;
+    constexpr TimePoint begin { 100s };
+    Random random(seed + 1);
+    Admission admission(makeLimit("delay", { 87, 622, false }));
+    admission.setWorkspaceWeights({ { "a", 1 }, { "g", 1 } });
+    admission.rate().learn(row.limit, begin, begin);
+    std::vector<double> served(row.senders.size());
+    std::vector<double> sent(row.senders.size());
+    std::map<std::uint64_t, std::size_t> senderOf;
+    std::multimap<TimePoint, std::uint64_t> ends;
+    const auto start = [&](std::uint64_t id, TimePoint now) { ends.emplace(now + serviceTime, id); };
+    for (auto now = begin; now < begin + length; now += tick) {
+        for (; !ends.empty() && ends.begin()->first <= now; ends.erase(ends.begin())) {
+            ++served[senderOf.at(ends.begin()->second)];
+            admission.finish(ends.begin()->second, { RunOutcome::Ok, {} }, now);
+        }
+        for (std::size_t n = 0; n < row.senders.size(); ++n) {
+            const auto& sender = row.senders[n];
+            if (uniform(random) >= sender.perSecond * std::chrono::duration<double>(tick).count()) {
+                continue;
+            }
+            const auto id = senderOf.size() + 1;
+            senderOf[id] = n;
+            ++sent[n];
+            const auto offered = admission.offer({ id, sender.importance, false, sender.workspace, now + 2s }, now);
+            if (offered.outcome == AdmissionOutcome::Started) {
+                start(id, now);
+            }
+            BOOST_REQUIRE((offered.outcome != AdmissionOutcome::Refused || offered.refusal.verdict == Verdict::NotRun));
+        }
+        std::ranges::for_each(admission.poll(now).start, [&](std::uint64_t id) { start(id, now); });
+    }
+    const auto allowed = row.limit * std::chrono::duration<double>(length).count();
+    BOOST_TEST(std::accumulate(served.begin(), served.end(), 0.0) >= tolerance * allowed);
+    for (std::size_t n = 0; n < row.senders.size(); ++n) {
+        const auto due = tolerance * std::min(sent[n], row.senders[n].share * std::chrono::duration<double>(length).count());
+        BOOST_TEST(served[n] >= due, row.senders[n].workspace << " got " << served[n] << " of " << sent[n] << ", due " << due);
+    }
+}
+
+/// Guards against a Retry-After that ignores the rate limit.
+BOOST_AUTO_TEST_CASE(aRefusalNamesTheTimeAtWhichTheRateHasRoom)
+{
+    constexpr TimePoint now { 100s };
+    Admission admission(makeLimit("delay", { 87, 622, false }));
+    admission.rate().learn(10, now, now);
+    std::uint64_t id = 0;
+    OfferResult last;
+    while (last.outcome != AdmissionOutcome::Refused) {
+        last = admission.offer({ ++id, Importance::Normal, false, "a", now + 10s }, now);
+        BOOST_REQUIRE(id < 100U);
+    }
+    BOOST_TEST((last.refusal.verdict == Verdict::NotRun));
+    BOOST_TEST((last.refusal.reason == Reason::Overloaded));
+    BOOST_TEST((last.refusal.retryAfter == admission.queued() * 100ms + 100ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
