--- a/src/app/cli_status.cpp
+++ b/src/app/cli_status.cpp
@@ -66,6 +66,9 @@
         if (const auto server = daemon["backendServer"]) {
             out << "backend server: running " << textField(server, "running") << "  queued " << textField(server, "queued") << "  limit "
                 << textField(server, "limit") << "  admits from " << textField(server, "admissionFloor") << '\n';
+            if (server["rateLimit"]) {
+                out << "rate limit: " << textField(server, "rateLimit") << "/s  offered " << textField(server, "offeredPerSecond") << "/s\n";
+            }
             printServer(out, server);
         }
     }
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -37,6 +37,11 @@
         return limit ? std::move(limit) : makeLimit(defaultLimitName(), {});
     }
 
+    std::string rateText(const std::optional<double>& requestsPerSecond)
+    {
+        return requestsPerSecond ? std::to_string(*requestsPerSecond) : "none";
+    }
+
     RunOutcome outcomeOf(const Refusal& refusal)
     {
         switch (refusal.reason) {
@@ -381,7 +386,9 @@
     const auto now = m_timers.now();
     m_admission.rate().learn(statement.requestsPerSecond, work.startedAt, now);
     reportRate(now);
-    if (statement.leaving) {
+    if (statement.leaving && !m_serverLeft) {
+        PW_EVENT(m_log, Event::BackendStatedLeaving, { "request", work.call.requestId }, { "service", m_entry.service },
+            { "instance", m_lastAnnouncement.instance });
         onServerLeaving();
     }
 }
@@ -393,9 +400,8 @@
     if (rate == m_reportedRate || now - m_rateReported < config::rateLogInterval) {
         return;
     }
-    const auto textOf = [](const std::optional<double>& value) { return value ? std::to_string(*value) : "none"; };
-    PW_EVENT(m_log, Event::BackendRateChanged, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance }, { "rate", textOf(rate) },
-        { "previous", textOf(m_reportedRate) }, { "running", m_admission.running() }, { "queued", m_admission.queued() });
+    PW_EVENT(m_log, Event::BackendRateChanged, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance }, { "rate", rateText(rate) },
+        { "previous", rateText(m_reportedRate) }, { "running", m_admission.running() }, { "queued", m_admission.queued() });
     m_reportedRate = rate;
     m_rateReported = now;
 }
@@ -447,7 +453,9 @@
 {
     const auto& call = m_calls.at(id).call;
     PW_EVENT(m_log, Event::AdmissionRefused, { "request", call.requestId }, { "route", call.route }, { "workspace", call.workspace },
-        { "rank", std::to_string(call.rank.workspace) + "." + std::to_string(call.rank.route) }, { "reason", reasonInfo(refusal.reason).name });
+        { "rank", std::to_string(call.rank.workspace) + "." + std::to_string(call.rank.route) }, { "reason", reasonInfo(refusal.reason).name },
+        { "running", m_admission.running() }, { "queued", m_admission.queued() }, { "limit", m_admission.limit() },
+        { "rate", rateText(rateLimit()) }, { "retry_ms", refusal.retryAfter.count() });
     Answer reply;
     reply.refusal = refusal;
     reply.attemptsUnused = call.attempts;
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -37,6 +37,7 @@
         { 406, "backend-error", Level::Info, true },
         { 407, "backend-rate-changed", Level::Info, false },
         { 408, "backend-statement-unreadable", Level::Warning, true },
+        { 409, "backend-stated-leaving", Level::Info, false },
         { 500, "configuration-applied", Level::Info, false },
         { 501, "validity-lapsed", Level::Warning, false },
         { 502, "validity-renewed", Level::Info, false },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -52,6 +52,7 @@
     BackendError,
     BackendRateChanged,
     BackendStatementUnreadable,
+    BackendStatedLeaving,
     ConfigurationApplied,
     ValidityLapsed,
     ValidityRenewed,
