Take a backend server without identity back in when it announces itself again

What callers saw: a native backend server that had left got no requests any more, against docs/INTERFACE.md, until the daemon beside it restarted. Cause: leaving ended only with a new start, and a server without instance and start time has none that can be told apart. Found while looking at what else is said of leaving; no test had used the stand-in's /join. Fix: its announcement counts as a new start once the leave is known to the fleet, unless it goes on announcing itself while its answers say that it leaves. PlannedStop/aServerThatAnnouncesAgainIsTakenBack: nothing in 8 s -> served.

--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -106,7 +106,8 @@
     auto changed = !m_announced || m_entry.service != announcement.service || m_entry.slots != announcement.slots
         || m_entry.connections != announcement.connections;
     const auto isNewStart = announcement.started != m_lastAnnouncement.started || announcement.instance != m_lastAnnouncement.instance;
-    if (isNewStart) {
+    const auto isReturn = !isNewStart && announcesReturn(announcement);
+    if (isNewStart || isReturn) {
         onServerStarted(announcement);
         changed = true;
     }
@@ -136,6 +137,14 @@
     return true;
 }
 
+/// \returns whether a server that has left and has no identity is back: it announces itself after its leave notice, or after
+/// its announcements had lapsed. Until the fleet knows of the leave, an announcement may just be late.
+bool ServerRole::announcesReturn(const Announcement& announcement) const
+{
+    const auto hasLeft = m_serverLeft && m_admissionStopped && backendIdOf(announcement) == 0;
+    return hasLeft && !announcement.leaving && (!m_statedLeaving || !m_announced);
+}
+
 /// Leaves headroom because a nearly full server may be slower. With few slots, even one would be too large a share.
 std::uint32_t ServerRole::usableSlots(std::uint32_t slots) const
 {
@@ -155,6 +164,7 @@
     m_client.closeIdle();
     m_admission.rate().reset();
     m_serverLeft = false;
+    m_statedLeaving = false;
     if (m_stopping) {
         return;
     }
@@ -174,10 +184,13 @@
 
 void ServerRole::onLeaseExpired()
 {
-    if (!m_announced || m_entry.leaving) {
+    if (!m_announced) {
         return;
     }
     m_announced = false;
+    if (m_entry.leaving) {
+        return;
+    }
     PW_EVENT(m_log, Event::BackendLapsed, { "service", m_entry.service });
     m_entry.leaving = true;
     publish();
@@ -389,6 +402,7 @@
     if (statement.leaving && !m_serverLeft) {
         PW_EVENT(m_log, Event::BackendStatedLeaving, { "request", work.call.requestId }, { "service", m_entry.service },
             { "instance", m_lastAnnouncement.instance });
+        m_statedLeaving = true;
         onServerLeaving();
     }
 }
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -108,6 +108,7 @@
 
     std::optional<Refusal> immediateRefusal(const Call& call) const;
     std::uint32_t usableSlots(std::uint32_t slots) const;
+    bool announcesReturn(const Announcement& announcement) const;
     bool isOutdated(const Announcement& announcement) const;
     void onServerStarted(const Announcement& announcement);
     void startLeaving();
@@ -152,6 +153,7 @@
     bool m_announced = false;
     std::uint64_t m_backendId = 0; ///< Identifies the current start of the backend server; zero if unknown.
     bool m_serverLeft = false; ///< The current start has announced that it is leaving.
+    bool m_statedLeaving = false; ///< It said so in an answer, while its announcements may go on.
     bool m_stopping = false; ///< This daemon is stopping.
     bool m_admissionStopped = false; ///< Leaving, and the time for the fleet to learn of it has passed.
     TimerId m_leaseTimer = 0;
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -97,4 +97,19 @@
     checkAllWhole(run, mesh);
 }
 
+BOOST_AUTO_TEST_CASE(aServerThatAnnouncesAgainIsTakenBack)
+{
+    Mesh mesh;
+    const auto& standin = mesh.tides.front()->standin;
+    standin.command("/leave");
+    std::this_thread::sleep_for(2 * leaveBound);
+    const auto before = standin.records().size();
+    standin.command("/join");
+    const auto served = [&] {
+        (void)mesh.fleet.get(mesh.entry, "/tides?marker=again", mesh.key.key);
+        return standin.records().size() > before;
+    };
+    BOOST_TEST(eventually(milliseconds(8000), served));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
