Refuse calls read after a suspension of the VM beside a server that has left

Cause: the end of the leave grace was a timer, and after a suspension the loop reads what has arrived before it runs timers; calls could reach a server that the fleet had long been told to leave alone. ServerRoles/aCallReadFirstAfterASuspensionIsRefusedByALeavingServer: the call was sent to the server -> refused, not run.

--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -227,6 +227,7 @@
     m_entry.leaving = true;
     PW_EVENT(m_log, Event::BackendLeft, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance }, { "pending", m_calls.size() });
     publish();
+    m_stopAdmittingAt = m_timers.now() + leaveGrace();
     m_leaveTimer = m_timers.after(leaveGrace(), [this] { stopAdmitting(); });
 }
 
@@ -306,6 +307,10 @@
     PendingCall work;
     work.key = { from, call.id };
     work.arrived = m_timers.now();
+    if (m_entry.leaving && !m_admissionStopped && work.arrived >= m_stopAdmittingAt) {
+        // After a suspension of the VM, calls are read before the timers run.
+        stopAdmitting();
+    }
     work.deadline = work.arrived + call.timeLeft;
     work.call = std::move(call);
     work.done = std::move(done);
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -156,6 +156,7 @@
     bool m_statedLeaving = false; ///< It said so in an answer, while its announcements may go on.
     bool m_stopping = false; ///< This daemon is stopping.
     bool m_admissionStopped = false; ///< Leaving, and the time for the fleet to learn of it has passed.
+    TimePoint m_stopAdmittingAt {}; ///< While leaving.
     TimerId m_leaseTimer = 0;
     TimerId m_leaveTimer = 0;
     TimerId m_wakeTimer = 0;
--- a/tests/unit/server_role_test.cpp
+++ b/tests/unit/server_role_test.cpp
@@ -121,4 +121,21 @@
     BOOST_TEST((fixture.directory.last.backendIncarnation == 0) == row.mayReturn);
 }
 
+/// Guards against requests for a leaving server that were waiting for its daemon while the VM was suspended.
+BOOST_AUTO_TEST_CASE(aCallReadFirstAfterASuspensionIsRefusedByALeavingServer)
+{
+    Fixture fixture;
+    fixture.announce(5);
+    fixture.announce(5, true);
+    fixture.timers.suspend(fixture.settings.drainTimeout);
+    Call call;
+    call.service = "tides";
+    call.timeLeft = 1s;
+    std::optional<Answer> answer;
+    fixture.role.run("entry", call, [&](Answer it) { answer = std::move(it); });
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST((answer->refusal.reason == Reason::Leaving));
+    BOOST_TEST((answer->refusal.verdict == Verdict::NotRun));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/support/fake_network.h
+++ b/tests/unit/support/fake_network.h
@@ -43,6 +43,9 @@
         m_now = end;
     }
 
+    /// Advances the clock without running timers, as a suspended VM does before it has run its timers.
+    void suspend(Duration time) { m_now += time; }
+
     /// Advances the clock in steps of \p step until \p done returns true or \p limit has passed. \returns the last result.
     bool runUntil(const std::function<bool()>& done, Duration limit, Duration step = std::chrono::milliseconds(1))
     {
