Act on leaving beside an unreadable rate limit, and bound what a limit can do

Found in the read-through of the change: an answer with a limit that is no number was left aside whole, with what it said of leaving (BackendStatement/ aServerThatStatesThatItLeavesGetsNoNewRequests, second row, red before); a limit of any size now shortens the queue only, a rate from another daemon that is no number is dropped, and the expected wait of nested calls follows the tokens.

--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -4,6 +4,7 @@
 #include "call.capnp.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pw {
 namespace {
@@ -40,6 +41,13 @@
         return static_cast<Enum>(std::min<std::uint8_t>(value, static_cast<std::uint8_t>(Enum::Count) - 1));
     }
 
+    /// \returns \p requestsPerSecond if it is a rate.
+    std::optional<double> readRate(bool isSet, float requestsPerSecond)
+    {
+        const auto isRate = isSet && std::isfinite(requestsPerSecond) && requestsPerSecond >= 0;
+        return isRate ? std::optional<double>(requestsPerSecond) : std::nullopt;
+    }
+
     void writeLoad(proto::LoadHint::Builder message, const LoadHint& load)
     {
         message.setRunning(load.running);
@@ -56,9 +64,9 @@
 
     LoadHint readLoad(proto::LoadHint::Reader message)
     {
-        const auto rate = message.getHasRateLimit() ? std::optional<double>(message.getRequestsPerSecond()) : std::nullopt;
         return { message.getRunning(), message.getQueued(), message.getLimit(), readEnum<Importance>(message.getAdmissionFloor()),
-            message.getLeaving(), rate, message.getOfferedPerSecond(), message.getBackendStart(), message.getDeparted() };
+            message.getLeaving(), readRate(message.getHasRateLimit(), message.getRequestsPerSecond()),
+            readRate(true, message.getOfferedPerSecond()).value_or(0), message.getBackendStart(), message.getDeparted() };
     }
 
     void writeDemands(capnp::List<proto::ServiceDemand>::Builder list, const std::vector<ServiceDemand>& demands)
@@ -91,8 +99,8 @@
         call.depth = message.getDepth();
         call.attempts = message.getAttempts();
         call.timeLeft = std::chrono::microseconds(message.getTimeLeftMicros());
-        if (message.getHasStatedRate()) {
-            call.statedRate = { message.getStatedRateStart(), message.getStatedRequestsPerSecond() };
+        if (const auto rate = readRate(message.getHasStatedRate(), message.getStatedRequestsPerSecond())) {
+            call.statedRate = { message.getStatedRateStart(), *rate };
         }
         return call;
     }
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -400,13 +400,13 @@
     if (work.backendId != m_backendId) {
         return; // From an earlier start of the backend server.
     }
-    if (!statement.readable) {
+    if (statement.readable) {
+        const auto now = m_timers.now();
+        m_admission.rate().learn(statement.requestsPerSecond, work.startedAt, now);
+        reportRate(now);
+    } else {
         PW_EVENT(m_log, Event::BackendStatementUnreadable, { "request", work.call.requestId }, { "instance", m_lastAnnouncement.instance });
-        return;
     }
-    const auto now = m_timers.now();
-    m_admission.rate().learn(statement.requestsPerSecond, work.startedAt, now);
-    reportRate(now);
     if (statement.leaving && !m_serverLeft) {
         PW_EVENT(m_log, Event::BackendStatedLeaving, { "request", work.call.requestId }, { "service", m_entry.service },
             { "instance", m_lastAnnouncement.instance });
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -133,10 +133,19 @@
     return { running(), queued(), m_limit->current(), m_floor, m_leaving, limit, limit ? m_offered.rate(now) : 0 };
 }
 
+double Admission::capacity(TimePoint now) const
+{
+    const auto announced = m_limit->announced();
+    if (!m_rate.limit()) {
+        return announced;
+    }
+    const auto busy = *m_rate.limit() * std::chrono::duration<double>(m_serviceTime.estimate(now)).count();
+    return std::clamp(busy, 1.0, announced);
+}
+
 Duration Admission::expectedNestedWait(TimePoint now) const
 {
-    const auto nested = static_cast<double>(m_queue.size() - m_queue.roots());
-    return scaled(m_serviceTime.estimate(now), nested / boundedByRate(m_limit->current(), now));
+    return waitOfTurn(m_queue.size() - m_queue.roots(), now);
 }
 
 void Admission::setCapacity(std::uint32_t slots, std::uint32_t connections)
@@ -175,7 +184,12 @@
 
 Duration Admission::expectedWait(const AdmissionItem& item, TimePoint now) const
 {
-    const auto turn = m_queue.countAhead(item) + 1;
+    return waitOfTurn(m_queue.countAhead(item) + 1, now);
+}
+
+/// \returns the expected time until \p turn queued requests have started.
+Duration Admission::waitOfTurn(std::size_t turn, TimePoint now) const
+{
     const auto forSlot = scaled(m_serviceTime.estimate(now), static_cast<double>(turn) / m_limit->current());
     return std::max(forSlot, m_rate.timeToSend(turn, now));
 }
@@ -185,16 +199,6 @@
     return running() < m_limit->current() && m_rate.hasToken(now);
 }
 
-/// \returns \p concurrency, or how many requests run at once at the rate limit of the backend server if that is less.
-double Admission::boundedByRate(double concurrency, TimePoint now) const
-{
-    if (!m_rate.limit()) {
-        return concurrency;
-    }
-    const auto busy = *m_rate.limit() * std::chrono::duration<double>(m_serviceTime.estimate(now)).count();
-    return std::clamp(busy, 1.0, std::max(1.0, concurrency));
-}
-
 bool Admission::evictForNewcomer(const AdmissionItem& item, TimePoint now)
 {
     if (auto victim = m_queue.evictFor(item)) {
@@ -208,13 +212,14 @@
 
 std::size_t Admission::queueCapacity(bool standing) const
 {
-    if (const auto rate = m_rate.limit()) {
-        const auto time = standing ? config::pacedStandingQueue : config::pacedBurstQueue;
-        return static_cast<std::size_t>(*rate * std::chrono::duration<double>(time).count());
-    }
     auto share = standing ? config::standingQueueRatio : config::burstQueueRatio;
     auto least = standing ? config::minStandingQueue : config::minBurstQueue;
-    return std::max(least, static_cast<std::size_t>(std::ceil(m_limit->current() * share)));
+    const auto bySlots = std::max(least, static_cast<std::size_t>(std::ceil(m_limit->current() * share)));
+    if (!m_rate.limit()) {
+        return bySlots;
+    }
+    const std::chrono::duration<double> time = standing ? config::pacedStandingQueue : config::pacedBurstQueue;
+    return static_cast<std::size_t>(std::min(*m_rate.limit() * time.count(), static_cast<double>(bySlots)));
 }
 
 void Admission::updateQueueState(TimePoint now)
@@ -231,9 +236,7 @@
 Refusal Admission::refusal(Reason reason, TimePoint now) const
 {
     // Expected time in which the queue in front of a new request drains if no further requests arrive.
-    const auto turn = m_queue.size() + 1;
-    const auto forSlot = scaled(m_serviceTime.estimate(now), static_cast<double>(turn) / m_limit->current());
-    auto rounded = std::chrono::ceil<std::chrono::milliseconds>(std::max(forSlot, m_rate.timeToSend(turn, now)));
+    auto rounded = std::chrono::ceil<std::chrono::milliseconds>(waitOfTurn(m_queue.size() + 1, now));
     return { Verdict::NotRun, reason, std::clamp(rounded, config::minRetryAfter, config::maxRetryAfter) };
 }
 
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -103,7 +103,7 @@
     std::uint32_t limit() const { return m_limit->current(); }
     /// \returns how many requests the backend server can run at once: the smaller of its announced slots and connections, and
     /// of what its rate limit keeps busy.
-    double capacity(TimePoint now) const { return boundedByRate(m_limit->announced(), now); }
+    double capacity(TimePoint now) const;
 
 private:
     struct Running {
@@ -113,10 +113,10 @@
 
     void start(const AdmissionItem& item, TimePoint queuedAt, TimePoint now);
     bool canMeetDeadline(const AdmissionItem& item, Duration wait, TimePoint now) const;
+    Duration waitOfTurn(std::size_t turn, TimePoint now) const;
     Duration expectedWait(const AdmissionItem& item, TimePoint now) const;
     bool evictForNewcomer(const AdmissionItem& item, TimePoint now);
     bool canStart(TimePoint now) const;
-    double boundedByRate(double concurrency, TimePoint now) const;
     std::size_t queueCapacity(bool standing) const;
     void updateQueueState(TimePoint now);
     Refusal refusal(Reason reason, TimePoint now) const;
--- a/src/core/backend_rate.cpp
+++ b/src/core/backend_rate.cpp
@@ -3,7 +3,6 @@
 #include "config.h"
 
 #include <algorithm>
-#include <cassert>
 #include <cmath>
 #include <utility>
 
--- a/tests/process/backend_statement_test.cpp
+++ b/tests/process/backend_statement_test.cpp
@@ -2,6 +2,8 @@
 
 #include "support/mesh.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <thread>
@@ -69,14 +71,16 @@
     BOOST_TEST(after - before <= allowedInWindow);
 }
 
+const char* const leavingStatements[] = { "/statement?leaving=1", "/statement?leaving=1&rate-limit=many" };
+
 /// Guards against new requests for a backend server that says only in its answers that it is leaving.
-BOOST_AUTO_TEST_CASE(aServerThatStatesThatItLeavesGetsNoNewRequests)
+BOOST_DATA_TEST_CASE(aServerThatStatesThatItLeavesGetsNoNewRequests, boost::unit_test::data::make(leavingStatements), statement)
 {
     Mesh mesh;
     const auto& standin = mesh.tides.front()->standin;
     LoadRun run(mesh.fleet.folder(), "stated-leaving", { mesh.entry.spec().caller }, tidesMix(mesh), milliseconds(7000));
     std::this_thread::sleep_for(milliseconds(1000));
-    standin.command("/statement?leaving=1");
+    standin.command(statement);
     std::this_thread::sleep_for(leaveBound);
     const auto before = arrivals(standin);
     run.finish();
--- a/tests/unit/rate_limit_play_test.cpp
+++ b/tests/unit/rate_limit_play_test.cpp
@@ -57,6 +57,7 @@
     { "tiny", { { 6s, 1.5 } }, 220ms, 30, 10 },
     { "less than one a second", { { 6s, 0.3 } }, 60ms, 40, 0 },
     { "zero", { { 6s, 0 } }, 60ms, 40, 0 },
+    { "far more than arrives", { { 6s, 1e300 } }, 60ms, 40, 0 },
     { "changed", { { 6s, 40 }, { 14s, 8 }, { 20s, 25 } }, 90ms, 60, 10 },
     { "lifted and stated again", { { 6s, 20 }, { 12s, std::nullopt }, { 18s, 15 } }, 90ms, 50, 10 },
     { "the daemon restarts", { { 6s, 20 } }, 220ms, 60, 10, 14s },
