--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -42,7 +42,7 @@
     }
 
     /// \returns \p requestsPerSecond if it is a rate.
-    std::optional<double> readRate(bool isSet, float requestsPerSecond)
+    std::optional<double> readRate(bool isSet, double requestsPerSecond)
     {
         const auto isRate = isSet && std::isfinite(requestsPerSecond) && requestsPerSecond >= 0;
         return isRate ? std::optional<double>(requestsPerSecond) : std::nullopt;
@@ -56,8 +56,8 @@
         message.setAdmissionFloor(static_cast<std::uint8_t>(load.admissionFloor));
         message.setLeaving(load.leaving);
         message.setHasRateLimit(load.requestsPerSecond.has_value());
-        message.setRequestsPerSecond(static_cast<float>(load.requestsPerSecond.value_or(0)));
-        message.setOfferedPerSecond(static_cast<float>(load.offeredPerSecond));
+        message.setRequestsPerSecond(load.requestsPerSecond.value_or(0));
+        message.setOfferedPerSecond(load.offeredPerSecond);
         message.setBackendStart(load.backendStart);
         message.setDeparted(load.departed);
     }
@@ -156,7 +156,7 @@
     if (call.statedRate) {
         message.setHasStatedRate(true);
         message.setStatedRateStart(call.statedRate->backendStart);
-        message.setStatedRequestsPerSecond(static_cast<float>(call.statedRate->requestsPerSecond));
+        message.setStatedRequestsPerSecond(call.statedRate->requestsPerSecond);
     }
     return detail::toPackedBytes(builder);
 }
--- a/src/proto/call.capnp
+++ b/src/proto/call.capnp
@@ -30,7 +30,7 @@
   repeated @18 :Bool;
   hasStatedRate @19 :Bool;
   statedRateStart @20 :UInt64;
-  statedRequestsPerSecond @21 :Float32;
+  statedRequestsPerSecond @21 :Float64;
 }
 
 struct ServiceDemand {
@@ -46,8 +46,8 @@
   admissionFloor @3 :UInt8;
   leaving @4 :Bool;
   hasRateLimit @5 :Bool;
-  requestsPerSecond @6 :Float32;
-  offeredPerSecond @7 :Float32;
+  requestsPerSecond @6 :Float64;
+  offeredPerSecond @7 :Float64;
   backendStart @8 :UInt64;
   departed @9 :Bool;
 }
--- a/src/proto/call.capnp.h
+++ b/src/proto/call.capnp.h
@@ -82,7 +82,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -281,7 +281,7 @@
 
   inline  ::uint64_t getStatedRateStart() const;
 
-  inline float getStatedRequestsPerSecond() const;
+  inline double getStatedRequestsPerSecond() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -414,8 +414,8 @@
   inline  ::uint64_t getStatedRateStart();
   inline void setStatedRateStart( ::uint64_t value);
 
-  inline float getStatedRequestsPerSecond();
-  inline void setStatedRequestsPerSecond(float value);
+  inline double getStatedRequestsPerSecond();
+  inline void setStatedRequestsPerSecond(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -563,9 +563,9 @@
 
   inline bool getHasRateLimit() const;
 
-  inline float getRequestsPerSecond() const;
+  inline double getRequestsPerSecond() const;
 
-  inline float getOfferedPerSecond() const;
+  inline double getOfferedPerSecond() const;
 
   inline  ::uint64_t getBackendStart() const;
 
@@ -617,11 +617,11 @@
   inline bool getHasRateLimit();
   inline void setHasRateLimit(bool value);
 
-  inline float getRequestsPerSecond();
-  inline void setRequestsPerSecond(float value);
+  inline double getRequestsPerSecond();
+  inline void setRequestsPerSecond(double value);
 
-  inline float getOfferedPerSecond();
-  inline void setOfferedPerSecond(float value);
+  inline double getOfferedPerSecond();
+  inline void setOfferedPerSecond(double value);
 
   inline  ::uint64_t getBackendStart();
   inline void setBackendStart( ::uint64_t value);
@@ -1463,18 +1463,18 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline float Call::Reader::getStatedRequestsPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline double Call::Reader::getStatedRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline float Call::Builder::getStatedRequestsPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline double Call::Builder::getStatedRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Call::Builder::setStatedRequestsPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Call::Builder::setStatedRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ServiceDemand::Reader::hasService() const {
@@ -1623,46 +1623,46 @@
       ::capnp::bounded<105>() * ::capnp::ELEMENTS, value);
 }
 
-inline float LoadHint::Reader::getRequestsPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline double LoadHint::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline float LoadHint::Builder::getRequestsPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline double LoadHint::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void LoadHint::Builder::setRequestsPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void LoadHint::Builder::setRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline float LoadHint::Reader::getOfferedPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline double LoadHint::Reader::getOfferedPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline float LoadHint::Builder::getOfferedPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline double LoadHint::Builder::getOfferedPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void LoadHint::Builder::setOfferedPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void LoadHint::Builder::setOfferedPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t LoadHint::Reader::getBackendStart() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t LoadHint::Builder::getBackendStart() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 inline void LoadHint::Builder::setBackendStart( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool LoadHint::Reader::getDeparted() const {
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -243,7 +243,7 @@
     Fixture fixture;
     fixture.directory.entries.resize(1);
     fixture.one.answer = Fixture::whole();
-    fixture.one.answer->load.requestsPerSecond = 2.5;
+    fixture.one.answer->load.requestsPerSecond = 12.3;
     fixture.one.answer->load.backendStart = 7;
     const auto run = [&] {
         fixture.start(true);
@@ -252,7 +252,7 @@
     run();
     BOOST_TEST(!fixture.one.statedRate.has_value());
     run();
-    BOOST_TEST((fixture.one.statedRate == pw::StatedRate { 7, 2.5 }));
+    BOOST_TEST((fixture.one.statedRate == pw::StatedRate { 7, 12.3 }));
     fixture.one.answer->load.requestsPerSecond.reset();
     run();
     run();
