--- a/tests/unit/platform_configuration_test.cpp
+++ b/tests/unit/platform_configuration_test.cpp
@@ -111,10 +111,28 @@
     BOOST_TEST((sale.deadline == 800ms));
 }
 
-BOOST_AUTO_TEST_CASE(aDownloadMayBeRepeated)
+struct KindCase {
+    std::string kind;
+    bool idempotent;
+};
+
+std::ostream& operator<<(std::ostream& out, const KindCase& row)
+{
+    return out << row.kind;
+}
+
+const std::vector<KindCase> kindCases {
+    { "idempotent", true },
+    { "non_idempotent", false },
+    { "download", true },
+    { "upload", false },
+};
+
+/// Guards against rejecting a configuration for a known kind, and against repeating requests that may run only once.
+BOOST_DATA_TEST_CASE(theKindOfARouteSaysWhetherItsRequestsMayBeRepeated, data::make(kindCases), row)
 {
-    const auto document = valid(replaced({ R"("kind":"non_idempotent")", R"("kind":"download")", "" }));
-    BOOST_TEST(routeOf(document.deployment, "r-sale").idempotent);
+    const auto document = valid(replaced({ R"("kind":"non_idempotent")", R"("kind":")" + row.kind + R"(")", "" }));
+    BOOST_TEST(routeOf(document.deployment, "r-sale").idempotent == row.idempotent);
 }
 
 BOOST_AUTO_TEST_CASE(limitsAndWorkspacesAreDecoded)
