Replicate the evacuation of failure domains, and tell daemons of it

Operators must be able to take a failure domain out of use. An order that changes nothing raises the revision too: with a revision that only changes of state raise, an older order under way could take effect after a newer one that changed nothing was acknowledged.

--- a/src/adapters/codec_control_parts.cpp
+++ b/src/adapters/codec_control_parts.cpp
@@ -23,6 +23,7 @@
         {
             writeList(builder.initMembers(static_cast<unsigned>(members.size())), members, writeMember);
         }
+        void operator()(const EvacuationRecord& record) { writeEvacuation(builder.initEvacuation(), record); }
     };
 
     /// Writes one alternative of a change.
@@ -40,6 +41,14 @@
             writeKey(builder.initIssue(), { change.keyId, change.workspace, change.label, change.digest, false });
         }
         void operator()(const WithdrawKey& change) { builder.setWithdraw(toText(change.keyId)); }
+        void operator()(const SetEvacuation& change)
+        {
+            auto message = builder.initSetEvacuation();
+            message.setFailureDomain(toText(change.failureDomain));
+            message.setEvacuated(change.evacuated);
+            message.setHasBaseRevision(change.baseRevision.has_value());
+            message.setBaseRevision(change.baseRevision.value_or(0));
+        }
     };
 
 } // namespace
@@ -127,6 +136,18 @@
     return { reader.getVersion(), std::move(*text) };
 }
 
+void writeEvacuation(proto::Evacuation::Builder builder, const EvacuationRecord& record)
+{
+    builder.setFailureDomain(toText(record.failureDomain));
+    builder.setEvacuated(record.evacuated);
+    builder.setRevision(record.revision);
+}
+
+EvacuationRecord readEvacuation(proto::Evacuation::Reader reader)
+{
+    return { fromText(reader.getFailureDomain()), reader.getEvacuated(), reader.getRevision() };
+}
+
 void writeDelta(proto::FleetDelta::Builder builder, const FleetDelta& delta)
 {
     builder.setIndex(delta.index);
@@ -142,6 +163,8 @@
         return { reader.getIndex(), readKey(reader.getKey()) };
     case proto::FleetDelta::MEMBERS:
         return { reader.getIndex(), readList(reader.getMembers(), readMember) };
+    case proto::FleetDelta::EVACUATION:
+        return { reader.getIndex(), readEvacuation(reader.getEvacuation()) };
     }
     require(false, "unknown kind of delta");
     return {};
@@ -153,12 +176,16 @@
     writeConfiguration(builder.initConfiguration(), image.configuration());
     writeList(builder.initKeys(static_cast<unsigned>(image.keys().size())), image.keys() | std::views::values, writeKey);
     writeList(builder.initMembers(static_cast<unsigned>(image.members().size())), image.members(), writeMember);
+    if (!image.evacuations().empty()) {
+        writeList(builder.initEvacuations(static_cast<unsigned>(image.evacuations().size())), image.evacuations() | std::views::values,
+            writeEvacuation);
+    }
 }
 
 FleetImage readImage(proto::FleetImage::Reader reader)
 {
     return { reader.getIndex(), readConfiguration(reader.getConfiguration()), readList(reader.getKeys(), readKey),
-        readList(reader.getMembers(), readMember) };
+        readList(reader.getMembers(), readMember), readList(reader.getEvacuations(), readEvacuation) };
 }
 
 void writeResult(proto::ChangeResult::Builder builder, const ChangeResult& result)
@@ -196,6 +223,11 @@
     }
     case proto::Change::WITHDRAW:
         return { id, WithdrawKey { fromText(reader.getWithdraw()) } };
+    case proto::Change::SET_EVACUATION: {
+        const auto order = reader.getSetEvacuation();
+        const auto base = order.getHasBaseRevision() ? std::optional(order.getBaseRevision()) : std::nullopt;
+        return { id, SetEvacuation { fromText(order.getFailureDomain()), order.getEvacuated(), base } };
+    }
     }
     require(false, "unknown kind of change");
     return {};
--- a/src/adapters/codec_control_parts.h
+++ b/src/adapters/codec_control_parts.h
@@ -60,6 +60,9 @@
 void writeConfiguration(proto::Configuration::Builder builder, const ConfigurationRecord& record);
 ConfigurationRecord readConfiguration(proto::Configuration::Reader reader);
 
+void writeEvacuation(proto::Evacuation::Builder builder, const EvacuationRecord& record);
+EvacuationRecord readEvacuation(proto::Evacuation::Reader reader);
+
 void writeDelta(proto::FleetDelta::Builder builder, const FleetDelta& delta);
 FleetDelta readDelta(proto::FleetDelta::Reader reader);
 
--- a/src/app/control_session.cpp
+++ b/src/app/control_session.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <map>
 #include <ranges>
+#include <set>
 
 namespace pw {
 namespace {
@@ -25,6 +26,17 @@
         return result;
     }
 
+    std::set<std::string> evacuatedDomains(const FleetImage& image)
+    {
+        std::set<std::string> result;
+        for (const auto& [domain, record] : image.evacuations()) {
+            if (record.evacuated) {
+                result.insert(domain);
+            }
+        }
+        return result;
+    }
+
 } // namespace
 
 /// Implementation of ControlSession.
@@ -53,6 +65,7 @@
     const Deployment& deployment() const { return m_deployment; }
     std::uint64_t version() const { return m_version; }
     const FleetImage& image() const { return m_image; }
+    bool isEvacuated(const std::string& failureDomain) const { return m_image.isEvacuated(failureDomain); }
     const PeerAddress& member() const { return m_choice.current(); }
     std::vector<MemberLocation> members() const;
     void onChanged(std::function<void()> handler) { m_changed.push_back(std::move(handler)); }
@@ -72,6 +85,7 @@
     void enterServiceWithoutLease();
     void publish();
     void publishMembers();
+    void publishEvacuations();
     void reselectMember();
     void logValidityChange();
 
@@ -96,6 +110,7 @@
     bool m_valid = false; ///< As last logged.
     std::uint64_t m_version = 0;
     Deployment m_deployment;
+    std::set<std::string> m_evacuated; ///< Evacuated failure domains, as last passed to the handlers.
     std::map<KeyDigest, std::string> m_configuredKeys; ///< Workspaces by keys listed in the configuration.
     std::vector<std::function<void()>> m_changed;
     std::vector<MemberLocation> m_knownMembers; ///< As last passed to the handlers.
@@ -215,6 +230,7 @@
     renewValidityLease(reply);
     enterServiceWithoutLease();
     publishMembers();
+    publishEvacuations();
     publish();
     logValidityChange();
     if (changed || (missed && m_image.index() == before && reply.sentAt == Duration::zero())) {
@@ -309,6 +325,23 @@
     }
 }
 
+void ControlSession::Impl::publishEvacuations()
+{
+    bool changed = false;
+    for (const auto& [domain, record] : m_image.evacuations()) {
+        if (record.evacuated != m_evacuated.contains(domain)) {
+            changed = true;
+            PW_EVENT(m_events, Event::EvacuationApplied, { "failureDomain", domain }, { "evacuated", record.evacuated },
+                { "revision", record.revision }, { "index", m_image.index() });
+        }
+    }
+    if (!changed) {
+        return;
+    }
+    m_evacuated = evacuatedDomains(m_image);
+    std::ranges::for_each(m_changed, [](const auto& handler) { handler(); });
+}
+
 /// Selects the preferred one of the members known now.
 void ControlSession::Impl::reselectMember()
 {
@@ -385,6 +418,11 @@
     return m_impl->keysValid(now);
 }
 
+bool ControlSession::isEvacuated(const std::string& failureDomain) const
+{
+    return m_impl->isEvacuated(failureDomain);
+}
+
 void ControlSession::onChanged(std::function<void()> handler)
 {
     m_impl->onChanged(std::move(handler));
--- a/src/app/control_session.h
+++ b/src/app/control_session.h
@@ -24,6 +24,7 @@
     std::uint64_t version() const override;
     std::optional<std::string> workspaceOfKey(const KeyDigest& digest) const override;
     bool keysValid(TimePoint now) const override;
+    bool isEvacuated(const std::string& failureDomain) const override;
     void onChanged(std::function<void()> handler) override;
 
     /// Adds a handler that is called with the control members when they have changed.
--- a/src/config.h
+++ b/src/config.h
@@ -321,6 +321,8 @@
 /// Size limit of all keys in the replicated state, withdrawn ones included, in bytes. Together with the configuration and
 /// the stored answers it stays below maxFrameBytes, so that the state fits in one message.
 inline constexpr std::size_t maxKeyBytes = 1536 * 1024;
+/// Limit of failure domains with an evacuation, finished ones included.
+inline constexpr std::size_t maxEvacuations = 64;
 /// Estimated size of a key in the replicated state in addition to its id, workspace and label, in bytes.
 inline constexpr std::size_t keyOverheadBytes = 128;
 /// Limit of stored answers to changes, for changes that are re-sent.
--- a/src/core/change.h
+++ b/src/core/change.h
@@ -3,6 +3,7 @@
 #include "ports/fleet.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -28,16 +29,24 @@
     std::string keyId;
 };
 
+/// Evacuates a failure domain, or finishes its evacuation.
+struct SetEvacuation {
+    std::string failureDomain;
+    bool evacuated = true;
+    std::optional<std::uint64_t> baseRevision; ///< Revision of the domain that the order is based on, zero for none: an order that
+                                               ///< would change the state conflicts if another one was accepted since. Unset: no check.
+};
+
 /// A change of the replicated state, submitted by an operator.
 struct Change {
     std::string id; ///< Idempotency key chosen by the operator; a change re-sent with the same id gets the stored answer.
-    std::variant<SubmitConfiguration, IssueKey, WithdrawKey> operation;
+    std::variant<SubmitConfiguration, IssueKey, WithdrawKey, SetEvacuation> operation;
 };
 
 /// Outcome of a change.
 enum class ChangeOutcome : std::uint8_t {
     Accepted, ///< Committed and applied.
-    Conflict, ///< Not applied: based on a version other than the current one.
+    Conflict, ///< Not applied: based on a version or revision other than the current one.
     Invalid, ///< Not applied for the given reason.
     Unknown, ///< May have been applied or may be applied later; resubmit with the same id to find out.
     Unavailable, ///< Not applied: no leader could be reached.
--- a/src/core/fleet_image.cpp
+++ b/src/core/fleet_image.cpp
@@ -11,6 +11,7 @@
         std::map<std::string, KeyRecord>& keys;
         std::map<KeyDigest, std::string>& keyIds;
         std::vector<ControlMemberRecord>& members;
+        std::map<std::string, EvacuationRecord>& evacuations;
 
         void operator()(const ConfigurationRecord& record) const { configuration = record; }
 
@@ -25,17 +26,21 @@
         }
 
         void operator()(const std::vector<ControlMemberRecord>& records) const { members = records; }
+
+        void operator()(const EvacuationRecord& record) const { evacuations[record.failureDomain] = record; }
     };
 
 } // namespace
 
 FleetImage::FleetImage(std::uint64_t index, ConfigurationRecord configuration, const std::vector<KeyRecord>& keys,
-    std::vector<ControlMemberRecord> members)
+    std::vector<ControlMemberRecord> members, const std::vector<EvacuationRecord>& evacuations)
     : m_index(index)
     , m_configuration(std::move(configuration))
     , m_members(std::move(members))
 {
-    std::ranges::for_each(keys, Applier { m_configuration, m_keys, m_keyIds, m_members });
+    const Applier applier { m_configuration, m_keys, m_keyIds, m_members, m_evacuations };
+    std::ranges::for_each(keys, applier);
+    std::ranges::for_each(evacuations, applier);
 }
 
 void FleetImage::apply(const FleetDelta& delta)
@@ -43,7 +48,7 @@
     if (delta.index <= m_index) {
         return;
     }
-    std::visit(Applier { m_configuration, m_keys, m_keyIds, m_members }, delta.change);
+    std::visit(Applier { m_configuration, m_keys, m_keyIds, m_members, m_evacuations }, delta.change);
     m_index = delta.index;
 }
 
@@ -52,6 +57,18 @@
     m_index = std::max(m_index, index);
 }
 
+bool FleetImage::isEvacuated(const std::string& failureDomain) const
+{
+    const auto it = m_evacuations.find(failureDomain);
+    return it != m_evacuations.end() && it->second.evacuated;
+}
+
+std::uint64_t FleetImage::evacuationRevision(const std::string& failureDomain) const
+{
+    const auto it = m_evacuations.find(failureDomain);
+    return it == m_evacuations.end() ? 0 : it->second.revision;
+}
+
 const KeyRecord* FleetImage::keyOf(const KeyDigest& digest) const
 {
     const auto it = m_keyIds.find(digest);
--- a/src/core/fleet_image.h
+++ b/src/core/fleet_image.h
@@ -44,10 +44,19 @@
     bool operator==(const KeyRecord&) const = default;
 };
 
+/// Whether operators have evacuated a failure domain.
+struct EvacuationRecord {
+    std::string failureDomain;
+    bool evacuated = false; ///< Otherwise the evacuation was finished.
+    std::uint64_t revision = 0; ///< Log index of the last accepted order for this failure domain.
+
+    bool operator==(const EvacuationRecord&) const = default;
+};
+
 /// One change of the replicated state, as sent to daemons.
 struct FleetDelta {
     std::uint64_t index = 0; ///< Index of the log entry.
-    std::variant<ConfigurationRecord, KeyRecord, std::vector<ControlMemberRecord>> change;
+    std::variant<ConfigurationRecord, KeyRecord, std::vector<ControlMemberRecord>, EvacuationRecord> change;
 };
 
 /// The part of the replicated state that every daemon holds, as of one log index.
@@ -55,7 +64,7 @@
 public:
     FleetImage() = default;
     FleetImage(std::uint64_t index, ConfigurationRecord configuration, const std::vector<KeyRecord>& keys,
-        std::vector<ControlMemberRecord> members);
+        std::vector<ControlMemberRecord> members, const std::vector<EvacuationRecord>& evacuations = {});
 
     /// Applies \p delta unless its index is at or below index().
     void apply(const FleetDelta& delta);
@@ -68,6 +77,15 @@
     const std::map<std::string, KeyRecord>& keys() const { return m_keys; }
     const std::vector<ControlMemberRecord>& members() const { return m_members; }
 
+    /// \returns the evacuations by failure domain, including finished ones.
+    const std::map<std::string, EvacuationRecord>& evacuations() const { return m_evacuations; }
+
+    /// \returns whether \p failureDomain is evacuated.
+    bool isEvacuated(const std::string& failureDomain) const;
+
+    /// \returns the log index of the last accepted order for \p failureDomain; zero if there was none.
+    std::uint64_t evacuationRevision(const std::string& failureDomain) const;
+
     /// \returns the issued key with \p digest, or null when there is none or it was withdrawn.
     const KeyRecord* keyOf(const KeyDigest& digest) const;
 
@@ -79,6 +97,7 @@
     std::map<std::string, KeyRecord> m_keys; ///< By key id.
     std::map<KeyDigest, std::string> m_keyIds; ///< Key ids by digest, without withdrawn keys.
     std::vector<ControlMemberRecord> m_members;
+    std::map<std::string, EvacuationRecord> m_evacuations; ///< By failure domain.
 };
 
 } // namespace pw
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -1,6 +1,7 @@
 #include "core/fleet_state.h"
 
 #include "config.h"
+#include "core/deployment_check.h"
 
 #include <algorithm>
 #include <array>
@@ -43,6 +44,13 @@
             add("withdraw");
             add(change.keyId);
         }
+
+        /// Leaves out the base revision: the member that receives an order fills it in, so it may differ in a re-sent order.
+        void operator()(const SetEvacuation& change)
+        {
+            add(change.evacuated ? "evacuate" : "finish evacuation");
+            add(change.failureDomain);
+        }
     };
 
     std::uint32_t checksumOf(const Change& change)
@@ -52,6 +60,13 @@
         return checksum.crc.checksum();
     }
 
+    /// \returns whether a re-sent change is to be applied anew. A conflict of an evacuation depends on the base revision that
+    /// the receiving member filled in, so a stored one would refuse the order at members with a later state too.
+    bool mayBeRepeated(const Change& change, const ChangeResult& result)
+    {
+        return std::holds_alternative<SetEvacuation>(change.operation) && result.outcome == ChangeOutcome::Conflict;
+    }
+
     bool isValidField(const std::string& text)
     {
         return !text.empty() && text.size() <= config::maxChangeFieldBytes;
@@ -101,7 +116,9 @@
     }
     auto applied = std::visit([&](const auto& what) { return execute(index, change.id, what); }, change.operation);
     m_image.advance(index);
-    storeAnswer(change.id, checksum, applied.result);
+    if (!mayBeRepeated(change, applied.result)) {
+        storeAnswer(change.id, checksum, applied.result);
+    }
     return applied;
 }
 
@@ -182,6 +199,24 @@
     return accept({ index, std::move(record) });
 }
 
+ApplyResult FleetState::execute(std::uint64_t index, const std::string&, const SetEvacuation& change)
+{
+    if (!isName(change.failureDomain)) {
+        return invalid("the failure domain is not a name");
+    }
+    const auto current = m_image.evacuationRevision(change.failureDomain);
+    const auto isChange = m_image.isEvacuated(change.failureDomain) != change.evacuated;
+    if (isChange && change.baseRevision && *change.baseRevision != current) {
+        return { { ChangeOutcome::Conflict, m_image.configuration().version, 0, "another order for this failure domain was accepted since" }, {} };
+    }
+    if (current == 0 && m_image.evacuations().size() >= config::maxEvacuations) {
+        return invalid("there are too many failure domains with evacuations");
+    }
+    // An order that changes nothing raises the revision too: otherwise an older order for the opposite state, still under way,
+    // would be applied after this one was acknowledged.
+    return accept({ index, EvacuationRecord { change.failureDomain, change.evacuated, index } });
+}
+
 ApplyResult FleetState::invalid(std::string reason) const
 {
     return { { ChangeOutcome::Invalid, m_image.configuration().version, 0, std::move(reason) }, {} };
--- a/src/core/fleet_state.h
+++ b/src/core/fleet_state.h
@@ -57,6 +57,7 @@
     ApplyResult execute(std::uint64_t index, const std::string& changeId, const SubmitConfiguration& change);
     ApplyResult execute(std::uint64_t index, const std::string& changeId, const IssueKey& change);
     ApplyResult execute(std::uint64_t index, const std::string& changeId, const WithdrawKey& change);
+    ApplyResult execute(std::uint64_t index, const std::string& changeId, const SetEvacuation& change);
     ApplyResult invalid(std::string reason) const;
     ApplyResult accept(FleetDelta delta);
 
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -53,6 +53,8 @@
         { 512, "configuration-unreadable", Level::Error, false },
         { 513, "cluster-mismatch", Level::Error, false },
         { 514, "configuration-base-differs", Level::Warning, false },
+        { 515, "evacuation-applied", Level::Info, false },
+        { 113, "evacuation-ordered", Level::Info, false },
         { 600, "ledger-opened", Level::Info, false },
         { 601, "ledger-closed", Level::Info, false },
         { 602, "rate-refused", Level::Info, true },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -68,6 +68,8 @@
     ConfigurationUnreadable,
     ClusterMismatch,
     ConfigurationBaseDiffers,
+    EvacuationApplied,
+    EvacuationOrdered,
     LedgerOpened,
     LedgerClosed,
     RateRefused,
--- a/src/ports/fleet.h
+++ b/src/ports/fleet.h
@@ -33,7 +33,12 @@
     /// \returns whether this daemon may accept or reject keys now, because it holds a validity lease.
     virtual bool keysValid(TimePoint now) const = 0;
 
-    /// Adds a handler that is called after a new configuration has come into force at this daemon.
+    /// \returns whether operators have evacuated \p failureDomain, according to the last state received: its backend servers
+    /// get no new requests.
+    virtual bool isEvacuated(const std::string& failureDomain) const = 0;
+
+    /// Adds a handler that is called after a new configuration has come into force at this daemon, and after failure domains
+    /// have been evacuated or their evacuation has been finished.
     virtual void onChanged(std::function<void()> handler) = 0;
 };
 
--- a/src/proto/control.capnp
+++ b/src/proto/control.capnp
@@ -133,12 +133,26 @@
   withdrawn @4 :Bool;
 }
 
+struct Evacuation {
+  failureDomain @0 :Text;
+  evacuated @1 :Bool;
+  revision @2 :UInt64;
+}
+
+struct EvacuationOrder {
+  failureDomain @0 :Text;
+  evacuated @1 :Bool;
+  hasBaseRevision @2 :Bool;
+  baseRevision @3 :UInt64;
+}
+
 struct FleetDelta {
   index @0 :UInt64;
   union {
     configuration @1 :Configuration;
     key @2 :Key;
     members @3 :List(ControlMember);
+    evacuation @4 :Evacuation;
   }
 }
 
@@ -147,6 +161,7 @@
   configuration @1 :Configuration;
   keys @2 :List(Key);
   members @3 :List(ControlMember);
+  evacuations @4 :List(Evacuation);
 }
 
 struct ChangeResult {
@@ -180,6 +195,7 @@
     submit @1 :Configuration;
     issue @2 :Key;
     withdraw @3 :Text;
+    setEvacuation @4 :EvacuationOrder;
   }
 }
 
--- a/src/proto/control.capnp.h
+++ b/src/proto/control.capnp.h
@@ -34,6 +34,8 @@
 CAPNP_DECLARE_SCHEMA(de299b0a9f3b0446);
 CAPNP_DECLARE_SCHEMA(d62348a2226e446a);
 CAPNP_DECLARE_SCHEMA(ef3ece8cae2d0685);
+CAPNP_DECLARE_SCHEMA(90289f5f5fbe919e);
+CAPNP_DECLARE_SCHEMA(b65fc15e98155805);
 CAPNP_DECLARE_SCHEMA(a52d78928376529b);
 CAPNP_DECLARE_SCHEMA(d5b76885112def84);
 CAPNP_DECLARE_SCHEMA(b8d9092e2b0df25d);
@@ -334,6 +336,36 @@
   };
 };
 
+struct Evacuation {
+  Evacuation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90289f5f5fbe919e, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EvacuationOrder {
+  EvacuationOrder() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b65fc15e98155805, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetDelta {
   FleetDelta() = delete;
 
@@ -344,6 +376,7 @@
     CONFIGURATION,
     KEY,
     MEMBERS,
+    EVACUATION,
   };
 
   struct _capnpPrivate {
@@ -362,7 +395,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5b76885112def84, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d5b76885112def84, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -439,6 +472,7 @@
     SUBMIT,
     ISSUE,
     WITHDRAW,
+    SET_EVACUATION,
   };
 
   struct _capnpPrivate {
@@ -2332,6 +2366,193 @@
 };
 #endif  // !CAPNP_LITE
 
+class Evacuation::Reader {
+public:
+  typedef Evacuation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline bool getEvacuated() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Evacuation::Builder {
+public:
+  typedef Evacuation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline bool getEvacuated();
+  inline void setEvacuated(bool value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuation::Pipeline {
+public:
+  typedef Evacuation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EvacuationOrder::Reader {
+public:
+  typedef EvacuationOrder Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline bool getEvacuated() const;
+
+  inline bool getHasBaseRevision() const;
+
+  inline  ::uint64_t getBaseRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EvacuationOrder::Builder {
+public:
+  typedef EvacuationOrder Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline bool getEvacuated();
+  inline void setEvacuated(bool value);
+
+  inline bool getHasBaseRevision();
+  inline void setHasBaseRevision(bool value);
+
+  inline  ::uint64_t getBaseRevision();
+  inline void setBaseRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EvacuationOrder::Pipeline {
+public:
+  typedef EvacuationOrder Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetDelta::Reader {
 public:
   typedef FleetDelta Reads;
@@ -2364,6 +2585,10 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::pw::proto::ControlMember,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
+  inline bool isEvacuation() const;
+  inline bool hasEvacuation() const;
+  inline  ::pw::proto::Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2420,6 +2645,14 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::pw::proto::ControlMember,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pw::proto::ControlMember,  ::capnp::Kind::STRUCT>> disownMembers();
 
+  inline bool isEvacuation();
+  inline bool hasEvacuation();
+  inline  ::pw::proto::Evacuation::Builder getEvacuation();
+  inline void setEvacuation( ::pw::proto::Evacuation::Reader value);
+  inline  ::pw::proto::Evacuation::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::pw::proto::Evacuation>&& value);
+  inline ::capnp::Orphan< ::pw::proto::Evacuation> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2474,6 +2707,9 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::pw::proto::ControlMember,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>::Reader getEvacuations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2526,6 +2762,13 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::pw::proto::ControlMember,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pw::proto::ControlMember,  ::capnp::Kind::STRUCT>> disownMembers();
 
+  inline bool hasEvacuations();
+  inline  ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>::Builder getEvacuations();
+  inline void setEvacuations( ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>::Builder initEvacuations(unsigned int size);
+  inline void adoptEvacuations(::capnp::Orphan< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>> disownEvacuations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2972,6 +3215,10 @@
   inline bool hasWithdraw() const;
   inline  ::capnp::Text::Reader getWithdraw() const;
 
+  inline bool isSetEvacuation() const;
+  inline bool hasSetEvacuation() const;
+  inline  ::pw::proto::EvacuationOrder::Reader getSetEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3032,6 +3279,14 @@
   inline void adoptWithdraw(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownWithdraw();
 
+  inline bool isSetEvacuation();
+  inline bool hasSetEvacuation();
+  inline  ::pw::proto::EvacuationOrder::Builder getSetEvacuation();
+  inline void setSetEvacuation( ::pw::proto::EvacuationOrder::Reader value);
+  inline  ::pw::proto::EvacuationOrder::Builder initSetEvacuation();
+  inline void adoptSetEvacuation(::capnp::Orphan< ::pw::proto::EvacuationOrder>&& value);
+  inline ::capnp::Orphan< ::pw::proto::EvacuationOrder> disownSetEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5312,6 +5567,144 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Evacuation::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuation::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Evacuation::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Evacuation::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuation::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Evacuation::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuation::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Evacuation::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Evacuation::Reader::getEvacuated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Evacuation::Builder::getEvacuated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setEvacuated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Evacuation::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evacuation::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EvacuationOrder::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EvacuationOrder::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EvacuationOrder::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EvacuationOrder::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EvacuationOrder::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EvacuationOrder::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EvacuationOrder::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EvacuationOrder::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EvacuationOrder::Reader::getEvacuated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool EvacuationOrder::Builder::getEvacuated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EvacuationOrder::Builder::setEvacuated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EvacuationOrder::Reader::getHasBaseRevision() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool EvacuationOrder::Builder::getHasBaseRevision() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EvacuationOrder::Builder::setHasBaseRevision(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EvacuationOrder::Reader::getBaseRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EvacuationOrder::Builder::getBaseRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EvacuationOrder::Builder::setBaseRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::pw::proto::FleetDelta::Which FleetDelta::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
@@ -5497,6 +5890,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetDelta::Reader::isEvacuation() const {
+  return which() == FleetDelta::EVACUATION;
+}
+inline bool FleetDelta::Builder::isEvacuation() {
+  return which() == FleetDelta::EVACUATION;
+}
+inline bool FleetDelta::Reader::hasEvacuation() const {
+  if (which() != FleetDelta::EVACUATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetDelta::Builder::hasEvacuation() {
+  if (which() != FleetDelta::EVACUATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pw::proto::Evacuation::Reader FleetDelta::Reader::getEvacuation() const {
+  KJ_IREQUIRE((which() == FleetDelta::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pw::proto::Evacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pw::proto::Evacuation::Builder FleetDelta::Builder::getEvacuation() {
+  KJ_IREQUIRE((which() == FleetDelta::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pw::proto::Evacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetDelta::Builder::setEvacuation( ::pw::proto::Evacuation::Reader value) {
+  _builder.setDataField<FleetDelta::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetDelta::EVACUATION);
+  ::capnp::_::PointerHelpers< ::pw::proto::Evacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pw::proto::Evacuation::Builder FleetDelta::Builder::initEvacuation() {
+  _builder.setDataField<FleetDelta::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetDelta::EVACUATION);
+  return ::capnp::_::PointerHelpers< ::pw::proto::Evacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetDelta::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::pw::proto::Evacuation>&& value) {
+  _builder.setDataField<FleetDelta::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetDelta::EVACUATION);
+  ::capnp::_::PointerHelpers< ::pw::proto::Evacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pw::proto::Evacuation> FleetDelta::Builder::disownEvacuation() {
+  KJ_IREQUIRE((which() == FleetDelta::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pw::proto::Evacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t FleetImage::Reader::getIndex() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5618,6 +6065,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool FleetImage::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetImage::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>::Reader FleetImage::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>::Builder FleetImage::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FleetImage::Builder::setEvacuations( ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>::Builder FleetImage::Builder::initEvacuations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void FleetImage::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>> FleetImage::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::Evacuation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t ChangeResult::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6155,6 +6636,60 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Change::Reader::isSetEvacuation() const {
+  return which() == Change::SET_EVACUATION;
+}
+inline bool Change::Builder::isSetEvacuation() {
+  return which() == Change::SET_EVACUATION;
+}
+inline bool Change::Reader::hasSetEvacuation() const {
+  if (which() != Change::SET_EVACUATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Change::Builder::hasSetEvacuation() {
+  if (which() != Change::SET_EVACUATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pw::proto::EvacuationOrder::Reader Change::Reader::getSetEvacuation() const {
+  KJ_IREQUIRE((which() == Change::SET_EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pw::proto::EvacuationOrder>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::pw::proto::EvacuationOrder::Builder Change::Builder::getSetEvacuation() {
+  KJ_IREQUIRE((which() == Change::SET_EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pw::proto::EvacuationOrder>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Change::Builder::setSetEvacuation( ::pw::proto::EvacuationOrder::Reader value) {
+  _builder.setDataField<Change::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Change::SET_EVACUATION);
+  ::capnp::_::PointerHelpers< ::pw::proto::EvacuationOrder>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::pw::proto::EvacuationOrder::Builder Change::Builder::initSetEvacuation() {
+  _builder.setDataField<Change::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Change::SET_EVACUATION);
+  return ::capnp::_::PointerHelpers< ::pw::proto::EvacuationOrder>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Change::Builder::adoptSetEvacuation(
+    ::capnp::Orphan< ::pw::proto::EvacuationOrder>&& value) {
+  _builder.setDataField<Change::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Change::SET_EVACUATION);
+  ::capnp::_::PointerHelpers< ::pw::proto::EvacuationOrder>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pw::proto::EvacuationOrder> Change::Builder::disownSetEvacuation() {
+  KJ_IREQUIRE((which() == Change::SET_EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::pw::proto::EvacuationOrder>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t SessionAsk::Reader::getCluster() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/support/fleet_fakes.h
+++ b/tests/unit/support/fleet_fakes.h
@@ -5,6 +5,7 @@
 #include "ports/fleet.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,17 +27,35 @@
     std::uint64_t version() const override { return m_version; }
     std::optional<std::string> workspaceOfKey(const KeyDigest& /*digest*/) const override { return std::nullopt; }
     bool keysValid(TimePoint /*now*/) const override { return true; }
+    bool isEvacuated(const std::string& failureDomain) const override { return m_evacuated.contains(failureDomain); }
     void onChanged(std::function<void()> handler) override { m_handlers.push_back(std::move(handler)); }
 
     void apply(Deployment deployment)
     {
         m_deployment = std::move(deployment);
         ++m_version;
+        notify();
+    }
+
+    /// Evacuates \p failureDomain, or finishes its evacuation.
+    void evacuate(const std::string& failureDomain, bool evacuated = true)
+    {
+        if (evacuated) {
+            m_evacuated.insert(failureDomain);
+        } else {
+            m_evacuated.erase(failureDomain);
+        }
+        notify();
+    }
+
+private:
+    void notify()
+    {
         const auto handlers = m_handlers;
         std::ranges::for_each(handlers, [](const auto& handler) { handler(); });
     }
 
-private:
+    std::set<std::string> m_evacuated;
     Deployment m_deployment;
     std::uint64_t m_version = 0;
     std::vector<std::function<void()>> m_handlers;
--- a/tools/measure-rates/rates_case.cpp
+++ b/tools/measure-rates/rates_case.cpp
@@ -34,6 +34,7 @@
         std::uint64_t version() const override { return 1; }
         std::optional<std::string> workspaceOfKey(const KeyDigest& /*digest*/) const override { return std::nullopt; }
         bool keysValid(TimePoint /*now*/) const override { return true; }
+        bool isEvacuated(const std::string& /*failureDomain*/) const override { return false; }
         void onChanged(std::function<void()> /*handler*/) override { }
 
     private:
