Add configuration of warm-up rates, health requests and lost connections

Services state the warm-up rate, time and health path; the settings state how far the rate may be exceeded. BackendProtocol builds health requests and reads their answers, BackendClient sends them and reports connections that are lost. Nothing uses them yet.

--- a/include/pistachiowheel/pistachiowheel.h
+++ b/include/pistachiowheel/pistachiowheel.h
@@ -45,6 +45,9 @@
     std::string name;
     std::uint32_t slotsPerServer = 64; ///< Maximum number of requests that one backend server runs at once.
     std::uint32_t connectionsPerServer = 256; ///< Maximum number of connections to one backend server.
+    std::string healthPath; ///< Path at which a backend server reports its health; empty: none.
+    std::chrono::milliseconds warmUpTime { 0 }; ///< Time for which a backend server is cold after its start.
+    double warmUpRate = 0; ///< Requests per second that a cold backend server tolerates; zero: it needs no warm-up.
 };
 
 /// A service that receives a share of a route's requests.
--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/backend_connection.h"
 #include "config.h"
+#include "core/header_rules.h"
 
 #include <algorithm>
 #include <array>
@@ -31,6 +32,7 @@
     TimerId timeout = 0;
     TimerId connectTimeout = 0;
     bool connectionWasNew = false;
+    bool isProbe = false;
 };
 
 BackendClient::BackendClient(StreamLoop& loop, Timers& timers, const BackendProtocol& protocol)
@@ -46,6 +48,7 @@
         m_timers.cancel(it.second->timeout);
         m_timers.cancel(it.second->connectTimeout);
     });
+    m_timers.cancel(m_unusedTimer);
     m_timers.cancel(m_releaseTimer);
 }
 
@@ -69,13 +72,14 @@
     std::ranges::for_each(std::exchange(m_idle, {}), [this](auto& it) { release(std::move(it)); });
 }
 
-BackendClient::ConnectionPtr BackendClient::acquireConnection(const HttpRequest& request, bool repeatable)
+BackendClient::ConnectionPtr BackendClient::acquireConnection(const HttpRequest& request, bool repeatable, bool isProbe)
 {
     const auto now = m_timers.now();
     while (!m_idle.empty()) {
         auto connection = std::move(m_idle.back());
         m_idle.pop_back();
-        if (connection->usable(request, now, repeatable)) {
+        const auto trusted = !isProbe || connection->number() > m_openedAtLoss;
+        if (trusted && connection->usable(request, now, repeatable)) {
             return connection;
         }
         release(std::move(connection));
@@ -84,36 +88,74 @@
 }
 
 std::uint64_t BackendClient::start(const HttpRequest& request, Duration timeout, bool repeatable, Done done)
+{
+    return startExchange(request, timeout, repeatable, false, std::move(done));
+}
+
+std::uint64_t BackendClient::probe(HttpRequest request, Duration timeout, Done done)
+{
+    if (countHeader(request.headers, "Host") == 0) {
+        request.headers.insert(request.headers.begin(), { "Host", m_authority });
+    }
+    return startExchange(request, timeout, true, true, std::move(done));
+}
+
+std::uint64_t BackendClient::startExchange(const HttpRequest& request, Duration timeout, bool repeatable, bool isProbe, Done done)
 {
     const auto id = ++m_lastId;
+    if (m_running.empty()) {
+        m_silentSince = m_timers.now();
+    }
     auto running = std::make_unique<Running>();
     running->done = std::move(done);
-    running->connection = acquireConnection(request, repeatable);
+    running->isProbe = isProbe;
+    running->connection = acquireConnection(request, repeatable, isProbe);
     running->connectionWasNew = !running->connection;
-    running->timeout = m_timers.after(timeout, [this, id] {
-        const auto it = m_running.find(id);
-        const auto sent = it != m_running.end() && it->second->connection->sent();
-        fail(id, sent ? timedOut : notStarted, "response timed out", sent);
-    });
+    running->timeout = m_timers.after(timeout, [this, id] { onTimeout(id, "response timed out"); });
     auto& connection = running->connection;
     if (!connection) {
-        ++m_opened;
-        connection = std::make_unique<detail::BackendConnection>(*this);
-        connection->start(id, request);
+        connection = std::make_unique<detail::BackendConnection>(*this, ++m_opened);
+        connection->start(id, request, isProbe);
         connection->dial(m_address);
         running->connectTimeout = m_timers.after(std::min<Duration>(timeout, config::backendConnectTimeout), [this, id] {
             const auto it = m_running.find(id);
             if (it != m_running.end() && !it->second->connection->connected()) {
-                fail(id, notStarted, "connection timed out", false);
+                onTimeout(id, "connection timed out");
             }
         });
     } else {
-        connection->start(id, request);
+        connection->start(id, request, isProbe);
     }
     m_running.emplace(id, std::move(running));
     return id;
 }
 
+void BackendClient::onTimeout(std::uint64_t id, std::string_view detail)
+{
+    const auto it = m_running.find(id);
+    if (it == m_running.end()) {
+        return;
+    }
+    const auto sent = it->second->connection->sent();
+    if (isSilent()) {
+        reportLost();
+    }
+    fail(id, sent ? timedOut : notStarted, detail, sent);
+}
+
+bool BackendClient::isSilent() const
+{
+    return m_timers.now() - m_silentSince >= config::backendSilence;
+}
+
+void BackendClient::reportLost()
+{
+    m_openedAtLoss = m_opened;
+    if (m_connectionLost) {
+        m_connectionLost();
+    }
+}
+
 void BackendClient::cancel(std::uint64_t id)
 {
     auto node = m_running.extract(id);
@@ -134,7 +176,9 @@
     result.refusal = refusals.at(static_cast<std::size_t>(meaning));
     result.sent = true;
     result.connectionWasNew = running.connectionWasNew;
-    if (meaning == AnswerKind::Complete || meaning == AnswerKind::NotRun) {
+    if (running.isProbe) {
+        result.health = m_protocol.healthReport(answer);
+    } else if (meaning == AnswerKind::Complete || meaning == AnswerKind::NotRun) {
         result.statement = m_protocol.statement(answer);
     }
     if (result.refusal.reason == Reason::None) {
@@ -144,6 +188,7 @@
     if (reusable) {
         running.connection->setIdleSince(m_timers.now());
         m_idle.push_back(std::move(running.connection));
+        closeUnused();
     } else {
         release(std::move(running.connection));
     }
@@ -168,13 +213,42 @@
     running.done(std::move(result));
 }
 
-void BackendClient::closeIdleConnection(detail::BackendConnection* connection)
+bool BackendClient::closeIdleConnection(detail::BackendConnection* connection)
 {
     const auto it = std::ranges::find(m_idle, connection, &ConnectionPtr::get);
-    if (it != m_idle.end()) {
-        auto dropped = std::move(*it);
-        m_idle.erase(it);
-        release(std::move(dropped));
+    if (it == m_idle.end()) {
+        return false;
+    }
+    auto dropped = std::move(*it);
+    m_idle.erase(it);
+    release(std::move(dropped));
+    return true;
+}
+
+void BackendClient::setCloseUnused(bool enabled)
+{
+    m_closeUnused = enabled;
+    closeUnused();
+}
+
+/// Closes the idle connections that are too old to be reused, and reschedules itself for the others.
+void BackendClient::closeUnused()
+{
+    if (!m_closeUnused || m_unusedTimer || m_idle.empty()) {
+        return;
+    }
+    const auto now = m_timers.now();
+    std::vector<ConnectionPtr> kept;
+    for (auto& it : m_idle) {
+        it->unusedAt() <= now ? release(std::move(it)) : kept.push_back(std::move(it));
+    }
+    m_idle = std::move(kept);
+    const auto first = std::ranges::min_element(m_idle, {}, [](const ConnectionPtr& it) { return it->unusedAt(); });
+    if (first != m_idle.end()) {
+        m_unusedTimer = m_timers.after((*first)->unusedAt() - now, [this] {
+            m_unusedTimer = 0;
+            closeUnused();
+        });
     }
 }
 
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -22,6 +22,7 @@
     HttpResponse response; ///< Set only when the response is complete.
     std::string detail; ///< Why no complete response arrived, for logs.
     std::optional<BackendStatement> statement; ///< Set if the backend server answered this request, also without running it.
+    std::optional<HealthReport> health; ///< Set if a healthy backend server answered a probe.
     bool sent = false; ///< The request may have reached the backend server.
     bool connectionWasNew = false;
 };
@@ -53,6 +54,18 @@
     /// \returns a handle for cancel().
     std::uint64_t start(const HttpRequest& request, Duration timeout, bool repeatable, Done done);
 
+    /// Sends a health request. Like start(), but any answer is a complete response, and a connection that was opened before
+    /// the last one was lost is not used. The handle is valid for cancel().
+    std::uint64_t probe(HttpRequest request, Duration timeout, Done done);
+
+    /// Sets the handler that is called when a connection was refused, reset or closed by the backend server or has timed out,
+    /// also while it was idle, and before the result of its request is reported.
+    void onConnectionLost(std::function<void()> handler) { m_connectionLost = std::move(handler); }
+
+    /// Sets whether idle connections that are not reused any more are closed. Otherwise the backend server closes them, which
+    /// cannot be told from its restart.
+    void setCloseUnused(bool enabled);
+
     /// Cancels a running request and closes its connection.
     void cancel(std::uint64_t id);
 
@@ -61,6 +74,8 @@
 
     /// \returns the number of open connections, including idle ones.
     std::size_t connectionCount() const { return m_running.size() + m_idle.size(); }
+    /// \returns the number of running requests, including probes.
+    std::size_t running() const { return m_running.size(); }
     /// \returns the total number of connections opened.
     std::uint64_t connectionsOpened() const { return m_opened; }
 
@@ -70,10 +85,15 @@
     struct Running;
     using ConnectionPtr = std::unique_ptr<detail::BackendConnection>;
 
-    ConnectionPtr acquireConnection(const HttpRequest& request, bool repeatable);
+    ConnectionPtr acquireConnection(const HttpRequest& request, bool repeatable, bool isProbe);
+    std::uint64_t startExchange(const HttpRequest& request, Duration timeout, bool repeatable, bool isProbe, Done done);
     void finish(std::uint64_t id, AnswerKind meaning, HttpResponse answer, bool reusable);
     void fail(std::uint64_t id, const Refusal& refusal, std::string_view detail, bool sent);
-    void closeIdleConnection(detail::BackendConnection* connection);
+    void onTimeout(std::uint64_t id, std::string_view detail);
+    bool isSilent() const;
+    void reportLost();
+    bool closeIdleConnection(detail::BackendConnection* connection);
+    void closeUnused();
     void release(ConnectionPtr connection);
 
     StreamLoop& m_loop;
@@ -83,6 +103,11 @@
     detail::SocketAddress m_address;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_opened = 0;
+    std::function<void()> m_connectionLost;
+    std::uint64_t m_openedAtLoss = 0; ///< Connections opened when the last one was lost.
+    TimePoint m_silentSince {}; ///< Last response, or the first request since there were none.
+    bool m_closeUnused = false;
+    TimerId m_unusedTimer = 0;
     TimerId m_releaseTimer = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<Running>> m_running;
     std::vector<ConnectionPtr> m_idle; ///< Most recently used last.
--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -49,8 +49,9 @@
 
 } // namespace
 
-BackendConnection::BackendConnection(BackendClient& client)
+BackendConnection::BackendConnection(BackendClient& client, std::uint64_t number)
     : m_client(client)
+    , m_number(number)
     , m_stream(client.m_loop, *this)
     , m_reader(answerLimits)
 {
@@ -61,14 +62,16 @@
     if (!m_stream.dial(address)) {
         // Report asynchronously, like every other failure.
         m_client.m_timers.after(Duration::zero(), [&client = m_client, id = m_exchange] {
+            client.reportLost();
             client.fail(id, neverConnected, "cannot connect", false);
         });
     }
 }
 
-void BackendConnection::start(std::uint64_t exchange, const HttpRequest& request)
+void BackendConnection::start(std::uint64_t exchange, const HttpRequest& request, bool isProbe)
 {
     m_exchange = exchange;
+    m_isProbe = isProbe;
     m_sent = m_stream.connected();
     m_sawStrayResponse = false;
     m_interimResponses = 0;
@@ -94,6 +97,7 @@
 
 void BackendConnection::readResponse()
 {
+    m_client.m_silentSince = m_client.m_timers.now();
     while (m_exchange && !m_stream.input().empty()) {
         m_stream.consume(m_reader.take(m_stream.input()));
         if (m_reader.fault() != HttpFault::None) {
@@ -118,7 +122,10 @@
         m_reader.begin(m_request.method == "HEAD");
         return;
     }
-    const auto meaning = m_client.m_protocol.classify(m_request, answer);
+    auto meaning = m_client.m_protocol.classify(m_request, answer);
+    if (m_isProbe && meaning != AnswerKind::Mismatched) {
+        meaning = AnswerKind::Complete;
+    }
     if (meaning == AnswerKind::Mismatched && keepsAlive && ++m_strayResponses <= config::maxSkippedAnswers) {
         m_sawStrayResponse = true;
         m_reader.begin(m_request.method == "HEAD");
@@ -146,10 +153,14 @@
 void BackendConnection::streamEnded(StreamEnd end)
 {
     if (!m_exchange) {
-        m_client.closeIdleConnection(this);
+        // Otherwise this side has released the connection already.
+        if (m_client.closeIdleConnection(this)) {
+            m_client.reportLost();
+        }
         return;
     }
     if (end == StreamEnd::NotConnected) {
+        m_client.reportLost();
         m_client.fail(std::exchange(m_exchange, 0), neverConnected, "cannot connect", false);
         return;
     }
@@ -160,6 +171,7 @@
             return;
         }
     }
+    m_client.reportLost();
     fail(end == StreamEnd::EndOfStream ? "connection closed before the end of the response" : "connection reset");
 }
 
@@ -174,9 +186,13 @@
     if (m_client.m_protocol.haveSameIdentity(m_request, request)) {
         return false;
     }
-    const auto allowed = m_keepAlive ? *m_keepAlive - config::keepAliveMargin : Duration(config::backendIdleTimeout);
     const auto idle = now - m_idleSince;
-    return m_stream.input().empty() && idle < allowed && (repeatable || idle < config::maxIdleForNonIdempotent);
+    return m_stream.input().empty() && idle < maxIdle() && (repeatable || idle < config::maxIdleForNonIdempotent);
+}
+
+Duration BackendConnection::maxIdle() const
+{
+    return m_keepAlive ? *m_keepAlive - config::keepAliveMargin : Duration(config::backendIdleTimeout);
 }
 
 } // namespace pw::detail
--- a/src/adapters/backend_connection.h
+++ b/src/adapters/backend_connection.h
@@ -7,13 +7,15 @@
 /// A connection to the backend server that carries one request at a time.
 class BackendConnection final : public StreamUser {
 public:
-    explicit BackendConnection(BackendClient& client);
+    /// \param number counts the connections of \p client, from one.
+    BackendConnection(BackendClient& client, std::uint64_t number);
 
     /// Starts connecting. A failure is reported to the first request on the connection.
     void dial(const SocketAddress& address);
 
     /// Sends \p request as exchange \p exchange and reads the response.
-    void start(std::uint64_t exchange, const HttpRequest& request);
+    /// \param isProbe whether any answer of the server is a complete response.
+    void start(std::uint64_t exchange, const HttpRequest& request, bool isProbe);
 
     /// Abandons the current exchange, if any; its response is no longer reported.
     void abandon() { m_exchange = 0; }
@@ -26,6 +28,9 @@
     ///     idle time and the previous request.
     bool usable(const HttpRequest& request, TimePoint now, bool repeatable) const;
     void setIdleSince(TimePoint now) { m_idleSince = now; }
+    /// \returns when the connection, which is idle, becomes too old to be reused.
+    TimePoint unusedAt() const { return m_idleSince + maxIdle(); }
+    std::uint64_t number() const { return m_number; }
     bool connected() const { return m_stream.connected(); }
     /// \returns whether the current exchange may have reached the backend server.
     bool sent() const { return m_sent; }
@@ -35,13 +40,16 @@
     void readResponse();
     void handleResponse(HttpResponse answer, bool keepsAlive);
     void readKeepAlive(const HttpResponse& answer);
+    Duration maxIdle() const;
     void fail(std::string_view why);
 
     BackendClient& m_client;
+    std::uint64_t m_number;
     TcpStream m_stream;
     HttpResponseReader m_reader;
     std::uint64_t m_exchange = 0; ///< Current exchange; zero if none.
     HttpRequest m_request; ///< Current or most recent request, without its body.
+    bool m_isProbe = false; ///< The current or most recent exchange is a probe.
     bool m_isNew = true; ///< No exchange has completed on this connection.
     bool m_sent = false;
     bool m_sawStrayResponse = false; ///< A response to another request arrived during the current exchange.
--- a/src/app/deployment_yaml.cpp
+++ b/src/app/deployment_yaml.cpp
@@ -41,6 +41,9 @@
         assignIfSet(map.text("name"), service.name);
         assignIfSet(map.integer("slotsPerServer", { 1, config::maxSlotsPerServer }), service.slotsPerServer);
         assignIfSet(map.integer("connectionsPerServer", { 1, config::maxConnectionsPerServer }), service.connectionsPerServer);
+        assignIfSet(map.text("healthPath"), service.healthPath);
+        assignIfSet(map.duration("warmUpTime", { std::chrono::milliseconds(0), config::maxWarmUpTime }), service.warmUpTime);
+        assignIfSet(map.number("warmUpRate", { config::minWarmUpRate, config::maxRate }), service.warmUpRate);
     }
 
     /// Reads the services among which the requests of a route are divided, with their weights.
--- a/src/app/deployment_yaml_write.cpp
+++ b/src/app/deployment_yaml_write.cpp
@@ -16,20 +16,29 @@
         return ec == std::errc() ? std::string(buf.data(), end) : "0";
     }
 
+    std::string durationText(std::chrono::milliseconds value)
+    {
+        return std::to_string(value.count()) + "ms";
+    }
+
     void emit(YAML::Emitter& out, const Service& service)
     {
         out << YAML::BeginMap;
         out << YAML::Key << "name" << YAML::Value << service.name;
         out << YAML::Key << "slotsPerServer" << YAML::Value << service.slotsPerServer;
         out << YAML::Key << "connectionsPerServer" << YAML::Value << service.connectionsPerServer;
+        if (!service.healthPath.empty()) {
+            out << YAML::Key << "healthPath" << YAML::Value << service.healthPath;
+        }
+        if (service.warmUpTime.count() > 0) {
+            out << YAML::Key << "warmUpTime" << YAML::Value << durationText(service.warmUpTime);
+        }
+        if (service.warmUpRate > 0) {
+            out << YAML::Key << "warmUpRate" << YAML::Value << numberText(service.warmUpRate);
+        }
         out << YAML::EndMap;
     }
 
-    std::string durationText(std::chrono::milliseconds value)
-    {
-        return std::to_string(value.count()) + "ms";
-    }
-
     void emitServices(YAML::Emitter& out, const Route& route)
     {
         if (route.services.empty()) {
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -36,6 +36,7 @@
     constexpr double maxRetryRatio = 1;
     constexpr double maxRetryExtra = 1e6;
     constexpr double maxRateShare = 1;
+    constexpr double maxWarmUpOverage = 100;
     constexpr double maxLimitHeadroom = 0.5;
     constexpr double maxRateExtra = 1e6;
 
@@ -332,6 +333,14 @@
         map.reportUnknownKeys();
     }
 
+    void readWarmUp(YamlMap& root, Settings& settings)
+    {
+        auto map = root.map("warmUp");
+        assignIfSet(map.number("overage", { 1, maxWarmUpOverage }), settings.warmUp.overage);
+        assignIfSet(map.number("extra", { 0, maxRateExtra }), settings.warmUp.extra);
+        map.reportUnknownKeys();
+    }
+
     void readLimit(YamlMap& root, Settings& settings)
     {
         auto map = root.map("limit");
@@ -393,6 +402,7 @@
         readBounds(root, settings);
         readRetryBudget(root, settings);
         readRateTolerance(root, settings);
+        readWarmUp(root, settings);
         readLimit(root, settings);
         readLog(root, settings);
         root.reportUnknownKeys();
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -31,6 +31,14 @@
     bool operator==(const RetryBudgetSettings&) const = default;
 };
 
+/// How far the rate of requests to a cold backend server may exceed the rate that it tolerates, in any second.
+struct WarmUpTolerance {
+    double overage = 1; ///< Factor of that rate.
+    double extra = 0; ///< Additional requests.
+
+    bool operator==(const WarmUpTolerance&) const = default;
+};
+
 /// The settings file of one daemon.
 struct Settings {
     std::string name; ///< Unique in the fleet.
@@ -69,6 +77,7 @@
     double limitHeadroom = 0; ///< Fraction of the announced slots left unused, as some servers slow down when nearly full.
     RetryBudgetSettings retryBudget;
     RateTolerance rateTolerance;
+    WarmUpTolerance warmUp;
 
     std::string logLevel = "info";
     std::string logFile; ///< Empty: standard error or standard output, see logToStdout.
--- a/src/app/settings_changes.cpp
+++ b/src/app/settings_changes.cpp
@@ -48,6 +48,7 @@
         SettingRow { "control.toleratedLosses", &Settings::toleratedLosses },
         SettingRow { "secrets.fleet", &Settings::fleetSecretFile },
         SettingRow { "secrets.operator", &Settings::operatorSecretFile },
+        SettingRow { "warmUp", &Settings::warmUp },
         SettingRow { "limit.strategy", &Settings::limitStrategy },
         SettingRow { "limit.headroom", &Settings::limitHeadroom },
         SettingRow { "log.level", &Settings::logLevel },
--- a/src/config.h
+++ b/src/config.h
@@ -89,6 +89,17 @@
 inline constexpr std::size_t maxSkippedAnswers = 3;
 /// Time limit to connect to the backend server beside a daemon.
 inline constexpr milliseconds backendConnectTimeout { 500 };
+/// Time limit of a health request to a backend server, and the minimum interval between two.
+inline constexpr milliseconds probeTimeout { 500 };
+inline constexpr milliseconds probeInterval { 200 };
+/// Time without any response from a backend server after which a timed out request counts as a lost connection. A shorter
+/// silence occurs when requests with short deadlines time out at a slow server.
+inline constexpr milliseconds backendSilence { 500 };
+/// Interval at which the warm-up state is checked for changes that come with time only, and at most as long until a limit
+/// because of a lost connection is published: most last only until the first probe is answered.
+inline constexpr milliseconds warmUpCheckInterval { 50 };
+/// Relative change of a warm-up rate that is published.
+inline constexpr double warmUpRateStep = 0.1;
 /// Deadline of a route whose configuration sets none.
 inline constexpr milliseconds defaultRouteDeadline { 2000 };
 /// Maximum deadline that a caller may request.
--- a/src/core/deployment_check.cpp
+++ b/src/core/deployment_check.cpp
@@ -58,6 +58,13 @@
         return text.size() <= config::maxHostBytes && std::ranges::all_of(text, allowed);
     }
 
+    /// \returns whether \p text can stand in a request line as the target.
+    bool isRequestTarget(std::string_view text)
+    {
+        auto allowed = [](char c) { return c > ' ' && c < 0x7f; };
+        return text.starts_with('/') && text.size() <= config::maxPathPrefixBytes && std::ranges::all_of(text, allowed);
+    }
+
     bool isDigest(std::string_view text)
     {
         auto isHexDigit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
@@ -122,6 +129,13 @@
         section.checkName(n, service.name);
         section.checkRange(n, "slotsPerServer", service.slotsPerServer, 1, config::maxSlotsPerServer);
         section.checkRange(n, "connectionsPerServer", service.connectionsPerServer, 1, config::maxConnectionsPerServer);
+        if (!service.healthPath.empty() && !isRequestTarget(service.healthPath)) {
+            section.add(n, "healthPath", "not a path", "a path from \"/\", at most 512 printable ASCII characters without spaces");
+        }
+        section.checkRange(n, "warmUpTime", static_cast<double>(service.warmUpTime.count()), 0, static_cast<double>(config::maxWarmUpTime.count()));
+        if (service.warmUpRate != 0) {
+            section.checkRange(n, "warmUpRate", service.warmUpRate, config::minWarmUpRate, config::maxRate);
+        }
     }
 
     void checkServices(Section& section, const Section& services, std::size_t n, const Route& route)
--- a/src/core/deployment_check.h
+++ b/src/core/deployment_check.h
@@ -25,6 +25,9 @@
     /// Requests. A burst below one would admit no request.
     inline constexpr double minBurst = 1;
     inline constexpr double maxBurst = 1e7;
+    /// Requests per second of a cold backend server. A lower rate could not be told from none.
+    inline constexpr double minWarmUpRate = 0.1;
+    inline constexpr std::chrono::milliseconds maxWarmUpTime { 600'000 };
     inline constexpr std::uint32_t maxPriority = 65535;
     inline constexpr std::uint32_t maxWeight = 1'000'000;
     inline constexpr std::size_t maxHostBytes = 253;
--- a/src/ports/backend_protocol.h
+++ b/src/ports/backend_protocol.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,12 @@
     Count
 };
 
+/// What a healthy backend server states in its answer to a health request.
+struct HealthReport {
+    std::string instance; ///< The backend server that answered.
+    std::chrono::milliseconds warmUpLeft { 0 }; ///< Time for which it stays cold; zero: it is warm.
+};
+
 /// Port: HTTP dialect of the backend servers: builds requests and classifies answers, without any policy.
 class BackendProtocol {
 public:
@@ -53,6 +60,14 @@
     /// \returns what the backend server states about itself in \p answer.
     virtual BackendStatement statement(const HttpResponse& answer) const = 0;
 
+    /// \returns a health request to \p path for the backend server \p instance, complete except for its framing headers; each
+    ///     call makes one with an identity of its own. Empty if the protocol has no health requests.
+    virtual std::optional<HttpRequest> healthRequest(const std::string& /*path*/, const std::string& /*instance*/) const { return std::nullopt; }
+
+    /// \returns what \p answer to a health request states; empty if the server is not healthy or does not state its warm-up
+    ///     time.
+    virtual std::optional<HealthReport> healthReport(const HttpResponse& /*answer*/) const { return std::nullopt; }
+
     /// Removes the headers from \p answer that are only for this daemon.
     virtual void strip(HttpResponse& answer) const = 0;
 };
