Add the warm-up rate's interface, wire fields and a shared token bucket

LoadHint and ServerEntry carry warmUpRate, apart from requestsPerSecond, because a restarted daemon adopts the latter as a limit that the server has stated. BackendRate and WarmUp share TokenBucket; BackendRate decides as before. Admission owns a WarmUp that does not limit it yet.

--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -60,13 +60,15 @@
         message.setOfferedPerSecond(load.offeredPerSecond);
         message.setBackendStart(load.backendStart);
         message.setDeparted(load.departed);
+        message.setWarmUpRate(load.warmUpRate);
     }
 
     LoadHint readLoad(proto::LoadHint::Reader message)
     {
         return { message.getRunning(), message.getQueued(), message.getLimit(), readEnum<Importance>(message.getAdmissionFloor()),
             message.getLeaving(), readRate(message.getHasRateLimit(), message.getRequestsPerSecond()),
-            readRate(true, message.getOfferedPerSecond()).value_or(0), message.getBackendStart(), message.getDeparted() };
+            readRate(true, message.getOfferedPerSecond()).value_or(0), message.getBackendStart(), message.getDeparted(),
+            readRate(true, message.getWarmUpRate()).value_or(0) };
     }
 
     void writeDemands(capnp::List<proto::ServiceDemand>::Builder list, const std::vector<ServiceDemand>& demands)
--- a/src/adapters/codec_view.cpp
+++ b/src/adapters/codec_view.cpp
@@ -3,6 +3,9 @@
 #include "adapters/codec_packed.h"
 #include "view.capnp.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace pw {
 namespace {
 
@@ -22,6 +25,7 @@
         builder.setSequence(entry.sequence);
         builder.setLeaving(entry.leaving);
         builder.setBackend(entry.backendIncarnation);
+        builder.setWarmUpRate(entry.warmUpRate);
     }
 
     ServerEntry readEntry(proto::ServerEntry::Reader reader)
@@ -38,6 +42,7 @@
         entry.sequence = reader.getSequence();
         entry.leaving = reader.getLeaving();
         entry.backendIncarnation = reader.getBackend();
+        entry.warmUpRate = std::isfinite(reader.getWarmUpRate()) ? std::max(reader.getWarmUpRate(), 0.0) : 0;
         return entry;
     }
 
--- a/src/config.h
+++ b/src/config.h
@@ -217,6 +217,19 @@
 /// and in a burst.
 inline constexpr milliseconds pacedStandingQueue { 250 };
 inline constexpr milliseconds pacedBurstQueue { 500 };
+/// Requests to a warming server are counted over the window of the bound (one second) and the spread of the times from sending
+/// a request to its arrival, and kept this many requests below the bound, or half of the slack if that is less. Probes and
+/// requests that were delayed by a suspension of the VM use the margin.
+inline constexpr milliseconds warmUpWindow { 1000 };
+inline constexpr milliseconds warmUpArrivalSpread { 100 };
+inline constexpr double warmUpMargin = 3.0;
+/// Share of the slack that a warming server may be sent as a burst.
+inline constexpr double warmUpBurstShare = 0.5;
+/// A remaining warm-up time is counted this much longer, because it may be rounded down and clocks may differ.
+inline constexpr milliseconds warmUpEndMargin { 50 };
+/// Minimum interval between two probes of the remaining warm-up time of a backend server, and the timeout of a probe.
+inline constexpr milliseconds warmUpProbeInterval { 200 };
+inline constexpr milliseconds warmUpProbeTimeout { 500 };
 /// Averaging time of the rate of requests that are offered to a backend server with a rate limit.
 inline constexpr milliseconds offeredRateWindow { 1000 };
 /// Minimum interval between two log lines on the rate limit that a backend server states.
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -8,6 +8,7 @@
 #include "core/request_rate_estimate.h"
 #include "core/service_time.h"
 #include "core/types.h"
+#include "core/warm_up.h"
 
 #include <array>
 #include <cstdint>
@@ -98,6 +99,10 @@
     BackendRate& rate() { return m_rate; }
     const BackendRate& rate() const { return m_rate; }
 
+    /// Request rate while the backend server warms up.
+    WarmUp& warmUp() { return m_warmUp; }
+    const WarmUp& warmUp() const { return m_warmUp; }
+
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::uint32_t queued() const { return static_cast<std::uint32_t>(m_queue.size()); }
     std::uint32_t limit() const { return m_limit->current(); }
@@ -130,6 +135,7 @@
     std::vector<ShedRequest> m_shed;
     ServiceTime m_serviceTime;
     BackendRate m_rate;
+    WarmUp m_warmUp;
     RequestRateEstimate m_offered { config::offeredRateWindow };
     bool m_leaving = false;
     std::optional<TimePoint> m_nonEmptySince; ///< When the queue last became non-empty; empty while the queue is.
--- a/src/core/backend_rate.h
+++ b/src/core/backend_rate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/token_bucket.h"
 #include "core/types.h"
 
 #include <cstddef>
@@ -37,15 +38,11 @@
 
 private:
     void setLimit(double requestsPerSecond, TimePoint now);
-    double pace() const;
-    double bucketSize() const;
-    double tokensAt(TimePoint now) const;
 
     std::optional<double> m_limit;
     bool m_known = false; ///< Whether a limit is stated is known, from an answer or from another daemon.
     TimePoint m_statedAt {}; ///< When a limit was last stated.
-    double m_tokens = 0; ///< At m_refilledAt.
-    TimePoint m_refilledAt {};
+    TokenBucket m_bucket;
 };
 
 } // namespace pw
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -59,6 +59,7 @@
     double offeredPerSecond = 0; ///< Recent rate of requests for it, whether or not they were admitted; set with a rate limit.
     std::uint64_t backendStart = 0; ///< ServerEntry::backendIncarnation of the backend server; zero if unknown.
     bool departed = false; ///< This start of the backend server has said that it is leaving.
+    double warmUpRate = 0; ///< Requests per second that it is sent at most while it warms up; zero otherwise.
 };
 
 /// Result of a call.
--- a/src/ports/fleet.h
+++ b/src/ports/fleet.h
@@ -94,6 +94,7 @@
     bool leaving = false; ///< No new requests may be sent to it.
     std::uint64_t backendIncarnation = 0; ///< Identifies this start of the backend server, so that one that has left is not listed again; zero if it has
                                           ///< no identity or may come back.
+    double warmUpRate = 0; ///< Requests per second that it is sent at most while it warms up; zero otherwise.
 };
 
 /// Port: the membership view of backend servers.
--- a/src/proto/call.capnp
+++ b/src/proto/call.capnp
@@ -50,6 +50,7 @@
   offeredPerSecond @7 :Float64;
   backendStart @8 :UInt64;
   departed @9 :Bool;
+  warmUpRate @10 :Float64;
 }
 
 struct Answer {
--- a/src/proto/call.capnp.h
+++ b/src/proto/call.capnp.h
@@ -82,7 +82,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -571,6 +571,8 @@
 
   inline bool getDeparted() const;
 
+  inline double getWarmUpRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -629,6 +631,9 @@
   inline bool getDeparted();
   inline void setDeparted(bool value);
 
+  inline double getWarmUpRate();
+  inline void setWarmUpRate(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1679,6 +1684,20 @@
       ::capnp::bounded<106>() * ::capnp::ELEMENTS, value);
 }
 
+inline double LoadHint::Reader::getWarmUpRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double LoadHint::Builder::getWarmUpRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void LoadHint::Builder::setWarmUpRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Answer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/proto/view.capnp
+++ b/src/proto/view.capnp
@@ -15,6 +15,7 @@
   sequence @8 :UInt64;
   leaving @9 :Bool;
   backend @10 :UInt64;
+  warmUpRate @11 :Float64;
 }
 
 struct ViewRecord {
--- a/src/proto/view.capnp.h
+++ b/src/proto/view.capnp.h
@@ -41,7 +41,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d482843cab65a29e, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d482843cab65a29e, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -190,6 +190,8 @@
 
   inline  ::uint64_t getBackend() const;
 
+  inline double getWarmUpRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -271,6 +273,9 @@
   inline  ::uint64_t getBackend();
   inline void setBackend( ::uint64_t value);
 
+  inline double getWarmUpRate();
+  inline void setWarmUpRate(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1167,6 +1172,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline double ServerEntry::Reader::getWarmUpRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double ServerEntry::Builder::getWarmUpRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServerEntry::Builder::setWarmUpRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ViewRecord::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
