--- a/src/config.h
+++ b/src/config.h
@@ -89,6 +89,17 @@
 inline constexpr std::size_t maxSkippedAnswers = 3;
 /// Time limit to connect to the backend server beside a daemon.
 inline constexpr milliseconds backendConnectTimeout { 500 };
+/// Time limit of a health request to a backend server, and the minimum interval between two.
+inline constexpr milliseconds probeTimeout { 500 };
+inline constexpr milliseconds probeInterval { 200 };
+/// Time without any response from a backend server after which a timed out request counts as a lost connection. A shorter
+/// silence occurs when requests with short deadlines time out at a slow server.
+inline constexpr milliseconds backendSilence { 500 };
+/// Interval at which the warm-up state is checked for changes that come with time only, and at most as long until a limit
+/// because of a lost connection is published: most last only until the first probe is answered.
+inline constexpr milliseconds warmUpCheckInterval { 50 };
+/// Relative change of a warm-up rate that is published.
+inline constexpr double warmUpRateStep = 0.1;
 /// Deadline of a route whose configuration sets none.
 inline constexpr milliseconds defaultRouteDeadline { 2000 };
 /// Maximum deadline that a caller may request.
@@ -217,6 +228,19 @@
 /// and in a burst.
 inline constexpr milliseconds pacedStandingQueue { 250 };
 inline constexpr milliseconds pacedBurstQueue { 500 };
+/// Requests to a warming server are counted over the window of the bound (one second) and the spread of the times from sending
+/// a request to its arrival, and kept this many requests below the bound, or half of the slack if that is less. Probes and
+/// requests that were delayed by a suspension of the VM use the margin.
+inline constexpr milliseconds warmUpWindow { 1000 };
+inline constexpr milliseconds warmUpArrivalSpread { 100 };
+inline constexpr double warmUpMargin = 3.0;
+/// Share of the slack that a warming server may be sent as a burst.
+inline constexpr double warmUpBurstShare = 0.5;
+/// A remaining warm-up time is counted this much longer, because it may be rounded down and clocks may differ.
+inline constexpr milliseconds warmUpEndMargin { 50 };
+/// Minimum interval between two probes of the remaining warm-up time of a backend server, and the timeout of a probe.
+inline constexpr milliseconds warmUpProbeInterval { 200 };
+inline constexpr milliseconds warmUpProbeTimeout { 500 };
 /// Averaging time of the rate of requests that are offered to a backend server with a rate limit.
 inline constexpr milliseconds offeredRateWindow { 1000 };
 /// Minimum interval between two log lines on the rate limit that a backend server states.
