Raise the concurrency limit after a start from the server's responses (limit.start)

A server that has just started or recovered is overloaded or left idle too long with the fixed increment of one for each response. The ramp is now a strategy: count (as before, default) or answers, which doubles by rounds while responses stay fast.

--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -33,8 +33,9 @@
 
     std::unique_ptr<Limit> limitFrom(const Settings& settings)
     {
-        auto limit = makeLimit(settings.limitStrategy.empty() ? defaultLimitName() : settings.limitStrategy, {});
-        return limit ? std::move(limit) : makeLimit(defaultLimitName(), {});
+        const LimitSettings initial { .start = settings.limitStart };
+        auto limit = makeLimit(settings.limitStrategy.empty() ? defaultLimitName() : settings.limitStrategy, initial);
+        return limit ? std::move(limit) : makeLimit(defaultLimitName(), initial);
     }
 
     std::string rateText(const std::optional<double>& requestsPerSecond)
@@ -123,9 +124,8 @@
     }
     if (changed) {
         m_admission.setCapacity(usableSlots(announcement.slots), announcement.connections);
-        // A server that announces its warm-up time adjusts its slots itself and needs no cold start limit.
-        if ((isFirst || isNewStart) && !announcement.warmUpTime) {
-            m_admission.beginColdStart();
+        if (isFirst || isNewStart) {
+            m_admission.beginColdStart(announcement.warmUpTime ? RampCause::StartedWarmingUp : RampCause::Started, m_timers.now());
         }
         PW_EVENT(m_log, Event::BackendAnnounced, { "service", m_entry.service }, { "address", announcement.address }, { "slots", m_entry.slots });
         publish();
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -339,6 +339,10 @@
         if (auto n = map.choice("strategy", names)) {
             settings.limitStrategy = names[*n];
         }
+        const auto starts = startRampNames();
+        if (auto n = map.choice("start", starts)) {
+            settings.limitStart = starts[*n];
+        }
         assignIfSet(map.number("headroom", { 0, maxLimitHeadroom }), settings.limitHeadroom);
         map.reportUnknownKeys();
     }
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -62,6 +62,7 @@
     std::string operatorSecretFile;
 
     std::string limitStrategy; ///< Concurrency limit algorithm of the server role; empty: the default.
+    std::string limitStart; ///< How the concurrency limit rises after a start of the backend server; empty: the default.
     std::size_t callerConnectionLimit = config::maxCallerConnections; ///< Number of callers' connections above which idle ones are closed.
     std::chrono::milliseconds drainTimeout { 2000 }; ///< From the notice that a backend server leaves until it gets no new requests.
     std::chrono::milliseconds stopTimeout { 60000 }; ///< From the stop signal until the process must have exited.
--- a/src/app/settings_changes.cpp
+++ b/src/app/settings_changes.cpp
@@ -49,6 +49,7 @@
         SettingRow { "secrets.fleet", &Settings::fleetSecretFile },
         SettingRow { "secrets.operator", &Settings::operatorSecretFile },
         SettingRow { "limit.strategy", &Settings::limitStrategy },
+        SettingRow { "limit.start", &Settings::limitStart },
         SettingRow { "limit.headroom", &Settings::limitHeadroom },
         SettingRow { "log.level", &Settings::logLevel },
         SettingRow { "log.file", &Settings::logFile },
--- a/src/config.h
+++ b/src/config.h
@@ -110,8 +110,28 @@
 
 /// Announced slots below which no slot is reserved as headroom: one slot would be too large a share of the total.
 inline constexpr std::uint32_t minSlotsForHeadroom = 16;
-/// Initial concurrency limit of a new backend server, as a share of its announced slots.
+/// Initial concurrency limit of a new backend server with the ramp `count`, as a share of its announced slots.
 inline constexpr double coldStartShare = 0.125;
+/// Initial bound of the ramp `answers`: a share of the announced slots, but at least two, since a single response says little.
+inline constexpr double answersStartShare = 1.0 / 16;
+inline constexpr double minAnswersBound = 2;
+/// Ratio of a round's average service time to the reference up to which the round counts as fast. Nearly full servers take
+/// 1.3 times as long, which must not stop the ramp.
+inline constexpr double fastRoundRatio = 1.5;
+/// Growth of the bound by a fast round after a step back.
+inline constexpr double carefulGrowth = 0.125;
+/// Slow rounds for which the bound is held before a lower one is tried.
+inline constexpr std::uint32_t heldRounds = 4;
+/// Ratio of the averages at half the bound and at the bound from which the bound is not the cause of slow responses.
+inline constexpr double unchangedRoundRatio = 0.8;
+/// Share of a round that may fail before the bound is lowered. Without it, a route that fails now and then would keep the
+/// bound low.
+inline constexpr double tolerableFailureShare = 0.1;
+/// Weight of a response in the usual service time of a backend server.
+inline constexpr double usualServiceTimeWeight = 0.002;
+/// Failures without a complete response in between after which a backend server counts as one that does not respond. A reused
+/// connection that was just closed causes one or two.
+inline constexpr std::uint32_t failuresWithoutResponse = 3;
 /// Share of the concurrency limit that must be in use for a sample to raise it.
 inline constexpr double limitInUseThreshold = 0.8;
 /// Multiplicative decrease of a concurrency limit when its strategy backs off.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -65,7 +65,7 @@
     }
     auto run = it->second;
     auto held = now - run.started;
-    LimitSample sample { std::max(Duration(0), held - result.nestedTime), run.queueDelay, running(), result.outcome };
+    LimitSample sample { std::max(Duration(0), held - result.nestedTime), run.queueDelay, running(), result.outcome, held };
     m_running.erase(it);
     m_limit->onSample(sample, now);
     if (result.outcome == RunOutcome::Ok || result.outcome == RunOutcome::Timeout) {
@@ -153,9 +153,9 @@
     m_limit->setCapacity(slots, connections);
 }
 
-void Admission::beginColdStart()
+bool Admission::beginColdStart(RampCause cause, TimePoint now)
 {
-    m_limit->beginColdStart();
+    return m_limit->beginColdStart(cause, now);
 }
 
 void Admission::setLeaving(bool leaving)
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -85,8 +85,13 @@
 
     void setCapacity(std::uint32_t slots, std::uint32_t connections);
 
-    /// Lowers the limit after a restart of the backend server, which may be slow at first.
-    void beginColdStart();
+    /// Lowers the limit, for instance after a restart of the backend server, where the start ramp provides for \p cause. That
+    /// the server fails or responds again is detected in finish().
+    /// \returns whether the limit was lowered.
+    bool beginColdStart(RampCause cause, TimePoint now);
+
+    /// \returns the ramp that bounds the limit after a start.
+    const StartRamp& ramp() const { return m_limit->ramp(); }
 
     /// While leaving, new requests are refused; queued and running requests are completed.
     void setLeaving(bool leaving);
--- a/src/core/limit.cpp
+++ b/src/core/limit.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cassert>
 
 namespace pw {
 namespace {
@@ -25,22 +26,27 @@
         return std::max(1U, std::min(slots, connections));
     }
 
-    double initialColdStartLimit(double capacity)
+    std::unique_ptr<StartRamp> rampFrom(const LimitSettings& settings, double capacity)
     {
-        return std::clamp(capacity * config::coldStartShare, 1.0, capacity);
+        auto ramp = makeStartRamp(settings.start.empty() ? defaultStartRampName() : settings.start, capacity);
+        assert(ramp);
+        return ramp;
     }
 
 } // namespace
 
 Limit::Limit(const LimitSettings& settings)
     : m_capacity(capacityOf(settings.slots, settings.connections))
-    , m_coldStartLimit(settings.coldStart ? initialColdStartLimit(m_capacity) : m_capacity)
+    , m_ramp(rampFrom(settings, m_capacity))
 {
+    if (settings.coldStart) {
+        m_ramp->begin(m_capacity, {});
+    }
 }
 
 std::uint32_t Limit::current() const
 {
-    return static_cast<std::uint32_t>(std::max(1.0, std::min({ strategyLimit(), m_coldStartLimit, m_capacity })));
+    return static_cast<std::uint32_t>(std::max(1.0, std::min({ strategyLimit(), m_ramp->bound(), m_capacity })));
 }
 
 void Limit::onSample(const LimitSample& sample, TimePoint now)
@@ -48,25 +54,29 @@
     if (sample.outcome == RunOutcome::Cancelled) {
         return;
     }
-    updateColdStartLimit(sample);
+    m_ramp->onSample(sample, now);
     onFinishedRun(sample, now);
+    watchResponses(sample, now);
 }
 
 void Limit::setCapacity(std::uint32_t slots, std::uint32_t connections)
 {
     auto capacity = capacityOf(slots, connections);
-    if (m_coldStartLimit >= m_capacity) {
-        // After the cold start, an increased capacity applies immediately.
-        m_coldStartLimit = capacity;
-    }
+    m_ramp->setCapacity(capacity);
     rescale(capacity / m_capacity);
     m_capacity = capacity;
-    m_coldStartLimit = std::min(m_coldStartLimit, capacity);
 }
 
-void Limit::beginColdStart()
+bool Limit::beginColdStart(RampCause cause, TimePoint now)
 {
-    m_coldStartLimit = initialColdStartLimit(m_capacity);
+    if (!m_ramp->appliesTo(cause)) {
+        return false;
+    }
+    m_ramp->begin(m_capacity, now);
+    if (m_ramp->replacesStrategy()) {
+        reset();
+    }
+    return true;
 }
 
 bool Limit::isLimitInUse(const LimitSample& sample) const
@@ -74,12 +84,13 @@
     return sample.running >= config::limitInUseThreshold * current();
 }
 
-void Limit::updateColdStartLimit(const LimitSample& sample)
+/// The bound is lowered as soon as the server fails, not only when it responds again: it may then get as many requests as the
+/// limit allows before the first response.
+void Limit::watchResponses(const LimitSample& sample, TimePoint now)
 {
-    if (sample.outcome == RunOutcome::Ok) {
-        m_coldStartLimit = std::min(m_capacity, m_coldStartLimit + 1);
-    } else if (m_coldStartLimit < m_capacity) {
-        m_coldStartLimit = std::max(initialColdStartLimit(m_capacity), m_coldStartLimit / 2);
+    const auto change = m_monitor.onSample(sample, now);
+    if (change != ResponseChange::None) {
+        beginColdStart(change == ResponseChange::Stopped ? RampCause::Failing : RampCause::Recovered, now);
     }
 }
 
--- a/src/core/limit.h
+++ b/src/core/limit.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/limit_sample.h"
+#include "core/start_ramp.h"
 #include "core/types.h"
 
 #include <cstdint>
@@ -9,34 +11,16 @@
 
 namespace pw {
 
-/// Outcome of a run at a backend server, as used by concurrency limits and pickers.
-enum class RunOutcome : std::uint8_t {
-    Ok, ///< Complete answer.
-    Failed, ///< The connection was closed, or the answer was truncated or malformed.
-    Timeout, ///< No answer by the deadline.
-    Refused, ///< The backend server reported that it did not run the request.
-    Cancelled, ///< The caller disconnected; implies nothing about the backend server.
-    Count
-};
-
-/// Measurements of one finished run, from which a concurrency limit adapts.
-struct LimitSample {
-    Duration serviceTime { 0 }; ///< Time at the backend server, excluding time spent waiting for nested calls.
-    Duration queueDelay { 0 }; ///< Time in the daemon's queue before the run.
-    std::uint32_t running = 0; ///< Concurrent runs at the backend server when this one ended, including itself.
-    RunOutcome outcome = RunOutcome::Ok;
-};
-
 /// Initial settings of a concurrency limit.
 struct LimitSettings {
     std::uint32_t slots = 1; ///< Announced by the backend server.
     std::uint32_t connections = 1;
-    bool coldStart = true; ///< Start with a low limit that rises with each complete answer.
+    bool coldStart = true; ///< Start with a low limit that the ramp raises.
+    std::string_view start {}; ///< One of startRampNames(); empty: the default.
 };
 
 /// Base of the concurrency limit strategies: how many requests the backend server beside this daemon may run at once.
-/// The limit never exceeds the announced slots and connections; that of a new server starts low and rises with each
-/// complete answer.
+/// The limit never exceeds the announced slots and connections; that of a new server starts low and is raised by a StartRamp.
 class Limit {
 public:
     explicit Limit(const LimitSettings& settings);
@@ -54,8 +38,12 @@
     /// Applies a new announcement of the backend server; the limit is scaled with the capacity.
     void setCapacity(std::uint32_t slots, std::uint32_t connections);
 
-    /// Restarts with a low limit: the backend server was restarted and may be slow at first.
-    void beginColdStart();
+    /// Restarts with a low limit where the ramp provides for \p cause.
+    /// \returns whether it does.
+    bool beginColdStart(RampCause cause, TimePoint now);
+
+    /// \returns the ramp that bounds the limit after a start.
+    const StartRamp& ramp() const { return *m_ramp; }
 
 protected:
     /// \returns the limit that the strategy computes, before current() bounds it.
@@ -64,6 +52,8 @@
     virtual void onFinishedRun(const LimitSample& sample, TimePoint now) = 0;
     /// Scales the strategy's limit after the capacity changed by \p factor.
     virtual void rescale(double /*factor*/) { }
+    /// Forgets what the strategy has learned of a backend server that has failed or is replaced.
+    virtual void reset() { }
 
     /// \returns the announced capacity: the smaller of slots and connections.
     double capacity() const { return m_capacity; }
@@ -71,10 +61,11 @@
     bool isLimitInUse(const LimitSample& sample) const;
 
 private:
-    void updateColdStartLimit(const LimitSample& sample);
+    void watchResponses(const LimitSample& sample, TimePoint now);
 
     double m_capacity;
-    double m_coldStartLimit; ///< Upper bound during cold start; equals m_capacity afterwards.
+    std::unique_ptr<StartRamp> m_ramp;
+    ResponseMonitor m_monitor;
 };
 
 /// \returns a limit with the strategy \p name, or null if there is no such strategy.
--- a/src/core/limit_aimd.cpp
+++ b/src/core/limit_aimd.cpp
@@ -20,6 +20,7 @@
     protected:
         double strategyLimit() const override { return m_limit; }
         void rescale(double factor) override { m_limit = std::max(1.0, m_limit * factor); }
+        void reset() override { m_limit = capacity(); }
 
         void onFinishedRun(const LimitSample& sample, TimePoint now) override
         {
--- a/tests/unit/limit_test.cpp
+++ b/tests/unit/limit_test.cpp
@@ -41,9 +41,9 @@
     auto limit = pw::makeLimit(name, {});
     limit->setCapacity(80, 1000);
     BOOST_TEST(limit->current() == 80U);
-    limit->beginColdStart();
-    BOOST_TEST(limit->current() <= 10U);
     TimePoint now {};
+    BOOST_TEST(limit->beginColdStart(pw::RampCause::Started, now));
+    BOOST_TEST(limit->current() <= 10U);
     feed(*limit, now, 70, RunOutcome::Ok);
     BOOST_TEST(limit->current() == 80U);
 }
