--- a/src/app/settings_changes.cpp
+++ b/src/app/settings_changes.cpp
@@ -50,6 +50,7 @@
         SettingRow { "secrets.operator", &Settings::operatorSecretFile },
         SettingRow { "warmUp", &Settings::warmUp },
         SettingRow { "limit.strategy", &Settings::limitStrategy },
+        SettingRow { "limit.start", &Settings::limitStart },
         SettingRow { "limit.headroom", &Settings::limitHeadroom },
         SettingRow { "log.level", &Settings::logLevel },
         SettingRow { "log.file", &Settings::logFile },
