Limit and probe cold backend servers from the server role

Announcements, new starts and lost connections feed Admission's WarmUp; the server role probes a server while its state is unknown and publishes the rate in its entry.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -117,6 +117,7 @@
     if (m_server) {
         m_metrics->addServerGauges(*m_server);
         m_server->runFinished().connect([this](const RunRecord& record) { m_metrics->count(record); });
+        m_server->heldBack().connect([this](WarmUpOutcome outcome) { m_metrics->count(outcome); });
     }
     m_metrics->addLinkGauges(m_network.traffic());
     m_reporter = std::make_unique<DaemonReporter>(m_settings, *m_session, *m_view, m_timers, m_server.get());
@@ -167,6 +168,9 @@
     std::ranges::transform(m_session->deployment().workspaces, std::inserter(rates, rates.end()),
         [](const Workspace& it) { return std::pair(it.name, it.rate); });
     m_server->setWorkspaceWeights(std::move(rates));
+    if (m_session->version() > 0) {
+        m_server->setServices(m_session->deployment().services);
+    }
 }
 
 void Daemon::stop()
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -65,6 +65,12 @@
     observe(Metric::BackendRun, { { "route", record.route } }, record.run);
 }
 
+void DaemonMetrics::count(WarmUpOutcome outcome)
+{
+    const auto& info = metricInfo(Metric::BackendWarmUpRequests);
+    m_metrics.counter(info.name, info.help, { { "outcome", outcome == WarmUpOutcome::Waited ? "waited" : "refused" } }).add();
+}
+
 void DaemonMetrics::observe(Metric metric, const MetricLabels& labels, Duration time)
 {
     const auto& info = metricInfo(metric);
@@ -82,6 +88,9 @@
     gauge(Metric::BackendLimit, &LoadHint::limit);
     const auto& rate = metricInfo(Metric::BackendRateLimit);
     m_metrics.gauge(rate.name, rate.help, {}, [&server] { return server.rateLimit().value_or(std::numeric_limits<double>::infinity()); });
+    const auto& warmUpRate = metricInfo(Metric::BackendWarmUpRate);
+    m_metrics.gauge(warmUpRate.name, warmUpRate.help, {},
+        [&server] { return server.warmUpRate().value_or(std::numeric_limits<double>::infinity()); });
 }
 
 void DaemonMetrics::addLinkGauges(const LinkTrafficTable& traffic)
--- a/src/app/daemon_metrics.h
+++ b/src/app/daemon_metrics.h
@@ -23,6 +23,9 @@
     /// Records a finished run at the backend server.
     void count(const RunRecord& record);
 
+    /// Records a request that was held back by the warm-up rate of the backend server.
+    void count(WarmUpOutcome outcome);
+
     /// Adds gauges for the load of \p server, which must outlive this object.
     void addServerGauges(const ServerRole& server);
 
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -16,6 +16,8 @@
     BackendQueued,
     BackendLimit,
     BackendRateLimit,
+    BackendWarmUpRate,
+    BackendWarmUpRequests,
     LinkSentBytes,
     LinkReceivedBytes,
     LinkSentFrames,
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -68,6 +68,7 @@
     , m_settings(settings)
     , m_client(loop, timers, protocol)
     , m_admission(limitFrom(settings))
+    , m_warmUp({ timers, log, protocol, settings, m_client, m_admission.warmUp() })
     , m_demand(board)
     , m_contexts(randomToken)
 {
@@ -79,6 +80,8 @@
     m_entry.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
     network.onMessage(MessageKind::Call, [this](const PeerAddress& from, std::span<const std::byte> message) { onCall(from, message); });
     network.onMessage(MessageKind::Cancel, [this](const PeerAddress& from, std::span<const std::byte> message) { onCancel(from, message); });
+    m_warmUp.rateChanged().connect([this] { publish(); });
+    m_warmUp.limitLifted().connect([this] { processQueue(); });
     network.onLost([this](const PeerAddress& peer) { onPeerLost(peer); });
 }
 
@@ -121,6 +124,12 @@
     if (announcement.leaving) {
         onServerLeaving();
     }
+    const auto started = isNewStart || isReturn ? std::optional(UnknownCause::BackendStarted) : std::nullopt;
+    m_warmUp.onAnnounced({ announcement.service, announcement.instance, announcement.connections, announcement.warmUpTime },
+        isFirst ? std::optional(UnknownCause::DaemonStarted) : started);
+    if (m_entry.leaving) {
+        m_warmUp.pause();
+    }
     if (changed) {
         m_admission.setCapacity(usableSlots(announcement.slots), announcement.connections);
         // A server that announces its warm-up time adjusts its slots itself and needs no cold start limit.
@@ -185,6 +194,7 @@
         return;
     }
     m_announced = false;
+    m_warmUp.pause();
     if (m_entry.leaving) {
         return;
     }
@@ -222,6 +232,7 @@
         return;
     }
     m_entry.leaving = true;
+    m_warmUp.pause();
     PW_EVENT(m_log, Event::BackendLeft, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance }, { "pending", m_calls.size() });
     publish();
     m_stopAdmittingAt = m_timers.now() + leaveGrace();
@@ -250,6 +261,7 @@
         return;
     }
     ++m_entry.sequence;
+    m_entry.warmUpRate = m_warmUp.rate();
     // Identify the start as gone only when it announced that it leaves. A server that missed its announcements, or whose
     // daemon stops, may come back.
     m_entry.backendIncarnation = !m_entry.leaving || m_serverLeft ? m_backendId : 0;
@@ -357,7 +369,11 @@
 {
     const auto& work = m_calls.at(id);
     AdmissionItem item { id, work.call.rank, work.call.nested, work.call.workspace, work.deadline };
+    const auto limited = !m_admission.warmUp().hasToken(m_timers.now());
     auto result = m_admission.offer(item, m_timers.now());
+    if (limited && result.outcome != AdmissionOutcome::Started) {
+        recordHeldBack(result.outcome == AdmissionOutcome::Queued ? WarmUpOutcome::Waited : WarmUpOutcome::Refused);
+    }
     if (result.outcome == AdmissionOutcome::Started) {
         startRun(id);
     } else if (result.outcome == AdmissionOutcome::Refused) {
@@ -365,6 +381,12 @@
     }
 }
 
+void ServerRole::recordHeldBack(WarmUpOutcome outcome)
+{
+    m_warmUp.recordHeldBack(outcome);
+    m_heldBack.emit(outcome);
+}
+
 HttpRequest ServerRole::requestFor(std::uint64_t id, const PendingCall& work) const
 {
     return m_protocol.request({ work.call, exchangeId(id), m_lastAnnouncement.instance, work.token,
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -3,6 +3,7 @@
 #include "adapters/backend_client.h"
 #include "app/request_record.h"
 #include "app/settings.h"
+#include "app/warm_up_monitor.h"
 #include "core/admission.h"
 #include "core/call.h"
 #include "core/context_table.h"
@@ -18,6 +19,7 @@
 #include <map>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace pw {
 
@@ -71,12 +73,17 @@
     /// Sets the weights by which workspaces share this server.
     void setWorkspaceWeights(std::map<std::string, double> rates);
 
+    /// Applies the services of the configuration in force.
+    void setServices(std::vector<Service> services) { m_warmUp.setServices(std::move(services)); }
+
     ContextTable& contexts() { return m_contexts; }
     /// Records a nested call made by the backend server.
     void recordNestedCall(const std::string& route) { m_demand.nestedCallSent(route); }
     /// Emitted with the context token of a request that has ended. Its remaining nested calls are orphaned.
     sigc::signal<void(const std::string& token)>& contextClosed() { return m_contextClosed; }
     sigc::signal<void(const RunRecord&)>& runFinished() { return m_runFinished; }
+    /// Emitted for each request that is held back by the warm-up rate of the backend server.
+    sigc::signal<void(WarmUpOutcome)>& heldBack() { return m_heldBack; }
     /// \returns the number of queued and running calls.
     std::size_t pending() const { return m_calls.size(); }
     /// \returns the backend server's entry in the membership view, as last published.
@@ -84,6 +91,8 @@
     LoadHint load() const;
     /// \returns the requests per second that the backend server states as its limit; empty if it states none.
     std::optional<double> rateLimit() const { return m_admission.rate().limit(); }
+    /// \returns the requests per second that the backend server gets at most because it is cold or may be; empty while warm.
+    std::optional<double> warmUpRate() const { return m_admission.warmUp().rate(m_timers.now()); }
 
 private:
     using CallKey = std::pair<PeerAddress, std::uint64_t>;
@@ -125,6 +134,7 @@
     void refuse(std::uint64_t id, Refusal refusal);
     void answer(std::uint64_t id, Answer answer);
     void processQueue();
+    void recordHeldBack(WarmUpOutcome outcome);
     void renewLease();
     void onLeaseExpired();
     void publish();
@@ -142,6 +152,7 @@
     const Settings& m_settings;
     BackendClient m_client;
     Admission m_admission;
+    WarmUpMonitor m_warmUp;
     ServerDemand m_demand;
     int m_priceStep = 0; ///< Logarithmic step of the last reported price; zero while slots are not scarce.
     TimePoint m_priceReported {};
@@ -165,6 +176,7 @@
     std::map<CallKey, std::uint64_t> m_idsByKey;
     sigc::signal<void(const std::string& token)> m_contextClosed;
     sigc::signal<void(const RunRecord&)> m_runFinished;
+    sigc::signal<void(WarmUpOutcome)> m_heldBack;
 };
 
 } // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -89,15 +89,20 @@
 inline constexpr std::size_t maxSkippedAnswers = 3;
 /// Time limit to connect to the backend server beside a daemon.
 inline constexpr milliseconds backendConnectTimeout { 500 };
-/// Time limit of a health request to a backend server, and the minimum interval between two.
-inline constexpr milliseconds probeTimeout { 500 };
-inline constexpr milliseconds probeInterval { 200 };
 /// Time without any response from a backend server after which a timed out request counts as a lost connection. A shorter
 /// silence occurs when requests with short deadlines time out at a slow server.
 inline constexpr milliseconds backendSilence { 500 };
 /// Interval at which the warm-up state is checked for changes that come with time only, and at most as long until a limit
 /// because of a lost connection is published: most last only until the first probe is answered.
 inline constexpr milliseconds warmUpCheckInterval { 50 };
+/// Share of the additional requests in the settings (warmUp.extra) that a backend server gets per second, with the rest as
+/// slack, while no configuration has been received: it is within the bound whatever rate the configuration states.
+inline constexpr double unconfiguredWarmUpShare = 0.5;
+/// Age from which an announcement cannot be on its way any more. The first one that arrives as long after the start of the
+/// daemon tells the state of the backend server when no configuration says how to probe it.
+inline constexpr milliseconds maxAnnouncementDelay { 5000 };
+/// Minimum interval between two log lines on failed probes of one backend server.
+inline constexpr milliseconds probeLogInterval { 1000 };
 /// Relative change of a warm-up rate that is published.
 inline constexpr double warmUpRateStep = 0.1;
 /// Deadline of a route whose configuration sets none.
