Start requests to a cold server within its warm-up rate; use other servers first

Admission starts a request only with a token from both rates, and its queue length, expected wait, Retry-After time, capacity and wake time follow the smaller one. The picker uses a warming server only when the least loaded of the others is loaded and the warming server's rate is not exhausted. A recent load hint is more recent than the membership view, so it decides for two seconds. Without a hint from the warm-up the requests of other daemons are unknown, so at most two are outstanding then.

--- a/src/config.h
+++ b/src/config.h
@@ -240,6 +240,8 @@
 inline constexpr double localityLoadTolerance = 0.3;
 /// Age from which the running and queued counts of a load hint are ignored.
 inline constexpr milliseconds loadHintLifetime { 500 };
+/// Age up to which a load hint decides whether a backend server is warming up; then the membership view does.
+inline constexpr milliseconds warmUpHintLifetime { 2000 };
 /// Upper bound of the assumed concurrency limit of a backend server that has not sent a load hint.
 inline constexpr std::uint32_t maxOutstandingBeforeHint = 2;
 /// Consecutive failures after which a backend server is ejected.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -49,7 +49,7 @@
         recordShed(item.rank, now);
         return { AdmissionOutcome::Refused, refusal(Reason::Overloaded, now) };
     }
-    if (!item.nested && m_queue.roots() >= queueCapacity(m_hasStandingQueue) && !evictForNewcomer(item, now)) {
+    if (!item.nested && m_queue.roots() >= queueCapacity(m_hasStandingQueue, now) && !evictForNewcomer(item, now)) {
         recordShed(item.rank, now);
         return { AdmissionOutcome::Refused, refusal(Reason::Overloaded, now) };
     }
@@ -91,6 +91,7 @@
 
 AdmissionWork Admission::poll(TimePoint now)
 {
+    m_polledAt = now;
     updateAdmissionFloor(now);
     AdmissionWork work;
     work.shed.swap(m_shed);
@@ -121,7 +122,7 @@
         return std::nullopt;
     }
     auto wake = *earliest - scaled(m_serviceTime.estimate(*earliest), config::requiredServiceTimeShare);
-    if (auto token = m_rate.nextToken(); token && running() < m_limit->current()) {
+    if (auto token = nextToken(); token && running() < m_limit->current()) {
         wake = std::min(wake, *token);
     }
     return wake;
@@ -129,20 +130,38 @@
 
 LoadHint Admission::loadHint(TimePoint now) const
 {
-    const auto limit = m_rate.limit();
-    return { running(), queued(), m_limit->current(), m_floor, m_leaving, limit, limit ? m_offered.rate(now) : 0 };
+    LoadHint hint { running(), queued(), m_limit->current(), m_floor, m_leaving };
+    hint.requestsPerSecond = m_rate.limit();
+    hint.warmUpRate = m_warmUp.rate(now).value_or(0);
+    hint.offeredPerSecond = requestRate(now) ? m_offered.rate(now) : 0;
+    return hint;
 }
 
 double Admission::capacity(TimePoint now) const
 {
     const auto announced = m_limit->announced();
-    if (!m_rate.limit()) {
+    const auto rate = requestRate(now);
+    if (!rate) {
         return announced;
     }
-    const auto busy = *m_rate.limit() * std::chrono::duration<double>(m_serviceTime.estimate(now)).count();
+    const auto busy = *rate * std::chrono::duration<double>(m_serviceTime.estimate(now)).count();
     return std::clamp(busy, 1.0, announced);
 }
 
+/// \returns the smaller of the rates that limit the requests to the backend server; empty if there is none.
+std::optional<double> Admission::requestRate(TimePoint now) const
+{
+    const auto stated = m_rate.limit();
+    const auto warmUp = m_warmUp.rate(now);
+    return stated && warmUp ? std::min(stated, warmUp) : std::max(stated, warmUp);
+}
+
+/// \returns when both rates allow the next request; empty if there is no limit.
+std::optional<TimePoint> Admission::nextToken() const
+{
+    return std::max(m_rate.nextToken(), m_warmUp.nextToken(m_polledAt));
+}
+
 Duration Admission::expectedNestedWait(TimePoint now) const
 {
     return waitOfTurn(m_queue.size() - m_queue.roots(), now);
@@ -172,6 +191,7 @@
 {
     assert(!m_running.contains(item.id));
     m_rate.takeToken(now);
+    m_warmUp.takeToken(now);
     m_running.emplace(item.id, Running { now, now - queuedAt });
     recordStart(item.rank, now);
 }
@@ -191,12 +211,12 @@
 Duration Admission::waitOfTurn(std::size_t turn, TimePoint now) const
 {
     const auto forSlot = scaled(m_serviceTime.estimate(now), static_cast<double>(turn) / m_limit->current());
-    return std::max(forSlot, m_rate.timeToSend(turn, now));
+    return std::max({ forSlot, m_rate.timeToSend(turn, now), m_warmUp.timeToSend(turn, now) });
 }
 
 bool Admission::canStart(TimePoint now) const
 {
-    return running() < m_limit->current() && m_rate.hasToken(now);
+    return running() < m_limit->current() && m_rate.hasToken(now) && m_warmUp.hasToken(now);
 }
 
 bool Admission::evictForNewcomer(const AdmissionItem& item, TimePoint now)
@@ -207,19 +227,20 @@
         return true;
     }
     // A workspace that sends rarely may keep one request queued beyond the standing bound, so that it does not miss its turn.
-    return !m_queue.isWaiting(item) && m_queue.roots() < queueCapacity(false);
+    return !m_queue.isWaiting(item) && m_queue.roots() < queueCapacity(false, now);
 }
 
-std::size_t Admission::queueCapacity(bool standing) const
+std::size_t Admission::queueCapacity(bool standing, TimePoint now) const
 {
     auto share = standing ? config::standingQueueRatio : config::burstQueueRatio;
     auto least = standing ? config::minStandingQueue : config::minBurstQueue;
     const auto bySlots = std::max(least, static_cast<std::size_t>(std::ceil(m_limit->current() * share)));
-    if (!m_rate.limit()) {
+    const auto rate = requestRate(now);
+    if (!rate) {
         return bySlots;
     }
     const std::chrono::duration<double> time = standing ? config::pacedStandingQueue : config::pacedBurstQueue;
-    return static_cast<std::size_t>(std::min(*m_rate.limit() * time.count(), static_cast<double>(bySlots)));
+    return static_cast<std::size_t>(std::min(*rate * time.count(), static_cast<double>(bySlots)));
 }
 
 void Admission::updateQueueState(TimePoint now)
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -107,7 +107,7 @@
     std::uint32_t queued() const { return static_cast<std::uint32_t>(m_queue.size()); }
     std::uint32_t limit() const { return m_limit->current(); }
     /// \returns how many requests the backend server can run at once: the smaller of its announced slots and connections, and
-    /// of what its rate limit keeps busy.
+    /// of what its rate limit or its warm-up rate keeps busy.
     double capacity(TimePoint now) const;
 
 private:
@@ -122,7 +122,9 @@
     Duration expectedWait(const AdmissionItem& item, TimePoint now) const;
     bool evictForNewcomer(const AdmissionItem& item, TimePoint now);
     bool canStart(TimePoint now) const;
-    std::size_t queueCapacity(bool standing) const;
+    std::size_t queueCapacity(bool standing, TimePoint now) const;
+    std::optional<double> requestRate(TimePoint now) const;
+    std::optional<TimePoint> nextToken() const;
     void updateQueueState(TimePoint now);
     Refusal refusal(Reason reason, TimePoint now) const;
     void recordShed(const Rank& rank, TimePoint now);
@@ -141,6 +143,7 @@
     std::optional<TimePoint> m_nonEmptySince; ///< When the queue last became non-empty; empty while the queue is.
     bool m_hasStandingQueue = false; ///< Whether the queue persists beyond a burst, so that it adds delay but no throughput.
     TimePoint m_lastShed {};
+    TimePoint m_polledAt {}; ///< Time of the last poll().
 
     /// Numbers of started and shed requests of one importance in the current interval.
     struct Tally {
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <ranges>
 #include <utility>
@@ -19,7 +20,7 @@
 std::optional<std::size_t> Picker::pick(const std::vector<ServerEntry>& servers, const PickContext& context, TimePoint now)
 {
     PickState state { servers, slowThreshold(servers), now };
-    auto all = usable(state, context);
+    auto all = withoutWarming(state, usable(state, context));
     if (all.empty()) {
         return std::nullopt;
     }
@@ -142,6 +143,29 @@
     return answered.empty() ? candidates : answered;
 }
 
+/// \returns the candidates that are not warming up. Only when even the least loaded of them is loaded, those warming servers
+/// whose rate is not exhausted are returned instead.
+Picker::Candidates Picker::withoutWarming(const PickState& state, Candidates candidates) const
+{
+    const auto isWarming = [&](std::size_t n) {
+        const auto& server = state.servers[n];
+        return warmUpRate(server, observation(server.name), state.now) > 0;
+    };
+    const auto loadOf = [&](std::size_t n) { return load(state, n); };
+    auto warming = std::ranges::stable_partition(candidates, std::not_fn(isWarming));
+    if (warming.empty()) {
+        return candidates;
+    }
+    Candidates withRoom;
+    std::ranges::copy_if(warming, std::back_inserter(withRoom), [&](std::size_t n) { return loadOf(n) < 1; });
+    const Candidates others(candidates.begin(), warming.begin());
+    if (others.empty()) {
+        return withRoom.empty() ? candidates : withRoom;
+    }
+    const auto least = std::ranges::min(others | std::views::transform(loadOf));
+    return withRoom.empty() || least < config::loadedThreshold ? others : withRoom;
+}
+
 std::size_t Picker::pickLessLoaded(const PickState& state, const Candidates& candidates)
 {
     if (candidates.size() == 1) {
@@ -172,20 +196,41 @@
     }
     // A server without answers and calls counts as unloaded. Otherwise it would never get a first request while others are idle.
     const auto added = observed.hint || busy > 0 ? 1.0 : 0.0;
-    return std::max((busy + added) / limit, rateLoad(observed, state.now)) * slowPenalty(observed, state);
+    const auto stated = observed.hint && observed.hint->requestsPerSecond ? rateLoad(observed, *observed.hint->requestsPerSecond, state.now) : 0;
+    const auto byRate = std::max(stated, warmUpLoad(entry, observed, state.now));
+    return std::max((busy + added) / limit, byRate) * slowPenalty(observed, state);
 }
 
-/// \returns the rate of requests for a server with a rate limit, relative to the limit; zero for one without.
-double Picker::rateLoad(const Observation& observed, TimePoint now)
+/// \returns the rate of requests for a server that has sent a load hint, relative to \p rate.
+double Picker::rateLoad(const Observation& observed, double rate, TimePoint now)
 {
-    if (!observed.hint || !observed.hint->requestsPerSecond) {
-        return 0;
-    }
     const std::chrono::duration<double> window = config::offeredRateWindow;
     const std::chrono::duration<double> age = now - observed.hintReceivedAt;
     // Without the decay, a server that is avoided would never be asked whether its limit still holds.
     const auto offered = observed.hint->offeredPerSecond * std::exp(-age / window) + observed.sentSinceHint / window.count();
-    return offered / std::max(*observed.hint->requestsPerSecond, config::minBackendRate);
+    return offered / std::max(rate, config::minBackendRate);
+}
+
+/// \returns the rate of a server that is warming up, otherwise zero.
+double Picker::warmUpRate(const ServerEntry& server, const Observation& observed, TimePoint now)
+{
+    // An answer is more recent than the membership view, until the server has not been used for some time.
+    const auto isRecent = observed.hint && now - observed.hintReceivedAt < config::warmUpHintLifetime;
+    return isRecent ? observed.hint->warmUpRate : server.warmUpRate;
+}
+
+/// \returns the rate of requests for a server that is warming up, relative to its warm-up rate; zero for others.
+double Picker::warmUpLoad(const ServerEntry& server, const Observation& observed, TimePoint now)
+{
+    const auto rate = warmUpRate(server, observed, now);
+    if (rate <= 0) {
+        return 0;
+    }
+    if (observed.hint && observed.hint->warmUpRate > 0) {
+        return rateLoad(observed, rate, now);
+    }
+    // Without a hint from the warm-up, the requests of other daemons are unknown, so that only few are sent before the first answer.
+    return static_cast<double>(observed.outstanding) / config::maxOutstandingBeforeHint;
 }
 
 double Picker::slowThreshold(const std::vector<ServerEntry>& servers) const
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -25,7 +25,8 @@
 
 /// Picks the backend server for a call: the less loaded of two random choices, where load is relative to the concurrency
 /// limit. Servers in the own failure domain and region are preferred until they are loaded. Failing servers are ejected and
-/// probed again, slow servers get a load penalty, and new servers get few requests until they have answered.
+/// probed again, slow servers get a load penalty, and new servers get few requests until they have answered. Servers that warm
+/// up are used only for what the others cannot take, within their warm-up rate.
 class Picker {
 public:
     explicit Picker(std::uint64_t seed);
@@ -81,9 +82,12 @@
 
     Candidates usable(const PickState& state, const PickContext& context) const;
     Candidates answeredSince(TimePoint since, const PickState& state, Candidates candidates) const;
+    Candidates withoutWarming(const PickState& state, Candidates candidates) const;
     std::size_t pickLessLoaded(const PickState& state, const Candidates& candidates);
     double load(const PickState& state, std::size_t server) const;
-    static double rateLoad(const Observation& observed, TimePoint now);
+    static double rateLoad(const Observation& observed, double rate, TimePoint now);
+    static double warmUpRate(const ServerEntry& server, const Observation& observed, TimePoint now);
+    static double warmUpLoad(const ServerEntry& server, const Observation& observed, TimePoint now);
     double slowThreshold(const std::vector<ServerEntry>& servers) const;
     static double slowPenalty(const Observation& observed, const PickState& state);
     static bool reportedLeaving(const ServerEntry& server, const Observation& observed, TimePoint now);
