--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -148,6 +148,19 @@
     return m_timers.now() - m_silentSince >= config::backendSilence;
 }
 
+/// Reports a connection that the backend server has ended, unless another one shows that the server has not restarted: a
+/// server whose process ends loses all its connections. Otherwise servers that reset single connections would be probed,
+/// and limited until the answer, at each of them.
+void BackendClient::onConnectionEnded(const detail::BackendConnection* ended)
+{
+    const auto isOther = [ended](const detail::BackendConnection& it) { return &it != ended && it.connected(); };
+    const auto hasOther = std::ranges::any_of(m_running, [&](const auto& it) { return isOther(*it.second->connection); })
+        || std::ranges::any_of(m_idle, [&](const ConnectionPtr& it) { return isOther(*it); });
+    if (!hasOther || m_timers.now() - m_respondedAt >= config::backendResponsive) {
+        reportLost();
+    }
+}
+
 void BackendClient::reportLost()
 {
     m_openedAtLoss = m_opened;
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -58,8 +58,9 @@
     /// the last one was lost is not used. The handle is valid for cancel().
     std::uint64_t probe(HttpRequest request, Duration timeout, Done done);
 
-    /// Sets the handler that is called when a connection was refused, reset or closed by the backend server or has timed out,
-    /// also while it was idle, and before the result of its request is reported.
+    /// Sets the handler that is called when the backend server may have restarted: a connection was refused or has timed out, or
+    /// was reset or closed, also while it was idle, without another one showing that the server is still the same. It is called
+    /// before the result of the request is reported.
     void onConnectionLost(std::function<void()> handler) { m_connectionLost = std::move(handler); }
 
     /// Sets whether idle connections that are not reused any more are closed. Otherwise the backend server closes them, which
@@ -91,6 +92,7 @@
     void fail(std::uint64_t id, const Refusal& refusal, std::string_view detail, bool sent);
     void onTimeout(std::uint64_t id, std::string_view detail);
     bool isSilent() const;
+    void onConnectionEnded(const detail::BackendConnection* ended);
     void reportLost();
     bool closeIdleConnection(detail::BackendConnection* connection);
     void closeUnused();
@@ -105,6 +107,7 @@
     std::uint64_t m_opened = 0;
     std::function<void()> m_connectionLost;
     std::uint64_t m_openedAtLoss = 0; ///< Connections opened when the last one was lost.
+    TimePoint m_respondedAt {}; ///< Last bytes of a response.
     TimePoint m_silentSince {}; ///< Last response, or the first request since there were none.
     bool m_closeUnused = false;
     TimerId m_unusedTimer = 0;
--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -97,7 +97,8 @@
 
 void BackendConnection::readResponse()
 {
-    m_client.m_silentSince = m_client.m_timers.now();
+    m_client.m_respondedAt = m_client.m_timers.now();
+    m_client.m_silentSince = m_client.m_respondedAt;
     while (m_exchange && !m_stream.input().empty()) {
         m_stream.consume(m_reader.take(m_stream.input()));
         if (m_reader.fault() != HttpFault::None) {
@@ -155,7 +156,7 @@
     if (!m_exchange) {
         // Otherwise this side has released the connection already.
         if (m_client.closeIdleConnection(this)) {
-            m_client.reportLost();
+            m_client.onConnectionEnded(this);
         }
         return;
     }
@@ -171,7 +172,7 @@
             return;
         }
     }
-    m_client.reportLost();
+    m_client.onConnectionEnded(this);
     fail(end == StreamEnd::EndOfStream ? "connection closed before the end of the response" : "connection reset");
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -92,6 +92,9 @@
 /// Time without any response from a backend server after which a timed out request counts as a lost connection. A shorter
 /// silence occurs when requests with short deadlines time out at a slow server.
 inline constexpr milliseconds backendSilence { 500 };
+/// Time since the last response within which another open connection shows that a backend server has not restarted. At twelve
+/// requests per second, the lowest usual rate of a limited service, three gaps between requests are shorter.
+inline constexpr milliseconds backendResponsive { 300 };
 /// Interval at which the warm-up state is checked for changes that come with time only, and at most as long until a limit
 /// because of a lost connection is published: most last only until the first probe is answered.
 inline constexpr milliseconds warmUpCheckInterval { 50 };
