--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -80,7 +80,7 @@
     m_entry.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
     network.onMessage(MessageKind::Call, [this](const PeerAddress& from, std::span<const std::byte> message) { onCall(from, message); });
     network.onMessage(MessageKind::Cancel, [this](const PeerAddress& from, std::span<const std::byte> message) { onCancel(from, message); });
-    m_warmUp.rateChanged().connect([this] { publish(); });
+    m_warmUp.rateChanged().connect([this] { onWarmUpRateChanged(); });
     m_warmUp.limitLifted().connect([this] { processQueue(); });
     network.onLost([this](const PeerAddress& peer) { onPeerLost(peer); });
 }
@@ -381,6 +381,17 @@
     }
 }
 
+void ServerRole::onWarmUpRateChanged()
+{
+    const auto began = m_entry.warmUpRate == 0 && m_warmUp.rate() > 0;
+    publish();
+    if (began) {
+        // Most of the calls that were queued before can no longer run in time and are refused, so that other servers run them.
+        std::ranges::for_each(m_admission.removeAllQueued(), [this](std::uint64_t id) { admit(id); });
+        processQueue();
+    }
+}
+
 void ServerRole::recordHeldBack(WarmUpOutcome outcome)
 {
     m_warmUp.recordHeldBack(outcome);
@@ -551,8 +562,14 @@
 void ServerRole::processQueue()
 {
     auto ready = m_admission.poll(m_timers.now());
+    const auto limited = !m_admission.warmUp().hasToken(m_timers.now());
     std::ranges::for_each(ready.start, [this](std::uint64_t id) { startRun(id); });
-    std::ranges::for_each(ready.shed, [this](const ShedRequest& it) { refuse(it.id, it.refusal); });
+    std::ranges::for_each(ready.shed, [&](const ShedRequest& it) {
+        if (limited) {
+            recordHeldBack(WarmUpOutcome::Refused);
+        }
+        refuse(it.id, it.refusal);
+    });
     m_timers.cancel(std::exchange(m_wakeTimer, 0));
     if (auto wake = m_admission.nextWake()) {
         m_wakeTimer = m_timers.after(*wake - m_timers.now(), [this] {
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -134,6 +134,7 @@
     void refuse(std::uint64_t id, Refusal refusal);
     void answer(std::uint64_t id, Answer answer);
     void processQueue();
+    void onWarmUpRateChanged();
     void recordHeldBack(WarmUpOutcome outcome);
     void renewLease();
     void onLeaseExpired();
--- a/tests/unit/deployment_yaml_test.cpp
+++ b/tests/unit/deployment_yaml_test.cpp
@@ -33,7 +33,7 @@
     { "slotsPerServer: 40", "slotsPerServer: 40, healthPath: healthz", "c.yaml:2: services[0].healthPath: not a path" },
     { "slotsPerServer: 40", "slotsPerServer: 40, healthPath: '/a b'", "c.yaml:2: services[0].healthPath: not a path" },
     { "slotsPerServer: 40", "slotsPerServer: 40, warmUpTime: 3", "services[0].warmUpTime: not a time" },
-    { "slotsPerServer: 40", "slotsPerServer: 40, warmUpTime: 11m", "services[0].warmUpTime: \"11m\"" },
+    { "slotsPerServer: 40", "slotsPerServer: 40, warmUpTime: 601s", "services[0].warmUpTime: not a time" },
     { "slotsPerServer: 40", "slotsPerServer: 40, warmUpRate: 0", "services[0].warmUpRate: \"0\"; accepted: a number from 0.1" },
     { "slotsPerServer: 40", "slotsPerServer: 40, warmUpRate: -1", "services[0].warmUpRate: \"-1\"" },
     { "service: shares", "service: share", "c.yaml:5: routes[0].service: unknown service" },
@@ -100,11 +100,18 @@
     auto deployment = valid();
     deployment.workspaces.push_back({ "007", 1.0 / 3, 1e6 });
     deployment.workspaces.push_back({ "true", 12345.678, 1 });
+    deployment.services[0].healthPath = "/healthz?full=1";
+    deployment.services[0].warmUpTime = std::chrono::milliseconds(3250);
+    deployment.services[0].warmUpRate = 13.5;
     const auto text = pw::toYaml(deployment);
     std::string reason;
     auto again = pw::parseDeployment(text, reason);
     BOOST_TEST_REQUIRE(again.has_value(), reason);
     BOOST_TEST(pw::toYaml(*again) == text);
+    BOOST_TEST(again->services[0].healthPath == "/healthz?full=1");
+    BOOST_TEST((again->services[0].warmUpTime == std::chrono::milliseconds(3250)));
+    BOOST_TEST(again->services[0].warmUpRate == 13.5);
+    BOOST_TEST(again->services[1].warmUpRate == 0);
     BOOST_TEST(again->workspaces[1].name == "007");
     BOOST_TEST(again->workspaces[1].rate == 1.0 / 3);
     BOOST_TEST((again->routes[2].deadline == std::chrono::milliseconds(250)));
--- a/tests/unit/platform_configuration_test.cpp
+++ b/tests/unit/platform_configuration_test.cpp
@@ -49,6 +49,9 @@
     { R"("weight":90},{"service":"archive","weight":10})", R"("weight":0},{"service":"archive","weight":0})", "all weights are zero" },
     { R"([{"service":"guide","weight":90},{"service":"archive","weight":10}])", "[]", "weighted_backends" },
     { R"("weight":10)", R"("weight":-1)", "weight" },
+    { R"("max_connections":214)", R"("cold_per_s":"13")", "services.archive.cold_per_s: not a number in range" },
+    { R"("max_connections":214)", R"("cold_per_s":-1)", "services.archive.cold_per_s: not a number in range" },
+    { R"("max_connections":214)", R"("cold_start_s":"3")", "services.archive.cold_start_s: not a number in range" },
     { R"("public":true)", R"("public":"yes")", "routes.r-sale.public" },
     { R"("key-three")", R"("key-one")", "a key is given twice" },
     { R"(["key-three"])", R"("key-three")", "tenants.office.api_keys: not a list of strings" },
@@ -64,6 +67,32 @@
     { "]}}}", "]}}", "cannot be read in full" },
 };
 
+/// Fields of a service about cold servers, and what they mean.
+struct ColdRow {
+    const char* fields;
+    double rate;
+    std::chrono::milliseconds time;
+    const char* healthPath;
+};
+
+std::ostream& operator<<(std::ostream& out, const ColdRow& row)
+{
+    return out << row.fields;
+}
+
+const std::vector<ColdRow> coldRows {
+    { R"("health_path":"/healthz","cold_start_s":3.0,"cold_per_s":13.0)", 13, 3s, "/healthz" },
+    { R"("health_path":"/healthz","cold_per_s":13)", 13, 0ms, "/healthz" },
+    { R"("cold_start_s":2.5,"cold_per_s":0.5)", 0.5, 2500ms, "" },
+    { R"("health_path":"/healthz","cold_start_s":3,"cold_per_s":0)", 0.1, 3s, "/healthz" },
+    { R"("health_path":"/healthz","cold_start_s":0,"cold_per_s":0)", 0, 0ms, "" },
+    { R"("health_path":"/healthz","cold_start_s":null,"cold_per_s":null)", 0, 0ms, "" },
+    { R"("health_path":"/healthz","cold_start_s":3)", 0, 0ms, "" },
+    { R"("health_path":"/healthz")", 0, 0ms, "" },
+    { R"("health_path":"not a path")", 0, 0ms, "" },
+    { R"("health_path":7)", 0, 0ms, "" },
+};
+
 std::string replaced(const Row& row)
 {
     return pw::test::replaced(validText, row);
@@ -117,6 +146,17 @@
     BOOST_TEST(routeOf(document.deployment, "r-sale").idempotent);
 }
 
+/// Guards against a document without cold servers that is rejected, or treated otherwise than before, because of its health path.
+BOOST_DATA_TEST_CASE(coldServersAreLimitedOnlyWhereTheDocumentSaysSo, data::make(coldRows), row)
+{
+    const auto deployment = valid(replaced({ R"("health_path":"/healthz","max_connections":214)", row.fields, "" })).deployment;
+    const auto it = std::ranges::find(deployment.services, "archive", &pw::Service::name);
+    BOOST_TEST_REQUIRE((it != deployment.services.end()));
+    BOOST_TEST(it->warmUpRate == row.rate);
+    BOOST_TEST((it->warmUpTime == row.time));
+    BOOST_TEST(it->healthPath == row.healthPath);
+}
+
 BOOST_AUTO_TEST_CASE(limitsAndWorkspacesAreDecoded)
 {
     const auto deployment = valid().deployment;
--- a/tests/unit/platform_contract_test.cpp
+++ b/tests/unit/platform_contract_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
 #include <ostream>
 
 namespace {
@@ -116,6 +117,37 @@
     { "another server at the address", 421, { idLine }, pw::AnswerKind::WrongServer },
 };
 
+/// A response to a health request.
+struct HealthRow {
+    const char* name;
+    int status;
+    Headers headers;
+    std::optional<std::chrono::milliseconds> left;
+};
+
+std::ostream& operator<<(std::ostream& out, const HealthRow& row)
+{
+    return out << row.name;
+}
+
+const pw::HeaderLine instanceLine { "Pistachiowheel-Instance-Id", "i-7" };
+
+const std::vector<HealthRow> healthRows {
+    { "cold", 200, { instanceLine, { "Pistachiowheel-Cold-Ms", "1500" } }, 1500ms },
+    { "warm", 200, { instanceLine, { "Pistachiowheel-Cold-Ms", "0" } }, 0ms },
+    { "a fraction", 200, { instanceLine, { "Pistachiowheel-Cold-Ms", "0.25" } }, 1ms },
+    { "longer than any warm-up", 200, { instanceLine, { "Pistachiowheel-Cold-Ms", "1e300" } }, 600s },
+    { "negative", 200, { instanceLine, { "Pistachiowheel-Cold-Ms", "-1" } }, std::nullopt },
+    { "not a number", 200, { instanceLine, { "Pistachiowheel-Cold-Ms", "nan" } }, std::nullopt },
+    { "with a unit", 200, { instanceLine, { "Pistachiowheel-Cold-Ms", "15ms" } }, std::nullopt },
+    { "empty", 200, { instanceLine, { "Pistachiowheel-Cold-Ms", "" } }, std::nullopt },
+    { "twice", 200, { instanceLine, { "Pistachiowheel-Cold-Ms", "0" }, { "Pistachiowheel-Cold-Ms", "9" } }, std::nullopt },
+    { "without the time", 200, { instanceLine }, std::nullopt },
+    { "without the instance", 200, { { "Pistachiowheel-Cold-Ms", "0" } }, std::nullopt },
+    { "draining", 503, { instanceLine, { "Pistachiowheel-Cold-Ms", "0" } }, std::nullopt },
+    { "no content", 204, { instanceLine, { "Pistachiowheel-Cold-Ms", "0" } }, std::nullopt },
+};
+
 pw::Call call()
 {
     pw::Call it;
@@ -201,6 +233,28 @@
     BOOST_TEST(pw::countHeader(request.headers, "Pistachiowheel-Tenant-Id") == 0U);
 }
 
+/// Guards against a limit that is lifted by an answer which does not say that the server is warm.
+BOOST_DATA_TEST_CASE(whatAHealthResponseTells, data::make(healthRows))
+{
+    const auto report = backends.healthReport({ sample.status, sample.headers, {} });
+    BOOST_TEST_REQUIRE(report.has_value() == sample.left.has_value());
+    if (report) {
+        BOOST_TEST((report->warmUpLeft == *sample.left));
+        BOOST_TEST(report->instance == "i-7");
+    }
+}
+
+/// Guards against a late response that is taken for the answer to a later probe.
+BOOST_AUTO_TEST_CASE(healthRequestsCanBeToldApart)
+{
+    const auto first = backends.healthRequest("/healthz", "i-7").value();
+    const auto second = backends.healthRequest("/healthz", "i-7").value();
+    BOOST_TEST(first.method == "GET");
+    BOOST_TEST(first.target == "/healthz");
+    BOOST_TEST(pw::singleHeader(first.headers, "Pistachiowheel-Expect-Instance").value() == "i-7");
+    BOOST_TEST(!backends.haveSameIdentity(first, second));
+}
+
 BOOST_DATA_TEST_CASE(whatAnAnswerMeans, data::make(meaningRows))
 {
     const auto it = call();
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -78,6 +78,9 @@
     { "decisionSampling: 10", "decisionSampling: -1", "log.decisionSampling: \"-1\"; accepted: a whole number from 0 to 1000000" },
     { "decisionSampling: 10", "decisionSampling: 1e3", "log.decisionSampling: \"1e3\"" },
     { "strategy: static", "strategy: magic", "limit.strategy: \"magic\"; accepted: " },
+    { "limit:", "warmUp: { overage: 0.9 }\nlimit:", "warmUp.overage: \"0.9\"; accepted: a number from 1" },
+    { "limit:", "warmUp: { extra: -1 }\nlimit:", "warmUp.extra: \"-1\"; accepted: a number from 0" },
+    { "limit:", "warmUp: { slack: 8 }\nlimit:", "warmUp.slack: unknown key; accepted: extra, overage" },
     { "limit:", "limits:", "limits: unknown key" },
     { "log:\n", "log: [", "(text):" },
 };
@@ -98,6 +101,7 @@
     BOOST_TEST(settings->backendListenAddress == "127.0.0.1:7200");
     BOOST_TEST(settings->decisionSampling == 10U);
     BOOST_TEST(settings->limitStrategy == "static");
+    BOOST_TEST((settings->warmUp == pw::WarmUpTolerance { 1, 0 }));
 }
 
 BOOST_DATA_TEST_CASE(wrongTextIsExplained, data::make(wrongRows), row)
--- a/tests/unit/warm_up_wiring_test.cpp
+++ b/tests/unit/warm_up_wiring_test.cpp
@@ -128,7 +128,7 @@
         }
     }
 
-    /// Starts a warm server and waits until the role knows that it is warm.
+    /// Starts a warm server and waits until the role knows that it is warm and may probe again.
     void startWarm()
     {
         BOOST_REQUIRE(server.start(0ms));
@@ -136,6 +136,7 @@
         announce(0ms);
         run(20ms);
         BOOST_REQUIRE(!role.warmUpRate());
+        run(config::warmUpProbeInterval);
     }
 
     std::unique_ptr<event_base, decltype(&event_base_free)> base { event_base_new(), &event_base_free };
