--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -157,7 +157,10 @@
         return candidates;
     }
     Candidates withRoom;
-    std::ranges::copy_if(warming, std::back_inserter(withRoom), [&](std::size_t n) { return loadOf(n) < 1; });
+    std::ranges::copy_if(warming, std::back_inserter(withRoom), [&](std::size_t n) {
+        const auto& server = state.servers[n];
+        return loadOf(n) <= 1 && warmUpLoad(server, observation(server.name), state.now) < 1;
+    });
     const Candidates others(candidates.begin(), warming.begin());
     if (others.empty()) {
         return withRoom.empty() ? candidates : withRoom;
--- a/tests/unit/picker_test.cpp
+++ b/tests/unit/picker_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace data = boost::unit_test::data;
@@ -230,4 +231,72 @@
     BOOST_TEST((fleet.count(50)["s0"] == 0) == row.avoided);
 }
 
+/// Which of a warming server and another one are used.
+struct WarmUpRow {
+    const char* name;
+    double entryRate; ///< In the membership view.
+    std::optional<double> hintRate; ///< In a load hint of the warming server; empty if it has sent none.
+    pw::Duration age; ///< Of that hint.
+    double offered; ///< Requests per second for the warming server.
+    std::uint32_t running; ///< At the other server, of ten.
+    bool usesWarming;
+    bool usesOther;
+};
+
+std::ostream& operator<<(std::ostream& out, const WarmUpRow& row)
+{
+    return out << row.name;
+}
+
+const std::vector<WarmUpRow> warmUpRows {
+    { "known from the view, the other idle", 13, {}, 0s, 0, 0, false, true },
+    { "known from the view, the other below the threshold", 13, {}, 0s, 0, 6, false, true },
+    { "known from the view, the other loaded", 13, {}, 0s, 0, 8, true, false },
+    { "known from a hint, the other idle", 0, 13, 0s, 1, 0, false, true },
+    { "known from a hint, the other loaded", 0, 13, 0s, 1, 8, true, false },
+    { "exhausted, the other loaded", 0, 13, 0s, 13, 8, false, true },
+    { "exhausted, the other overloaded", 0, 13, 0s, 13, 30, false, true },
+    { "the view is later than the end", 13, 0, 0s, 0, 0, true, true },
+    { "the hint is old, the view says warm", 0, 13, 3s, 1, 0, true, true },
+    { "the hint is old, the view says cold", 13, 0, 3s, 0, 0, false, true },
+};
+
+/// Guards against load on cold servers that the others could take, and against leaving it out where they can not.
+BOOST_DATA_TEST_CASE(aWarmingServerTakesOnlyTheRest, data::make(warmUpRows), row)
+{
+    Fleet fleet(1);
+    fleet.servers.resize(2);
+    fleet.servers[0].warmUpRate = row.entryRate;
+    if (row.hintRate) {
+        fleet.picker.started("s0", fleet.now);
+        pw::LoadHint hint { .limit = 10, .offeredPerSecond = row.offered, .warmUpRate = *row.hintRate };
+        fleet.picker.finished("s0", RunOutcome::Ok, 10ms, &hint, fleet.now);
+        fleet.now += row.age;
+    }
+    fleet.picker.started("s1", fleet.now);
+    pw::LoadHint hint { .running = row.running, .limit = 10 };
+    fleet.picker.finished("s1", RunOutcome::Ok, 10ms, &hint, fleet.now);
+    auto counts = fleet.count(50);
+    BOOST_TEST((counts["s0"] > 0) == row.usesWarming);
+    BOOST_TEST((counts["s1"] > 0) == row.usesOther);
+}
+
+/// Guards against many requests to a cold server before its first answer tells how many others send, and against none at all
+/// where every server is cold.
+BOOST_AUTO_TEST_CASE(whereAllServersAreColdEachGetsFewRequestsBeforeItsFirstAnswer)
+{
+    Fleet fleet(1);
+    std::ranges::for_each(fleet.servers, [](pw::ServerEntry& it) { it.warmUpRate = 13; });
+    for (auto n = 0; n < 12; ++n) {
+        const auto server = fleet.pick();
+        BOOST_REQUIRE(!server.empty());
+        fleet.picker.started(server, fleet.now);
+    }
+    for (const auto& server : fleet.servers) {
+        BOOST_TEST(fleet.picker.outstanding(server.name) == 2U);
+        BOOST_TEST(!fleet.picker.hasCapacity(server, fleet.now));
+    }
+    BOOST_TEST(!fleet.pick().empty()); // The daemon beside the server states when to retry.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
