--- a/tests/unit/warm_up_bound_test.cpp
+++ b/tests/unit/warm_up_bound_test.cpp
@@ -27,7 +27,7 @@
 enum class Incident : std::uint8_t {
     NewStart, ///< The backend server is restarted.
     LostConnections, ///< The server becomes cold without a restart and resets its connections.
-    Announced, ///< It becomes cold without a restart; its announcement arrives at once.
+    Announced, ///< It becomes cold without a restart and goes on answering; its announcement tells.
     DaemonRestart, ///< The daemon beside it is restarted; the running requests go on.
     Suspension, ///< The VM is suspended for some seconds; the calls of that time are read at once.
     Count
@@ -36,6 +36,7 @@
 struct IncidentAt {
     Duration at;
     Incident incident;
+    Duration announcedAfter { 0 };
 };
 
 /// Load and incidents of one server beside one daemon.
@@ -63,6 +64,8 @@
     { "lost connections just after a burst", platformSettings, 100, 20, 100ms, { { 5030ms, Incident::LostConnections } } },
     { "announced just after a burst", platformSettings, 100, 20, 100ms, { { 5030ms, Incident::Announced } } },
     { "announced", platformSettings, 100, 20, 100ms, { { 5s, Incident::Announced } } },
+    { "announced a little late", platformSettings, 38, 0, 100ms, { { 5s, Incident::Announced, 400ms } } },
+    { "announced after a burst has reached the cold server", platformSettings, 30, 20, 100ms, { { 4950ms, Incident::Announced, 100ms } } },
     { "cold again and again", platformSettings, 100, 20, 100ms,
         { { 5s, Incident::NewStart }, { 7s, Incident::LostConnections }, { 9500ms, Incident::Announced }, { 12400ms, Incident::NewStart }, { 12600ms, Incident::NewStart },
             { 12800ms, Incident::LostConnections } } },
@@ -76,6 +79,12 @@
     { "small slack", { 13, 1.5, 2 }, 100, 20, 100ms, { { 5s, Incident::NewStart }, { 7s, Incident::LostConnections } } },
 };
 
+/// The heartbeat that tells of it is the next one, or is late.
+const std::vector<BoundRow> unnoticedRows {
+    { "announced by the next heartbeat", platformSettings, 38, 0, 100ms, { { 5s, Incident::Announced, 1500ms } } },
+    { "the heartbeat is late", platformSettings, 38, 0, 100ms, { { 5s, Incident::Announced, 2500ms } } },
+};
+
 constexpr auto tick = 1ms;
 constexpr auto coldTime = 3s;
 constexpr auto suspension = 1500ms;
@@ -101,6 +110,9 @@
                 if (begin + it.at == m_now) {
                     happens(it.incident);
                 }
+                if (it.incident == Incident::Announced && begin + it.at + it.announcedAfter == m_now) {
+                    m_admission.warmUp().onAnnounced(m_coldUntil - m_now, m_now);
+                }
             }
             arrive();
             if (!suspended) {
@@ -142,7 +154,6 @@
             break;
         case Incident::Announced:
             m_coldUntil = m_now + coldTime;
-            warmUp.onAnnounced(coldTime, m_now);
             break;
         case Incident::DaemonRestart:
             m_probe.reset();
@@ -244,4 +255,12 @@
     BOOST_TEST(play.served() > 0);
 }
 
+/// Guards against a server that becomes cold, goes on answering, and is sent its usual load until a heartbeat tells.
+BOOST_DATA_TEST_CASE(aServerThatBecomesColdUnnoticedIsNotOverloaded, data::make(unnoticedRows) * data::xrange(seeds), row, seed)
+{
+    ServerPlay play(row, seed + 1);
+    play.run();
+    BOOST_TEST(play.worst() <= row.settings.requestsPerSecond * row.settings.overage + row.settings.slack);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
