Keep requests away from evacuated failure domains

The picker leaves out servers whose failure domain is evacuated. The server role refuses new and queued calls of its own evacuated domain as "evacuated" (503, not run, no Retry-After time); running calls complete. The sender of a refused call leaves out that domain for the rest of the request and offers it elsewhere at once. Such an offer costs neither an attempt nor retry budget and does not count towards maxDaemonsOffered: each one excludes a domain, which bounds them. Without a server left, the request is refused at once as "evacuated" with a Retry-After time of 1 s.

Ruled out: offering the call to the next server of the same domain, as after other refusals. With five servers in the domain, four offers (the bound) would all end there when the entry daemon learns late.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -69,13 +69,13 @@
 void Daemon::makeServer()
 {
     if (m_settings.server) {
-        m_server = std::make_unique<ServerRole>(m_loop, m_settings, m_network, m_timers, m_log, *m_view, m_interface->backendProtocol(), m_demandBoard);
+        m_server = std::make_unique<ServerRole>(m_loop, m_settings, m_network, m_timers, m_log, *m_view, *m_session, m_interface->backendProtocol(), m_demandBoard);
     }
     if (!m_settings.server && !m_settings.entry) {
         return;
     }
     m_transport = std::make_unique<CallTransport>(m_network, m_timers, m_log, m_server.get(), crypto::randomNumber());
-    m_dispatcher = std::make_unique<Dispatcher>(m_settings, *m_transport, m_timers, m_log, *m_view, crypto::randomNumber());
+    m_dispatcher = std::make_unique<Dispatcher>(m_settings, *m_transport, m_timers, m_log, *m_view, *m_session, crypto::randomNumber());
 }
 
 bool Daemon::makeEntry(std::string& reason)
@@ -117,6 +117,7 @@
     if (m_server) {
         m_metrics->addServerGauges(*m_server);
         m_server->runFinished().connect([this](const RunRecord& record) { m_metrics->count(record); });
+        m_server->evacuationRefused().connect([this](const std::string& route) { m_metrics->countEvacuationRefusal(route); });
     }
     m_metrics->addLinkGauges(m_network.traffic());
     m_reporter = std::make_unique<DaemonReporter>(m_settings, *m_session, *m_view, m_timers, m_server.get());
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -65,6 +65,12 @@
     observe(Metric::BackendRun, { { "route", record.route } }, record.run);
 }
 
+void DaemonMetrics::countEvacuationRefusal(const std::string& route)
+{
+    const auto& info = metricInfo(Metric::EvacuationRefusals);
+    m_metrics.counter(info.name, info.help, { { "route", route } }).add();
+}
+
 void DaemonMetrics::observe(Metric metric, const MetricLabels& labels, Duration time)
 {
     const auto& info = metricInfo(metric);
@@ -82,6 +88,8 @@
     gauge(Metric::BackendLimit, &LoadHint::limit);
     const auto& rate = metricInfo(Metric::BackendRateLimit);
     m_metrics.gauge(rate.name, rate.help, {}, [&server] { return server.rateLimit().value_or(std::numeric_limits<double>::infinity()); });
+    const auto& evacuated = metricInfo(Metric::BackendEvacuated);
+    m_metrics.gauge(evacuated.name, evacuated.help, {}, [&server] { return server.isEvacuated() ? 1.0 : 0.0; });
 }
 
 void DaemonMetrics::addLinkGauges(const LinkTrafficTable& traffic)
--- a/src/app/daemon_metrics.h
+++ b/src/app/daemon_metrics.h
@@ -23,6 +23,9 @@
     /// Records a finished run at the backend server.
     void count(const RunRecord& record);
 
+    /// Records a call of \p route that was refused because the failure domain is evacuated.
+    void countEvacuationRefusal(const std::string& route);
+
     /// Adds gauges for the load of \p server, which must outlive this object.
     void addServerGauges(const ServerRole& server);
 
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -27,6 +27,12 @@
         }
     }
 
+    /// \returns whether the daemon beside the server has refused the call because its failure domain is evacuated.
+    bool isEvacuationRefusal(const Answer& answer)
+    {
+        return answer.refusal.reason == Reason::Evacuated && answer.refusal.verdict == Verdict::NotRun && !answer.arrived;
+    }
+
     /// \returns the part of \p budget kept for retries at this hop while a call is in flight.
     std::uint32_t reservedAttempts(std::uint32_t budget)
     {
@@ -36,12 +42,13 @@
 } // namespace
 
 Dispatcher::Dispatcher(const Settings& settings, CallTransport& transport, Timers& timers, EventLog& log, ServerDirectory& directory,
-    std::uint64_t seed)
+    const FleetView& fleet, std::uint64_t seed)
     : m_settings(settings)
     , m_transport(transport)
     , m_timers(timers)
     , m_log(log)
     , m_directory(directory)
+    , m_fleet(fleet)
     , m_random(seed)
     , m_picker(seed + 1)
     , m_retryBudget(settings.retryBudget.ratio, settings.retryBudget.extra, settings.retryBudget.window)
@@ -74,10 +81,23 @@
     return id;
 }
 
+/// \returns whether \p failureDomain is evacuated, as known to this daemon or to one that has refused this request.
+bool Dispatcher::isEvacuated(const Job& job, const std::string& failureDomain) const
+{
+    return m_fleet.isEvacuated(failureDomain) || std::ranges::find(job.evacuatedDomains, failureDomain) != job.evacuatedDomains.end();
+}
+
+/// \returns the constraints of the next pick; valid as long as \p job.
+PickContext Dispatcher::pickContext(const Job& job) const
+{
+    return { m_settings.failureDomain, m_settings.region, job.triedServers, {},
+        [this, &job](const std::string& failureDomain) { return isEvacuated(job, failureDomain); } };
+}
+
 const ServerEntry* Dispatcher::pick(const Job& job)
 {
     const auto& servers = m_directory.servers(job.request.call.service);
-    PickContext context { m_settings.failureDomain, m_settings.region, job.triedServers, {} };
+    auto context = pickContext(job);
     if (job.serversReached > 0) {
         // A failure that hit the first server may have hit others that are not yet known to be unresponsive.
         context.preferAnsweredSince = std::max<TimePoint>(job.sentAt, m_timers.now() - config::peerUnresponsiveAfter / 2);
@@ -91,6 +111,15 @@
     return index ? &servers[*index] : nullptr;
 }
 
+Refusal Dispatcher::noServerRefusal(const Job& job) const
+{
+    const auto& servers = m_directory.servers(job.request.call.service);
+    if (std::ranges::any_of(servers, [&](const ServerEntry& it) { return isEvacuated(job, it.failureDomain); })) {
+        return { Verdict::NotRun, Reason::Evacuated, config::evacuatedRetryAfter };
+    }
+    return { Verdict::NotRun, Reason::NoBackendServer, config::noServerRetryAfter };
+}
+
 Call Dispatcher::makeAttemptCall(const Job& job) const
 {
     auto call = job.request.call;
@@ -116,7 +145,7 @@
     }
     const auto* server = pick(job);
     if (!server) {
-        finishWith(id, { Verdict::NotRun, Reason::NoBackendServer, config::noServerRetryAfter });
+        finishWith(id, noServerRefusal(job));
         return;
     }
     PW_EVENT(m_log, Event::RouteDecision, { "request", job.request.call.requestId }, { "route", job.request.call.route },
@@ -124,6 +153,7 @@
     ++job.attemptsMade;
     job.serverName = server->name;
     job.daemon = server->daemon;
+    job.failureDomain = server->failureDomain;
     job.sentAt = now;
     job.triedServers.push_back(server->name);
     m_picker.started(server->name, now);
@@ -150,6 +180,9 @@
     if (answer.arrived || answer.refusal.verdict == Verdict::MayHaveRun) {
         ++job.serversReached;
     }
+    if (isEvacuationRefusal(answer)) {
+        onEvacuated(job, answer);
+    }
     if (answer.isComplete()) {
         m_retryPolicy.onSuccess();
         finish(id, std::move(answer));
@@ -158,16 +191,35 @@
     retryOrFinish(id, std::move(answer));
 }
 
+/// Excludes the failure domain for the rest of the request. The offer does not count as an attempt.
+void Dispatcher::onEvacuated(Job& job, Answer& answer)
+{
+    job.evacuatedDomains.push_back(job.failureDomain);
+    ++job.request.attempts;
+    // Reported to the caller if no other failure domain is left.
+    answer.refusal.retryAfter = config::evacuatedRetryAfter;
+}
+
+/// \returns the attempts made, without offers that were refused because of an evacuation. Each of those excludes a failure
+/// domain, which bounds their number.
+std::uint32_t Dispatcher::countedAttempts(const Job& job)
+{
+    return job.attemptsMade - static_cast<std::uint32_t>(job.evacuatedDomains.size());
+}
+
 void Dispatcher::retryOrFinish(std::uint64_t id, Answer answer)
 {
     auto& job = m_jobs.at(id);
-    job.lastRefusal = answer.refusal;
+    if (!isEvacuationRefusal(answer) || countedAttempts(job) == 0) {
+        job.lastRefusal = answer.refusal; // A refusal by a server in use is more informative.
+    }
     job.mayHaveRun = job.mayHaveRun || answer.refusal.verdict != Verdict::NotRun;
     const auto wait = retryDelay(job, answer);
     PW_EVENT(m_log, Event::RetryDecision, { "request", job.request.call.requestId }, { "route", job.request.call.route },
         { "server", job.serverName }, { "reason", reasonInfo(answer.refusal.reason).name }, { "verdict", verdictName(answer.refusal.verdict) },
         { "reached", job.serversReached }, { "budget", m_retryBudget.available(job.request.call.service, m_timers.now()) }, { "retry", wait.has_value() });
     if (!wait) {
+        answer.refusal = job.lastRefusal;
         finish(id, std::move(answer));
         return;
     }
@@ -220,10 +272,18 @@
 bool Dispatcher::canReroute(const Job& job) const
 {
     const auto& call = job.request.call;
-    const auto mayRetry = call.idempotent && job.request.attempts > 0 && job.attemptsMade < config::maxTriesPerHop
+    const auto mayRetry = call.idempotent && job.request.attempts > 0 && countedAttempts(job) < config::maxTriesPerHop
         && job.serversReached + 1 < job.request.maxServers;
     return mayRetry && m_retryPolicy.tokens() >= 1 && m_retryBudget.available(call.service, m_timers.now()) >= 1
-        && m_directory.servers(call.service).size() > 1;
+        && hasAnotherServer(job);
+}
+
+/// \returns whether the service has a server besides that of the current attempt that is not in an evacuated failure domain.
+bool Dispatcher::hasAnotherServer(const Job& job) const
+{
+    return std::ranges::count_if(m_directory.servers(job.request.call.service),
+               [&](const ServerEntry& it) { return it.name == job.serverName || !isEvacuated(job, it.failureDomain); })
+        > 1;
 }
 
 /// \returns the delay before the next attempt, or nothing when the request is not retried.
@@ -234,11 +294,15 @@
         // No backend server has received the request: fail over at once, without using retry budget.
         return canFailOver(job, answer.refusal) ? std::optional(Duration::zero()) : std::nullopt;
     }
+    if (isEvacuationRefusal(answer)) {
+        // The retry budget was taken for an attempt that has reached no server, so that it covers the next one.
+        return Duration::zero();
+    }
     if (job.serversReached >= job.request.maxServers || m_retryBudget.available(call.service, m_timers.now()) < 1) {
         return std::nullopt;
     }
     const auto timeLeft = job.request.deadline - m_timers.now();
-    auto wait = m_retryPolicy.next({ answer.refusal, call.idempotent, job.request.attempts, timeLeft, job.attemptsMade }, m_random);
+    auto wait = m_retryPolicy.next({ answer.refusal, call.idempotent, job.request.attempts, timeLeft, countedAttempts(job) }, m_random);
     if (wait) {
         m_retryBudget.tryTake(call.service, m_timers.now());
         job.request.call.repeated = true;
@@ -248,12 +312,11 @@
 
 bool Dispatcher::canFailOver(const Job& job, const Refusal& refusal)
 {
-    if (!isRetryableReason(refusal.reason) || job.attemptsMade >= config::maxDaemonsOffered || job.request.attempts == 0) {
+    if (!isRetryableReason(refusal.reason) || countedAttempts(job) >= config::maxDaemonsOffered || job.request.attempts == 0) {
         return false;
     }
     const auto& servers = m_directory.servers(job.request.call.service);
-    const PickContext context { m_settings.failureDomain, m_settings.region, job.triedServers, {} };
-    const auto next = m_picker.pick(servers, context, m_timers.now());
+    const auto next = m_picker.pick(servers, pickContext(job), m_timers.now());
     // After an overload refusal, a server that is just as full would refuse as well: require free capacity.
     return next && (refusal.reason != Reason::Overloaded || m_picker.hasCapacity(servers[*next], m_timers.now()));
 }
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -33,7 +33,7 @@
     using Done = std::function<void(Answer answer)>;
 
     Dispatcher(const Settings& settings, CallTransport& transport, Timers& timers, EventLog& log, ServerDirectory& directory,
-        std::uint64_t seed);
+        const FleetView& fleet, std::uint64_t seed);
     ~Dispatcher();
     Dispatcher(const Dispatcher&) = delete;
     Dispatcher& operator=(const Dispatcher&) = delete;
@@ -63,14 +63,22 @@
         TimerId retryTimer = 0; ///< Nonzero while the next attempt is scheduled.
         std::string serverName; ///< Server of the current or last attempt.
         PeerAddress daemon; ///< Daemon beside that server.
+        std::string failureDomain; ///< Failure domain of that server.
+        std::vector<std::string> evacuatedDomains; ///< One for each offer that was refused because of an evacuation.
         TimePoint sentAt {}; ///< Time of the current or last attempt.
     };
 
     void attempt(std::uint64_t id);
+    bool isEvacuated(const Job& job, const std::string& failureDomain) const;
+    PickContext pickContext(const Job& job) const;
     const ServerEntry* pick(const Job& job);
+    Refusal noServerRefusal(const Job& job) const;
     Call makeAttemptCall(const Job& job) const;
     void onAnswer(std::uint64_t id, Answer answer);
     void retryOrFinish(std::uint64_t id, Answer answer);
+    void onEvacuated(Job& job, Answer& answer);
+    static std::uint32_t countedAttempts(const Job& job);
+    bool hasAnotherServer(const Job& job) const;
     std::optional<Duration> retryDelay(Job& job, const Answer& answer);
     bool canFailOver(const Job& job, const Refusal& refusal);
     void updateRetryBudget();
@@ -86,6 +94,7 @@
     Timers& m_timers;
     EventLog& m_log;
     ServerDirectory& m_directory;
+    const FleetView& m_fleet;
     Random m_random;
     Picker m_picker;
     RetryPolicy m_retryPolicy;
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -16,6 +16,8 @@
     BackendQueued,
     BackendLimit,
     BackendRateLimit,
+    BackendEvacuated,
+    EvacuationRefusals,
     LinkSentBytes,
     LinkReceivedBytes,
     LinkSentFrames,
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -59,11 +59,12 @@
 } // namespace
 
 ServerRole::ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-    ServerDirectory& directory, const BackendProtocol& protocol, const DemandCache& board)
+    ServerDirectory& directory, FleetView& fleet, const BackendProtocol& protocol, const DemandCache& board)
     : m_network(network)
     , m_timers(timers)
     , m_log(log)
     , m_directory(directory)
+    , m_fleet(fleet)
     , m_protocol(protocol)
     , m_settings(settings)
     , m_client(loop, timers, protocol)
@@ -80,6 +81,8 @@
     network.onMessage(MessageKind::Call, [this](const PeerAddress& from, std::span<const std::byte> message) { onCall(from, message); });
     network.onMessage(MessageKind::Cancel, [this](const PeerAddress& from, std::span<const std::byte> message) { onCancel(from, message); });
     network.onLost([this](const PeerAddress& peer) { onPeerLost(peer); });
+    fleet.onChanged([this] { updateEvacuation(); });
+    updateEvacuation();
 }
 
 ServerRole::~ServerRole()
@@ -232,15 +235,15 @@
 {
     m_admissionStopped = true;
     m_admission.setLeaving(true);
-    refuseQueued();
+    refuseQueued(Reason::Leaving);
     processQueue();
 }
 
 /// Refuses the queued calls with the verdict not-run, so that other backend servers can run them.
-void ServerRole::refuseQueued()
+void ServerRole::refuseQueued(Reason reason)
 {
     for (const auto id : m_admission.removeAllQueued()) {
-        refuse(id, { Verdict::NotRun, Reason::Leaving, {} });
+        refuse(id, { Verdict::NotRun, reason, {} });
     }
 }
 
@@ -289,6 +292,9 @@
 
 std::optional<Refusal> ServerRole::immediateRefusal(const Call& call) const
 {
+    if (m_evacuated) {
+        return Refusal { Verdict::NotRun, Reason::Evacuated, {} };
+    }
     if (m_admissionStopped) {
         return Refusal { Verdict::NotRun, Reason::Leaving, {} };
     }
@@ -474,10 +480,14 @@
 void ServerRole::refuse(std::uint64_t id, Refusal refusal)
 {
     const auto& call = m_calls.at(id).call;
-    PW_EVENT(m_log, Event::AdmissionRefused, { "request", call.requestId }, { "route", call.route }, { "workspace", call.workspace },
+    const auto isEvacuation = refusal.reason == Reason::Evacuated;
+    PW_EVENT(m_log, isEvacuation ? Event::EvacuationRefused : Event::AdmissionRefused, { "request", call.requestId }, { "route", call.route }, { "workspace", call.workspace },
         { "rank", std::to_string(call.rank.workspace) + "." + std::to_string(call.rank.route) }, { "reason", reasonInfo(refusal.reason).name },
         { "running", m_admission.running() }, { "queued", m_admission.queued() }, { "limit", m_admission.limit() },
         { "rate", rateText(rateLimit()) }, { "retry_ms", refusal.retryAfter.count() });
+    if (isEvacuation) {
+        m_evacuationRefused.emit(call.route);
+    }
     Answer reply;
     reply.refusal = refusal;
     reply.attemptsUnused = call.attempts;
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -41,7 +41,7 @@
     using Done = std::function<void(Answer)>;
 
     ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-        ServerDirectory& directory, const BackendProtocol& protocol, const DemandCache& board);
+        ServerDirectory& directory, FleetView& fleet, const BackendProtocol& protocol, const DemandCache& board);
     ~ServerRole();
     ServerRole(const ServerRole&) = delete;
     ServerRole& operator=(const ServerRole&) = delete;
@@ -77,6 +77,11 @@
     /// Emitted with the context token of a request that has ended. Its remaining nested calls are orphaned.
     sigc::signal<void(const std::string& token)>& contextClosed() { return m_contextClosed; }
     sigc::signal<void(const RunRecord&)>& runFinished() { return m_runFinished; }
+    /// Emitted with the route of a call that was refused because the own failure domain is evacuated.
+    sigc::signal<void(const std::string& route)>& evacuationRefused() { return m_evacuationRefused; }
+    /// \returns whether the own failure domain is evacuated, as known to this daemon. Nothing may be sent to the backend
+    /// server meanwhile; requests already running there complete.
+    bool isEvacuated() const { return m_evacuated; }
     /// \returns the number of queued and running calls.
     std::size_t pending() const { return m_calls.size(); }
     /// \returns the backend server's entry in the membership view, as last published.
@@ -112,7 +117,10 @@
     bool isOutdated(const Announcement& announcement) const;
     void onServerStarted(const Announcement& announcement);
     void startLeaving();
-    void refuseQueued();
+    void refuseQueued(Reason reason);
+    void updateEvacuation();
+    void onEvacuationBegan();
+    void onEvacuationEnded();
     void admit(std::uint64_t id);
     void startRun(std::uint64_t id);
     HttpRequest requestFor(std::uint64_t id, const PendingCall& work) const;
@@ -138,6 +146,7 @@
     Timers& m_timers;
     EventLog& m_log;
     ServerDirectory& m_directory;
+    FleetView& m_fleet;
     const BackendProtocol& m_protocol;
     const Settings& m_settings;
     BackendClient m_client;
@@ -157,6 +166,7 @@
     bool m_stopping = false; ///< This daemon is stopping.
     bool m_admissionStopped = false; ///< Leaving, and the time for the fleet to learn of it has passed.
     TimePoint m_stopAdmittingAt {}; ///< While leaving.
+    bool m_evacuated = false; ///< The own failure domain is evacuated.
     TimerId m_leaseTimer = 0;
     TimerId m_leaveTimer = 0;
     TimerId m_wakeTimer = 0;
@@ -165,6 +175,7 @@
     std::map<CallKey, std::uint64_t> m_idsByKey;
     sigc::signal<void(const std::string& token)> m_contextClosed;
     sigc::signal<void(const RunRecord&)> m_runFinished;
+    sigc::signal<void(const std::string& route)> m_evacuationRefused;
 };
 
 } // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -99,6 +99,8 @@
 inline constexpr std::uint32_t budgetReserveDivisor = 4;
 /// Retry-After when no backend server, no configuration or no valid set of keys is known.
 inline constexpr milliseconds noServerRetryAfter { 1000 };
+/// Retry-After when every backend server of the service is in an evacuated failure domain.
+inline constexpr milliseconds evacuatedRetryAfter { 1000 };
 /// Retry-After while a request with the same id is running.
 inline constexpr milliseconds duplicateRetryAfter { 500 };
 /// Retry-After when no quorum of claim replicas could be reached for a request id.
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -118,7 +118,8 @@
     Candidates allowed;
     for (std::size_t n = 0; n < servers.size(); ++n) {
         auto leaving = servers[n].leaving || reportedLeaving(servers[n], observation(servers[n].name), state.now);
-        if (!leaving && std::ranges::find(context.excluded, servers[n].name) == context.excluded.end()) {
+        const auto evacuated = context.isEvacuated && context.isEvacuated(servers[n].failureDomain);
+        if (!leaving && !evacuated && std::ranges::find(context.excluded, servers[n].name) == context.excluded.end()) {
             allowed.push_back(n);
         }
     }
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -7,6 +7,7 @@
 #include "ports/random.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -21,6 +22,7 @@
     std::string region;
     std::vector<std::string> excluded; ///< Servers that were already tried for this call.
     TimePoint preferAnsweredSince {}; ///< If set, servers that have answered since then are preferred.
+    std::function<bool(const std::string& failureDomain)> isEvacuated {}; ///< If set, servers in evacuated failure domains are excluded.
 };
 
 /// Picks the backend server for a call: the less loaded of two random choices, where load is relative to the concurrency
--- a/src/core/retry.cpp
+++ b/src/core/retry.cpp
@@ -14,6 +14,7 @@
         Reason::Unreachable,
         Reason::BackendFailed,
         Reason::BackendRefused,
+        Reason::Evacuated,
     };
 
     Duration backoff(const FailedAttempt& question, Random& random)
--- a/src/core/types.cpp
+++ b/src/core/types.cpp
@@ -32,6 +32,7 @@
         { "duplicate-running", 409 },
         { "duplicate-unknown", 409 },
         { "claim-unavailable", 503 },
+        { "evacuated", 503 },
     } };
 
     constexpr std::array<std::string_view, static_cast<std::size_t>(Verdict::Count)> verdictNames {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -58,6 +58,7 @@
     DuplicateRunning, ///< A request with the same id is still running.
     DuplicateUnknown, ///< A request with the same id was started; its outcome is unknown.
     ClaimUnavailable, ///< No quorum was available to confirm that the request id is new.
+    Evacuated, ///< The failure domain of the backend server is evacuated.
     Count
 };
 
--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -62,7 +62,8 @@
 };
 
 struct Fixture {
-    Fixture()
+    explicit Fixture(std::uint64_t seed = 7)
+        : dispatcher(settings, transport, timers, log, directory, fleet, seed)
     {
         settings.peerAddress = "entry";
         directory.entries = { { .name = "one", .service = "s", .daemon = "one" }, { .name = "two", .service = "s", .daemon = "two" } };
@@ -92,10 +93,10 @@
         return answer;
     }
 
-    static pw::Answer refusal(pw::Verdict verdict, pw::Reason reason)
+    static pw::Answer refusal(pw::Verdict verdict, pw::Reason reason, std::chrono::milliseconds retryAfter = {})
     {
         pw::Answer answer;
-        answer.refusal = { verdict, reason, {} };
+        answer.refusal = { verdict, reason, retryAfter };
         return answer;
     }
 
@@ -105,10 +106,11 @@
     pw::test::FakePeer entry { network, "entry" };
     pw::test::NullEventLog log;
     FixedDirectory directory;
+    pw::test::FakeFleet fleet;
     ScriptedServer one { network, "one" };
     ScriptedServer two { network, "two" };
     pw::CallTransport transport { entry, timers, log, nullptr, 1000 };
-    pw::Dispatcher dispatcher { settings, transport, timers, log, directory, 7 };
+    pw::Dispatcher dispatcher;
     std::uint64_t job = 0;
     int ended = 0;
     pw::Answer last;
@@ -260,4 +262,70 @@
     BOOST_TEST(fixture.ended == 4);
 }
 
+/// An answer of the first server before the second one refuses the request because of an evacuation.
+struct EvacuatedRow {
+    const char* name;
+    std::optional<pw::Answer> first; ///< Of server "one"; empty if it is not in the fleet.
+    pw::Refusal refusal; ///< That ends the request.
+};
+
+std::ostream& operator<<(std::ostream& out, const EvacuatedRow& row)
+{
+    return out << row.name;
+}
+
+const std::vector<EvacuatedRow> evacuatedRows {
+    { "no other server", std::nullopt, { pw::Verdict::NotRun, pw::Reason::Evacuated, 1000ms } },
+    { "the other server is overloaded", Fixture::refusal(pw::Verdict::NotRun, pw::Reason::Overloaded, 300ms),
+        { pw::Verdict::NotRun, pw::Reason::Overloaded, 300ms } },
+    { "the other server fails", Fixture::refusal(pw::Verdict::MayHaveRun, pw::Reason::BackendFailed),
+        { pw::Verdict::MayHaveRun, pw::Reason::BackendFailed, {} } },
+};
+
+/// Guards against an evacuation taking the place of an answer that tells more, and against an offer that the server's daemon
+/// refuses costing the request one of its attempts at the other server.
+BOOST_DATA_TEST_CASE(anOfferToAnEvacuatedServerCostsNothing, data::make(evacuatedRows) * data::xrange(1, 5), row, seed)
+{
+    Fixture fixture(static_cast<std::uint64_t>(seed));
+    Fixture informed(static_cast<std::uint64_t>(seed)); // Its entry daemon knows of the evacuation.
+    informed.fleet.evacuate("d2");
+    for (auto* it : { &fixture, &informed }) {
+        it->directory.entries[0].failureDomain = "d1";
+        it->directory.entries[1].failureDomain = "d2";
+        it->one.answer = row.first;
+        it->two.answer = Fixture::refusal(pw::Verdict::NotRun, pw::Reason::Evacuated);
+        it->two.answer->attemptsUnused = 16;
+        if (!row.first) {
+            it->directory.entries.erase(it->directory.entries.begin());
+        }
+        it->start(true, 16);
+        it->timers.run(900ms);
+    }
+    BOOST_TEST_REQUIRE(fixture.ended == 1);
+    BOOST_TEST(fixture.two.calls <= 1);
+    BOOST_TEST(informed.two.calls == 0);
+    BOOST_TEST(fixture.one.calls == informed.one.calls);
+    BOOST_TEST((fixture.last.refusal.verdict == row.refusal.verdict));
+    BOOST_TEST(pw::reasonInfo(fixture.last.refusal.reason).name == pw::reasonInfo(row.refusal.reason).name);
+    BOOST_TEST((fixture.last.refusal.retryAfter == row.refusal.retryAfter));
+}
+
+/// Guards against failing a call in flight that has no other server to go to, while its own may still answer.
+BOOST_DATA_TEST_CASE(aSilentServerIsWaitedForWhenTheOthersAreEvacuated, data::make({ false, true }), evacuated)
+{
+    Fixture fixture;
+    fixture.two.answer = Fixture::whole();
+    fixture.directory.entries[0].failureDomain = "d1";
+    fixture.directory.entries[1].failureDomain = "d2";
+    fixture.fleet.evacuate("d2");
+    fixture.start(true);
+    fixture.timers.run(10ms);
+    BOOST_TEST_REQUIRE(fixture.one.calls == 1);
+    fixture.fleet.evacuate("d2", evacuated);
+    fixture.network.isolate("one");
+    fixture.timers.run(900ms);
+    BOOST_TEST(fixture.ended == (evacuated ? 0 : 1));
+    BOOST_TEST(fixture.two.calls == (evacuated ? 0 : 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/picker_test.cpp
+++ b/tests/unit/picker_test.cpp
@@ -100,6 +100,24 @@
     BOOST_TEST(!fleet.picker.pick({}, here, fleet.now).has_value());
 }
 
+/// Guards against using an evacuated failure domain because it is the nearest or because the servers elsewhere fail.
+BOOST_DATA_TEST_CASE(neverPicksServersInEvacuatedDomains, data::make({ false, true }), othersFail)
+{
+    Fleet fleet(1);
+    fleet.reportLimits();
+    for (auto n = 0; othersFail && n < 5; ++n) {
+        for (const auto& server : fleet.servers) {
+            fleet.call(server.name, server.failureDomain == "d0" ? RunOutcome::Ok : RunOutcome::Failed);
+        }
+    }
+    auto context = here;
+    context.isEvacuated = [](const std::string& failureDomain) { return failureDomain == "d0"; };
+    auto counts = fleet.count(200, context);
+    BOOST_TEST(counts.count("s0") + counts.count("s1") + counts.count("") == 0U);
+    context.isEvacuated = [](const std::string&) { return true; };
+    BOOST_TEST(fleet.count(1, context).count("") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(avoidsAFailingServerAndProbesItOnceInAWhile)
 {
     Fleet fleet(1);
--- a/tests/unit/server_role_test.cpp
+++ b/tests/unit/server_role_test.cpp
@@ -1,3 +1,4 @@
+#include "adapters/libevent_util.h"
 #include "app/native_protocol.h"
 #include "app/server_role.h"
 #include "config.h"
@@ -9,9 +10,15 @@
 #include <boost/test/unit_test.hpp>
 
 #include <event2/event.h>
+#include <event2/http.h>
+#include <netinet/in.h>
 
+#include <algorithm>
+#include <functional>
 #include <memory>
 #include <ostream>
+#include <utility>
+#include <vector>
 
 namespace {
 
@@ -33,13 +40,94 @@
     std::vector<ServerEntry> m_none;
 };
 
+/// Records the events written.
+class RecordingEventLog : public EventLog {
+public:
+    bool shouldWrite(Event /*event*/) override { return true; }
+    void write(Event event, std::initializer_list<EventField> /*fields*/) override { events.push_back(event); }
+
+    std::vector<Event> events;
+};
+
+/// Backend server on loopback that answers its requests when the test says so.
+class StubServer {
+public:
+    explicit StubServer(event_base* base)
+        : m_base(base)
+        , m_http(evhttp_new(base))
+    {
+        auto* socket = evhttp_bind_socket_with_handle(m_http.get(), "127.0.0.1", 0);
+        BOOST_REQUIRE(socket);
+        sockaddr_in bound {};
+        socklen_t length = sizeof(bound);
+        getsockname(evhttp_bound_socket_get_fd(socket), reinterpret_cast<sockaddr*>(&bound), &length);
+        m_port = ntohs(bound.sin_port);
+        evhttp_set_gencb(
+            m_http.get(), [](evhttp_request* request, void* self) { static_cast<StubServer*>(self)->onRequest(request); }, this);
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+    /// Answers the last request.
+    void reply() { evhttp_send_reply(std::exchange(m_request, nullptr), 200, "OK", nullptr); }
+
+    /// Runs the event loop until \p done returns true, for a few seconds at most.
+    void runUntil(const std::function<bool()>& done) const
+    {
+        const auto end = MonotonicClock::now() + 5s;
+        while (!done() && MonotonicClock::now() < end) {
+            event_base_loop(m_base, EVLOOP_NONBLOCK);
+        }
+    }
+
+    int requests = 0;
+
+private:
+    void onRequest(evhttp_request* request)
+    {
+        ++requests;
+        m_request = request;
+    }
+
+    event_base* m_base;
+    detail::HttpPtr m_http;
+    std::uint16_t m_port = 0;
+    evhttp_request* m_request = nullptr;
+};
+
 struct Fixture {
+    static constexpr std::uint32_t attempts = 5;
+
+    static Settings settingsInDomain(const std::string& failureDomain)
+    {
+        Settings result;
+        result.failureDomain = failureDomain;
+        return result;
+    }
+
+    /// Runs a call of \p route. \returns its answer, which is filled in when it ends.
+    std::shared_ptr<std::optional<Answer>> run(const std::string& route)
+    {
+        Call call;
+        call.id = ++lastCall;
+        call.route = route;
+        call.service = "tides";
+        call.method = "GET";
+        call.target = "/";
+        call.host = "h";
+        call.attempts = attempts;
+        call.timeLeft = 4s;
+        auto answer = std::make_shared<std::optional<Answer>>();
+        role.run("entry", call, [answer](Answer it) { *answer = std::move(it); });
+        return answer;
+    }
+
     Announcement announcement(std::uint64_t started, bool leaving = false)
     {
         Announcement result;
         result.service = "tides";
-        result.address = "127.0.0.1:9";
-        result.slots = 10;
+        result.address = address;
+        result.slots = slots;
         result.connections = 20;
         result.instance = "i-1";
         result.started = started;
@@ -56,16 +144,20 @@
 
     std::unique_ptr<event_base, decltype(&event_base_free)> base { event_base_new(), &event_base_free };
     StreamLoop loop { base.get() };
-    Settings settings;
+    Settings settings = settingsInDomain("d1");
     FakeTimers timers;
     FakeNetwork network { timers, 1 };
     FakePeer peer { network, "d" };
-    NullEventLog log;
+    RecordingEventLog log;
     RecordingDirectory directory;
+    FakeFleet fleet;
     NativeBackendProtocol protocol;
     DemandCache board;
-    ServerRole role { loop, settings, peer, timers, log, directory, protocol, board };
+    ServerRole role { loop, settings, peer, timers, log, directory, fleet, protocol, board };
     std::uint64_t sequence = 0;
+    std::uint64_t lastCall = 0;
+    std::string address = "127.0.0.1:9";
+    std::uint32_t slots = 10;
 };
 
 /// A way in which a server becomes leaving, and whether a later daemon process may publish the same start again.
@@ -168,4 +260,94 @@
     BOOST_TEST((fixture.role.rateLimit() == row.adopted));
 }
 
+/// Guards against cutting off a running call, and against keeping a queued one for a server that must get no more requests.
+BOOST_AUTO_TEST_CASE(anEvacuationReroutesQueuedCallsAndLetsRunningOnesComplete)
+{
+    Fixture fixture;
+    StubServer server(fixture.base.get());
+    fixture.address = server.address();
+    fixture.slots = 1;
+    fixture.announce(5);
+    auto running = fixture.run("running");
+    auto queued = fixture.run("queued");
+    server.runUntil([&] { return server.requests == 1; });
+    BOOST_TEST_REQUIRE((fixture.role.load().running == 1 && fixture.role.load().queued == 1));
+
+    fixture.fleet.evacuate("d1");
+    const auto refused = [](const std::optional<Answer>& it) {
+        return it && it->refusal.reason == Reason::Evacuated && it->refusal.verdict == Verdict::NotRun && it->refusal.retryAfter == 0ms
+            && it->attemptsUnused == Fixture::attempts && !it->arrived;
+    };
+    BOOST_TEST(refused(*queued));
+    BOOST_TEST(!running->has_value());
+    BOOST_TEST(refused(*fixture.run("new")));
+    BOOST_TEST(fixture.role.isEvacuated());
+
+    server.reply();
+    server.runUntil([&] { return running->has_value(); });
+    BOOST_TEST_REQUIRE(running->has_value());
+    BOOST_TEST((*running)->isComplete());
+    BOOST_TEST((*running)->status == 200);
+    fixture.timers.run(5s);
+    BOOST_TEST(server.requests == 1);
+    BOOST_TEST(fixture.role.pending() == 0U);
+}
+
+/// Guards against logging or counting what did not happen, and against a domain that stays closed after its evacuation.
+BOOST_AUTO_TEST_CASE(theEndOfAnEvacuationAdmitsCallsAgain)
+{
+    Fixture fixture;
+    fixture.announce(5);
+    std::vector<std::string> counted;
+    fixture.role.evacuationRefused().connect([&](const std::string& route) { counted.push_back(route); });
+    fixture.fleet.evacuate("d2");
+    fixture.fleet.evacuate("d1");
+    fixture.fleet.evacuate("d1");
+    fixture.run("a");
+    fixture.fleet.evacuate("d1", false);
+    BOOST_TEST(!fixture.role.isEvacuated());
+    const auto answer = fixture.run("b");
+    BOOST_TEST(!answer->has_value());
+    BOOST_TEST(fixture.role.load().running == 1U);
+    BOOST_TEST((counted == std::vector<std::string> { "a" }));
+    const auto count = [&](Event event) { return std::ranges::count(fixture.log.events, event); };
+    BOOST_TEST(count(Event::EvacuationBegan) == 1);
+    BOOST_TEST(count(Event::EvacuationRefused) == 1);
+    BOOST_TEST(count(Event::EvacuationEnded) == 1);
+    BOOST_TEST(count(Event::AdmissionRefused) == 0);
+}
+
+/// A state of the server in which a call is refused even without an evacuation.
+struct RefusingCase {
+    const char* name;
+    void (*run)(Fixture&);
+};
+
+std::ostream& operator<<(std::ostream& out, const RefusingCase& row)
+{
+    return out << row.name;
+}
+
+const std::vector<RefusingCase> refusingCases {
+    { "running", [](Fixture& it) { it.announce(5); } },
+    { "not announced yet", [](Fixture&) {} },
+    { "left",
+        [](Fixture& it) {
+            it.announce(5);
+            it.announce(5, true);
+            it.timers.run(it.settings.drainTimeout);
+        } },
+};
+
+/// Guards against a refusal that the sender does not reroute, or after which it offers the call to the domain's next server.
+BOOST_DATA_TEST_CASE(anEvacuationIsStatedWhateverTheStateOfTheServer, boost::unit_test::data::make(refusingCases), row)
+{
+    Fixture fixture;
+    row.run(fixture);
+    fixture.fleet.evacuate("d1");
+    const auto answer = fixture.run("a");
+    BOOST_TEST_REQUIRE(answer->has_value());
+    BOOST_TEST(((*answer)->refusal.reason == Reason::Evacuated));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/silence_play_test.cpp
+++ b/tests/unit/silence_play_test.cpp
@@ -2,8 +2,8 @@
 #include "app/call_transport.h"
 #include "app/dispatcher.h"
 #include "config.h"
-#include "support/control_fleet.h"
 #include "support/fake_network.h"
+#include "support/fleet_fakes.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -67,7 +67,7 @@
             directory.entries.push_back({ .name = name, .service = "s", .daemon = name, .slots = 10, .connections = 100 });
             backends.push_back(std::make_unique<FixedLatencyServer>(network, timers, name));
         }
-        dispatcher = std::make_unique<pw::Dispatcher>(settings, transport, timers, log, directory, seed);
+        dispatcher = std::make_unique<pw::Dispatcher>(settings, transport, timers, log, directory, fleet, seed);
     }
 
     void send(bool idempotent)
@@ -100,6 +100,7 @@
     pw::test::FakePeer entry { network, "entry" };
     pw::test::NullEventLog log;
     FixedServers directory;
+    pw::test::FakeFleet fleet;
     std::vector<std::unique_ptr<FixedLatencyServer>> backends;
     pw::CallTransport transport { entry, timers, log, nullptr, 1000 };
     std::unique_ptr<pw::Dispatcher> dispatcher;
