--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -103,7 +103,7 @@
 std::uint64_t BackendClient::startExchange(const HttpRequest& request, Duration timeout, bool repeatable, bool isProbe, Done done)
 {
     const auto id = ++m_lastId;
-    if (m_running.empty()) {
+    if (m_running.empty() && !m_timedOut) {
         m_silentSince = m_timers.now();
     }
     auto running = std::make_unique<Running>();
@@ -137,12 +137,19 @@
         return;
     }
     const auto sent = it->second->connection->sent();
+    m_timedOut = true;
     if (isSilent()) {
         reportLost();
     }
     fail(id, sent ? timedOut : notStarted, detail, sent);
 }
 
+void BackendClient::onHeard()
+{
+    m_silentSince = m_timers.now();
+    m_timedOut = false;
+}
+
 bool BackendClient::isSilent() const
 {
     return m_timers.now() - m_silentSince >= config::backendSilence;
--- a/src/app/daemon_metrics.h
+++ b/src/app/daemon_metrics.h
@@ -26,6 +26,9 @@
     /// Records a request that was held back by the warm-up rate of the backend server.
     void count(WarmUpOutcome outcome);
 
+    /// Records a call of \p route that was refused because the failure domain is evacuated.
+    void countEvacuationRefusal(const std::string& route);
+
     /// Adds gauges for the load of \p server, which must outlive this object.
     void addServerGauges(const ServerRole& server);
 
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -18,6 +18,8 @@
     BackendRateLimit,
     BackendWarmUpRate,
     BackendWarmUpRequests,
+    BackendEvacuated,
+    EvacuationRefusals,
     LinkSentBytes,
     LinkReceivedBytes,
     LinkSentFrames,
--- a/tests/unit/deployment_yaml_test.cpp
+++ b/tests/unit/deployment_yaml_test.cpp
@@ -33,7 +33,7 @@
     { "slotsPerServer: 40", "slotsPerServer: 40, healthPath: healthz", "c.yaml:2: services[0].healthPath: not a path" },
     { "slotsPerServer: 40", "slotsPerServer: 40, healthPath: '/a b'", "c.yaml:2: services[0].healthPath: not a path" },
     { "slotsPerServer: 40", "slotsPerServer: 40, warmUpTime: 3", "services[0].warmUpTime: not a time" },
-    { "slotsPerServer: 40", "slotsPerServer: 40, warmUpTime: 601s", "services[0].warmUpTime: not a time" },
+    { "slotsPerServer: 40", "slotsPerServer: 40, warmUpTime: 601s", "services[0].warmUpTime: out of range" },
     { "slotsPerServer: 40", "slotsPerServer: 40, warmUpRate: 0", "services[0].warmUpRate: \"0\"; accepted: a number from 0.1" },
     { "slotsPerServer: 40", "slotsPerServer: 40, warmUpRate: -1", "services[0].warmUpRate: \"-1\"" },
     { "service: shares", "service: share", "c.yaml:5: routes[0].service: unknown service" },
--- a/tests/unit/warm_up_wiring_test.cpp
+++ b/tests/unit/warm_up_wiring_test.cpp
@@ -147,11 +147,12 @@
     FakePeer peer { network, "d" };
     CountingLog log;
     PublishedEntries directory;
+    FakeFleet fleet;
     const BackendProtocol& protocol;
     DemandCache board;
     std::string address = freeAddress();
     StubServer server { loop, timers, address };
-    ServerRole role { loop, settings, peer, timers, log, directory, protocol, board };
+    ServerRole role { loop, settings, peer, timers, log, directory, fleet, protocol, board };
     std::uint64_t sequence = 0;
     std::uint64_t calls = 0;
     std::size_t complete = 0;
@@ -204,6 +205,15 @@
             it.run(700ms);
             it.server.stop();
         } },
+    { "the server is silent to short requests",
+        [](Fixture& it) {
+            it.server.answers = false;
+            for (auto n = 0; n < 4; ++n) {
+                it.call(200ms);
+                it.run(210ms);
+            }
+            it.server.stop();
+        } },
 };
 
 /// An answer to a probe that does not tell the warm-up time of the server asked for.
@@ -382,6 +392,30 @@
     BOOST_TEST(fixture.log.count(Event::WarmUpBegan) == fixture.log.count(Event::WarmUpEnded));
 }
 
+/// Guards against probes of a server in an evacuated failure domain, where they count as requests, and against requests above
+/// the cold rate when the evacuation is finished.
+BOOST_AUTO_TEST_CASE(anEvacuatedServerIsProbedOnlyAtTheEnd)
+{
+    Fixture fixture(contract);
+    fixture.startWarm();
+    fixture.run(50ms, 1);
+    fixture.fleet.evacuate("d-1", true);
+    fixture.server.received.clear();
+    fixture.server.stop();
+    fixture.run(300ms, 1);
+    BOOST_REQUIRE(fixture.server.start(5s));
+    fixture.announce(0ms);
+    fixture.run(500ms, 1);
+    BOOST_TEST(fixture.server.received.empty());
+    const auto finished = fixture.timers.now();
+    fixture.fleet.evacuate("d-1", false);
+    fixture.run(1500ms, 1);
+    BOOST_REQUIRE(!fixture.server.received.empty());
+    BOOST_TEST(fixture.server.received.front().probe);
+    BOOST_TEST(fixture.server.probes() == 1U);
+    BOOST_TEST(fixture.server.mostInOneSecond(finished) <= bound);
+}
+
 /// Guards against a restarted daemon that has no configuration, because control is out of reach, and sends more than any
 /// configuration allows.
 BOOST_AUTO_TEST_CASE(withoutConfigurationTheSlackAloneIsUsed)
