--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -91,6 +91,7 @@
     void finish(std::uint64_t id, AnswerKind meaning, HttpResponse answer, bool reusable);
     void fail(std::uint64_t id, const Refusal& refusal, std::string_view detail, bool sent);
     void onTimeout(std::uint64_t id, std::string_view detail);
+    void onHeard();
     bool isSilent() const;
     void onConnectionEnded(const detail::BackendConnection* ended);
     void reportLost();
@@ -108,7 +109,8 @@
     std::function<void()> m_connectionLost;
     std::uint64_t m_openedAtLoss = 0; ///< Connections opened when the last one was lost.
     TimePoint m_respondedAt {}; ///< Last bytes of a response.
-    TimePoint m_silentSince {}; ///< Last response, or the first request since there were none.
+    TimePoint m_silentSince {}; ///< Last response, or start of the first request that was not answered after it.
+    bool m_timedOut = false; ///< A request has timed out since the last response.
     bool m_closeUnused = false;
     TimerId m_unusedTimer = 0;
     TimerId m_releaseTimer = 0;
--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -97,8 +97,7 @@
 
 void BackendConnection::readResponse()
 {
-    m_client.m_respondedAt = m_client.m_timers.now();
-    m_client.m_silentSince = m_client.m_respondedAt;
+    m_client.onHeard();
     while (m_exchange && !m_stream.input().empty()) {
         m_stream.consume(m_reader.take(m_stream.input()));
         if (m_reader.fault() != HttpFault::None) {
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -71,6 +71,12 @@
     m_metrics.counter(info.name, info.help, { { "outcome", outcome == WarmUpOutcome::Waited ? "waited" : "refused" } }).add();
 }
 
+void DaemonMetrics::countEvacuationRefusal(const std::string& route)
+{
+    const auto& info = metricInfo(Metric::EvacuationRefusals);
+    m_metrics.counter(info.name, info.help, { { "route", route } }).add();
+}
+
 void DaemonMetrics::observe(Metric metric, const MetricLabels& labels, Duration time)
 {
     const auto& info = metricInfo(metric);
@@ -91,6 +97,8 @@
     const auto& warmUpRate = metricInfo(Metric::BackendWarmUpRate);
     m_metrics.gauge(warmUpRate.name, warmUpRate.help, {},
         [&server] { return server.warmUpRate().value_or(std::numeric_limits<double>::infinity()); });
+    const auto& evacuated = metricInfo(Metric::BackendEvacuated);
+    m_metrics.gauge(evacuated.name, evacuated.help, {}, [&server] { return server.isEvacuated() ? 1.0 : 0.0; });
 }
 
 void DaemonMetrics::addLinkGauges(const LinkTrafficTable& traffic)
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -60,11 +60,12 @@
 } // namespace
 
 ServerRole::ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-    ServerDirectory& directory, const BackendProtocol& protocol, const DemandCache& board)
+    ServerDirectory& directory, FleetView& fleet, const BackendProtocol& protocol, const DemandCache& board)
     : m_network(network)
     , m_timers(timers)
     , m_log(log)
     , m_directory(directory)
+    , m_fleet(fleet)
     , m_protocol(protocol)
     , m_settings(settings)
     , m_client(loop, timers, protocol)
@@ -81,9 +82,11 @@
     m_entry.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
     network.onMessage(MessageKind::Call, [this](const PeerAddress& from, std::span<const std::byte> message) { onCall(from, message); });
     network.onMessage(MessageKind::Cancel, [this](const PeerAddress& from, std::span<const std::byte> message) { onCancel(from, message); });
-    m_warmUp.rateChanged().connect([this] { publish(); });
+    m_warmUp.rateChanged().connect([this] { onWarmUpRateChanged(); });
     m_warmUp.limitLifted().connect([this] { processQueue(); });
     network.onLost([this](const PeerAddress& peer) { onPeerLost(peer); });
+    fleet.onChanged([this] { updateEvacuation(); });
+    updateEvacuation();
 }
 
 ServerRole::~ServerRole()
@@ -243,15 +246,15 @@
 {
     m_admissionStopped = true;
     m_admission.setLeaving(true);
-    refuseQueued();
+    refuseQueued(Reason::Leaving);
     processQueue();
 }
 
 /// Refuses the queued calls with the verdict not-run, so that other backend servers can run them.
-void ServerRole::refuseQueued()
+void ServerRole::refuseQueued(Reason reason)
 {
     for (const auto id : m_admission.removeAllQueued()) {
-        refuse(id, { Verdict::NotRun, Reason::Leaving, {} });
+        refuse(id, { Verdict::NotRun, reason, {} });
     }
 }
 
@@ -301,6 +304,9 @@
 
 std::optional<Refusal> ServerRole::immediateRefusal(const Call& call) const
 {
+    if (m_evacuated) {
+        return Refusal { Verdict::NotRun, Reason::Evacuated, {} };
+    }
     if (m_admissionStopped) {
         return Refusal { Verdict::NotRun, Reason::Leaving, {} };
     }
@@ -381,6 +387,17 @@
     }
 }
 
+void ServerRole::onWarmUpRateChanged()
+{
+    const auto began = m_entry.warmUpRate == 0 && m_warmUp.rate() > 0;
+    publish();
+    if (began) {
+        // Most of the calls that were queued before can no longer run in time and are refused, so that other servers run them.
+        std::ranges::for_each(m_admission.removeAllQueued(), [this](std::uint64_t id) { admit(id); });
+        processQueue();
+    }
+}
+
 void ServerRole::recordHeldBack(WarmUpOutcome outcome)
 {
     m_warmUp.recordHeldBack(outcome);
@@ -496,10 +513,14 @@
 void ServerRole::refuse(std::uint64_t id, Refusal refusal)
 {
     const auto& call = m_calls.at(id).call;
-    PW_EVENT(m_log, Event::AdmissionRefused, { "request", call.requestId }, { "route", call.route }, { "workspace", call.workspace },
+    const auto isEvacuation = refusal.reason == Reason::Evacuated;
+    PW_EVENT(m_log, isEvacuation ? Event::EvacuationRefused : Event::AdmissionRefused, { "request", call.requestId }, { "route", call.route }, { "workspace", call.workspace },
         { "rank", std::to_string(call.rank.workspace) + "." + std::to_string(call.rank.route) }, { "reason", reasonInfo(refusal.reason).name },
         { "running", m_admission.running() }, { "queued", m_admission.queued() }, { "limit", m_admission.limit() },
         { "rate", rateText(rateLimit()) }, { "retry_ms", refusal.retryAfter.count() });
+    if (isEvacuation) {
+        m_evacuationRefused.emit(call.route);
+    }
     Answer reply;
     reply.refusal = refusal;
     reply.attemptsUnused = call.attempts;
@@ -551,8 +572,14 @@
 void ServerRole::processQueue()
 {
     auto ready = m_admission.poll(m_timers.now());
+    const auto limited = !m_admission.warmUp().hasToken(m_timers.now());
     std::ranges::for_each(ready.start, [this](std::uint64_t id) { startRun(id); });
-    std::ranges::for_each(ready.shed, [this](const ShedRequest& it) { refuse(it.id, it.refusal); });
+    std::ranges::for_each(ready.shed, [&](const ShedRequest& it) {
+        if (limited) {
+            recordHeldBack(WarmUpOutcome::Refused);
+        }
+        refuse(it.id, it.refusal);
+    });
     m_timers.cancel(std::exchange(m_wakeTimer, 0));
     if (auto wake = m_admission.nextWake()) {
         m_wakeTimer = m_timers.after(*wake - m_timers.now(), [this] {
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -119,7 +119,8 @@
     Candidates allowed;
     for (std::size_t n = 0; n < servers.size(); ++n) {
         auto leaving = servers[n].leaving || reportedLeaving(servers[n], observation(servers[n].name), state.now);
-        if (!leaving && std::ranges::find(context.excluded, servers[n].name) == context.excluded.end()) {
+        const auto evacuated = context.isEvacuated && context.isEvacuated(servers[n].failureDomain);
+        if (!leaving && !evacuated && std::ranges::find(context.excluded, servers[n].name) == context.excluded.end()) {
             allowed.push_back(n);
         }
     }
@@ -157,7 +158,10 @@
         return candidates;
     }
     Candidates withRoom;
-    std::ranges::copy_if(warming, std::back_inserter(withRoom), [&](std::size_t n) { return loadOf(n) < 1; });
+    std::ranges::copy_if(warming, std::back_inserter(withRoom), [&](std::size_t n) {
+        const auto& server = state.servers[n];
+        return loadOf(n) <= 1 && warmUpLoad(server, observation(server.name), state.now) < 1;
+    });
     const Candidates others(candidates.begin(), warming.begin());
     if (others.empty()) {
         return withRoom.empty() ? candidates : withRoom;
