Accept evacuation orders at the operators' APIs, the command-line tool and the platform's port

A member bases an order on the revision that it knows when the order arrives, answers after 1 s at the latest, and reports conflicts with that base as unavailable, so that operators send the order again. Daemons log what they have learned and show it in status and metrics.

--- a/src/app/cli_commands.cpp
+++ b/src/app/cli_commands.cpp
@@ -23,6 +23,7 @@
         cli::memberBootstrap,
         cli::status,
         cli::drain,
+        cli::evacuate,
         cli::explainRequest,
     };
 
--- a/src/app/cli_options.cpp
+++ b/src/app/cli_options.cpp
@@ -29,6 +29,7 @@
         Offline = 32, ///< Sends no request, so takes no --members, --secret-file and --timeout.
         NeedsOneMember = 64, ///< Acts on one daemon, so --members must name exactly one.
         TakesFiles = 128, ///< Takes one or more files after the argument.
+        TakesEvacuation = 256, ///< --finish and, optionally, --base; the argument is a name.
     };
 
     struct Subcommand {
@@ -60,6 +61,8 @@
         { "status", "", CliAction::Status, "", NoFlags, "Show members, leader, applied versions, leases and backend servers.", "" },
         { "drain", "", CliAction::Drain, "", TakesWait | NeedsOneMember,
             "Drain the backend server beside the daemon given by --members; running requests are completed.", "--members 10.0.1.5:7300 --wait" },
+        { "evacuate", "", CliAction::Evacuate, "DOMAIN", TakesChange | TakesEvacuation,
+            "Send no requests to the backend servers of a failure domain, until --finish.", "zone-b --wait" },
         { "explain", "", CliAction::Explain, "REQUEST-ID", Offline | TakesFiles,
             "Show the events of one request, merged from the logs of any number of daemons.", "5f0c2a91 logs/*.log" },
     } };
@@ -93,6 +96,11 @@
         if (subcommand.flags & TakesBase) {
             add("b,base", "Configuration version that the file is based on; 0 for the first.", cxxopts::value<std::uint64_t>(), "VERSION");
         }
+        if (subcommand.flags & TakesEvacuation) {
+            add("f,finish", "Finish the evacuation.");
+            add("b,base", "Revision that the order is based on; it conflicts if another order was accepted since. Not checked when missing.",
+                cxxopts::value<std::uint64_t>(), "REVISION");
+        }
         if (subcommand.flags & TakesChange) {
             add("c,change-id", "Id of this change; use the same one to send it again. Generated when missing.",
                 cxxopts::value<std::string>(), "ID");
@@ -168,7 +176,8 @@
             options.secretFile = firstNonEmpty(text("secret-file"), environment(secretVariable));
             options.timeout = std::chrono::seconds(parsed["timeout"].as<std::uint32_t>());
         }
-        if ((subcommand.flags & TakesBase) && parsed.count("base")) {
+        options.finish = (subcommand.flags & TakesEvacuation) && parsed.count("finish") > 0;
+        if ((subcommand.flags & (TakesBase | TakesEvacuation)) && parsed.count("base")) {
             options.base = parsed["base"].as<std::uint64_t>();
         }
         options.changeId = subcommand.flags & TakesChange ? text("change-id") : "";
@@ -205,6 +214,9 @@
         if ((subcommand.flags & TakesBase) && !options.base) {
             return "--base is needed; `config show` tells the current version";
         }
+        if ((subcommand.flags & TakesEvacuation) && !isName(options.argument)) {
+            return std::string(subcommand.argument) + " is not accepted; accepted: " + std::string(nameAccepted);
+        }
         if ((subcommand.flags & TakesKey) && !isName(options.workspace)) {
             return "--workspace is needed; accepted: " + std::string(nameAccepted);
         }
--- a/src/app/cli_options.h
+++ b/src/app/cli_options.h
@@ -40,6 +40,7 @@
     MemberBootstrap,
     Status,
     Drain,
+    Evacuate,
     Explain,
     Count
 };
@@ -47,14 +48,15 @@
 /// Parsed command line.
 struct CliOptions {
     CliAction action = CliAction::Status;
-    std::string argument; ///< File, key id, member name or request id; empty for actions without an argument.
+    std::string argument; ///< File, key id, member name, failure domain or request id; empty for actions without an argument.
     std::vector<std::string> files; ///< Files after the argument, for actions that take them.
     std::vector<std::string> members; ///< Operator addresses of members, tried in turn.
     std::string secretFile;
     std::chrono::milliseconds timeout { 0 }; ///< For the whole command.
     bool json = false; ///< Print JSON.
     bool wait = false; ///< Wait until the change is in force on all daemons, or the drained server is idle.
-    std::optional<std::uint64_t> base; ///< Configuration version that the submitted file is based on.
+    bool finish = false; ///< Finish the evacuation of the failure domain.
+    std::optional<std::uint64_t> base; ///< Configuration version that the submitted file is based on, or revision of the failure domain.
     std::string changeId; ///< Empty: one is generated.
     std::string keyId; ///< Empty: one is generated.
     std::string workspace;
--- a/src/app/cli_status.cpp
+++ b/src/app/cli_status.cpp
@@ -63,6 +63,13 @@
         out << "daemon: " << textField(daemon, "name") << "  " << textField(daemon, "region") << '/' << textField(daemon, "failureDomain")
             << "  version " << textField(daemon, "version") << "  applied " << textField(daemon, "appliedIndex") << "  validity lease "
             << (textField(daemon, "keysValid") == "true" ? "holds" : "lapsed") << '\n';
+        if (const auto domains = daemon["evacuatedDomains"]) {
+            out << "evacuated failure domains:";
+            for (const auto& it : domains) {
+                out << ' ' << it.Scalar();
+            }
+            out << '\n';
+        }
         if (const auto server = daemon["backendServer"]) {
             out << "backend server: running " << textField(server, "running") << "  queued " << textField(server, "queued") << "  limit "
                 << textField(server, "limit") << "  admits from " << textField(server, "admissionFloor") << '\n';
--- a/src/app/cli_support.h
+++ b/src/app/cli_support.h
@@ -71,6 +71,7 @@
 ExitCode memberBootstrap(const CliContext& context);
 ExitCode status(const CliContext& context);
 ExitCode drain(const CliContext& context);
+ExitCode evacuate(const CliContext& context);
 ExitCode explainRequest(const CliContext& context);
 
 } // namespace pw::cli
--- a/src/app/control_log_impl.cpp
+++ b/src/app/control_log_impl.cpp
@@ -247,10 +247,39 @@
         done({ ChangeOutcome::Unavailable, 0, 0, m_storageError });
         return;
     }
+    if (auto* change = std::get_if<Change>(&what)) {
+        if (auto* order = std::get_if<SetEvacuation>(&change->operation)) {
+            done = prepareOrder(change->id, *order, std::move(done));
+        }
+    }
     m_operatorRequests->submit(std::move(what), std::move(done));
     processPending();
 }
 
+/// Bases \p order on the revision known here now, unless the operator named one. Whatever is accepted after this call has a
+/// higher revision, so the order cannot take effect after a later one, however long it is under way.
+/// \returns \p done with a log event.
+OperatorRequestHandler::Done ControlLog::Impl::prepareOrder(
+    const std::string& changeId, SetEvacuation& order, OperatorRequestHandler::Done done)
+{
+    if (!order.baseRevision) {
+        const auto acknowledged = m_acknowledgedOrders.find(order.failureDomain);
+        order.baseRevision = std::max(m_state.image().evacuationRevision(order.failureDomain),
+            acknowledged == m_acknowledgedOrders.end() ? 0 : acknowledged->second);
+    }
+    return [this, changeId, order, receivedAt = m_timers.now(), done = std::move(done)](const ChangeResult& result) {
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - receivedAt);
+        PW_EVENT(m_events, Event::EvacuationOrdered, { "failureDomain", order.failureDomain }, { "evacuated", order.evacuated },
+            { "change", changeId }, { "base", *order.baseRevision }, { "outcome", changeOutcomeName(result.outcome) },
+            { "index", result.index }, { "took_ms", took.count() }, { "reason", result.reason });
+        if (result.outcome == ChangeOutcome::Accepted) {
+            auto& revision = m_acknowledgedOrders[order.failureDomain];
+            revision = std::max(revision, result.index);
+        }
+        done(result);
+    };
+}
+
 void ControlLog::Impl::readLatest(std::function<void(const ConfigurationRecord*)> done)
 {
     if (!m_raft) {
--- a/src/app/control_log_impl.h
+++ b/src/app/control_log_impl.h
@@ -56,6 +56,7 @@
     void loadSnapshot();
     void applyEntry(const LogEntry& entry);
     ChangeResult applyChange(const LogEntry& entry);
+    OperatorRequestHandler::Done prepareOrder(const std::string& changeId, SetEvacuation& order, OperatorRequestHandler::Done done);
     void compactIfDue();
     void sendMessages();
     void handleRoleChange();
@@ -86,6 +87,7 @@
     bool m_processing = false;
     TimePoint m_transferDeadline {};
     std::vector<std::function<void()>> m_transferHandlers;
+    std::map<std::string, std::uint64_t> m_acknowledgedOrders; ///< Revisions by failure domain, of orders answered here; may be ahead of m_state.
     std::vector<PendingRead> m_reads; ///< Oldest first.
     std::vector<std::function<void(bool)>> m_changed;
 };
--- a/src/app/control_session.cpp
+++ b/src/app/control_session.cpp
@@ -26,7 +26,7 @@
         return result;
     }
 
-    std::set<std::string> evacuatedDomains(const FleetImage& image)
+    std::set<std::string> evacuatedDomainsOf(const FleetImage& image)
     {
         std::set<std::string> result;
         for (const auto& [domain, record] : image.evacuations()) {
@@ -66,6 +66,7 @@
     std::uint64_t version() const { return m_version; }
     const FleetImage& image() const { return m_image; }
     bool isEvacuated(const std::string& failureDomain) const { return m_image.isEvacuated(failureDomain); }
+    const std::set<std::string>& evacuatedDomains() const { return m_evacuated; }
     const PeerAddress& member() const { return m_choice.current(); }
     std::vector<MemberLocation> members() const;
     void onChanged(std::function<void()> handler) { m_changed.push_back(std::move(handler)); }
@@ -338,7 +339,7 @@
     if (!changed) {
         return;
     }
-    m_evacuated = evacuatedDomains(m_image);
+    m_evacuated = evacuatedDomainsOf(m_image);
     std::ranges::for_each(m_changed, [](const auto& handler) { handler(); });
 }
 
@@ -423,6 +424,12 @@
     return m_impl->isEvacuated(failureDomain);
 }
 
+std::vector<std::string> ControlSession::evacuatedDomains() const
+{
+    const auto& domains = m_impl->evacuatedDomains();
+    return { domains.begin(), domains.end() };
+}
+
 void ControlSession::onChanged(std::function<void()> handler)
 {
     m_impl->onChanged(std::move(handler));
--- a/src/app/control_session.h
+++ b/src/app/control_session.h
@@ -30,6 +30,9 @@
     /// Adds a handler that is called with the control members when they have changed.
     void onMembers(std::function<void(const std::vector<MemberLocation>&)> handler);
 
+    /// \returns the evacuated failure domains, as known to this daemon.
+    std::vector<std::string> evacuatedDomains() const;
+
     /// \returns the log index up to which this daemon has applied the state.
     std::uint64_t appliedIndex() const;
 
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -118,6 +118,7 @@
         m_metrics->addServerGauges(*m_server);
         m_server->runFinished().connect([this](const RunRecord& record) { m_metrics->count(record); });
     }
+    m_metrics->addFleetGauges(*m_session);
     m_metrics->addLinkGauges(m_network.traffic());
     m_reporter = std::make_unique<DaemonReporter>(m_settings, *m_session, *m_view, m_timers, m_server.get());
     if (m_control) {
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -84,6 +84,12 @@
     m_metrics.gauge(rate.name, rate.help, {}, [&server] { return server.rateLimit().value_or(std::numeric_limits<double>::infinity()); });
 }
 
+void DaemonMetrics::addFleetGauges(const ControlSession& session)
+{
+    const auto& info = metricInfo(Metric::EvacuatedDomains);
+    m_metrics.gauge(info.name, info.help, {}, [&session] { return static_cast<double>(session.evacuatedDomains().size()); });
+}
+
 void DaemonMetrics::addLinkGauges(const LinkTrafficTable& traffic)
 {
     auto gauge = [&](Metric metric, std::uint64_t LinkTraffic::*member) {
--- a/src/app/daemon_metrics.h
+++ b/src/app/daemon_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/peer_link.h"
+#include "app/control_session.h"
 #include "app/metric_catalogue.h"
 #include "app/metrics.h"
 #include "app/request_record.h"
@@ -26,6 +27,9 @@
     /// Adds gauges for the load of \p server, which must outlive this object.
     void addServerGauges(const ServerRole& server);
 
+    /// Adds gauges for the replicated state as known to \p session, which must outlive this object.
+    void addFleetGauges(const ControlSession& session);
+
     /// Adds gauges for the traffic on the links to other daemons. \p traffic must outlive this object.
     void addLinkGauges(const LinkTrafficTable& traffic);
 
--- a/src/app/daemon_reporter.cpp
+++ b/src/app/daemon_reporter.cpp
@@ -30,6 +30,7 @@
     }
     report.version = m_session.version();
     report.appliedIndex = m_session.appliedIndex();
+    report.evacuatedDomains = m_session.evacuatedDomains();
     report.keysValid = m_session.keysValid(m_timers.now());
     if (m_server) {
         report.server = LocalServerReport { m_server->entry(), m_server->load() };
--- a/src/app/metric_catalogue.cpp
+++ b/src/app/metric_catalogue.cpp
@@ -15,6 +15,7 @@
         { "pistachiowheel_backend_queued", "gauge", "", "Requests waiting for the backend server." },
         { "pistachiowheel_backend_limit", "gauge", "", "Concurrency limit of the backend server." },
         { "pistachiowheel_backend_rate_limit", "gauge", "", "Requests per second that the backend server accepts; inf without a limit." },
+        { "pistachiowheel_evacuated_domains", "gauge", "", "Evacuated failure domains, as known to this daemon." },
         { "pistachiowheel_link_sent_bytes", "gauge", "kind", "Bytes sent to other daemons." },
         { "pistachiowheel_link_received_bytes", "gauge", "kind", "Bytes received from other daemons." },
         { "pistachiowheel_link_sent_frames", "gauge", "kind", "Messages sent to other daemons." },
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -16,6 +16,7 @@
     BackendQueued,
     BackendLimit,
     BackendRateLimit,
+    EvacuatedDomains,
     LinkSentBytes,
     LinkReceivedBytes,
     LinkSentFrames,
--- a/src/app/operator_control.cpp
+++ b/src/app/operator_control.cpp
@@ -64,6 +64,11 @@
     return m_log.image().keys();
 }
 
+const std::map<std::string, EvacuationRecord>& OperatorControl::evacuations() const
+{
+    return m_log.image().evacuations();
+}
+
 std::vector<ConfigurationHistoryEntry> OperatorControl::history() const
 {
     std::vector<ConfigurationHistoryEntry> result;
--- a/src/app/operator_control.h
+++ b/src/app/operator_control.h
@@ -20,6 +20,7 @@
     ControlReport report() const override;
     const ConfigurationRecord& configuration() const override;
     const std::map<std::string, KeyRecord>& keys() const override;
+    const std::map<std::string, EvacuationRecord>& evacuations() const override;
     std::vector<ConfigurationHistoryEntry> history() const override;
 
 private:
--- a/src/app/operator_http.cpp
+++ b/src/app/operator_http.cpp
@@ -45,6 +45,14 @@
         return text.size() <= maxLabelBytes && std::ranges::all_of(text, [](char c) { return c >= ' ' && c <= '~'; });
     }
 
+    /// \returns the result of an order that conflicted with a base which the operator did not name: it was not applied, and the
+    /// client may send it again.
+    ChangeResult retryable(ChangeResult result)
+    {
+        result.outcome = ChangeOutcome::Unavailable;
+        return result;
+    }
+
 } // namespace
 
 int httpStatusOf(ChangeOutcome outcome)
@@ -63,6 +71,9 @@
         { "GET", "/v1/keys", true, &OperatorHttp::listKeys },
         { "POST", "/v1/keys", true, &OperatorHttp::issueKey },
         { "POST", "/v1/keys/withdraw", true, &OperatorHttp::withdrawKey },
+        { "GET", "/v1/evacuations", true, &OperatorHttp::listEvacuations },
+        { "POST", "/v1/evacuations", true, &OperatorHttp::evacuate },
+        { "POST", "/v1/evacuations/finish", true, &OperatorHttp::finishEvacuation },
         { "POST", "/v1/members/remove", true, &OperatorHttp::removeMember },
         { "POST", "/v1/members/bootstrap", true, &OperatorHttp::bootstrap },
         { "GET", "/v1/in-force", true, &OperatorHttp::inForce },
@@ -227,6 +238,40 @@
     submit(authenticated, { authenticated->change, WithdrawKey { query.text("id") } });
 }
 
+void OperatorHttp::listEvacuations(const AuthenticatedRequestPtr& authenticated)
+{
+    JsonWriter json;
+    json.object().array("evacuations");
+    for (const auto& [domain, record] : m_parts.control->evacuations()) {
+        json.object().field("failureDomain", domain).field("evacuated", record.evacuated).field("revision", record.revision).endObject();
+    }
+    json.endArray().endObject();
+    replyJson(authenticated, ok, json.text() + "\n");
+}
+
+void OperatorHttp::evacuate(const AuthenticatedRequestPtr& authenticated)
+{
+    orderEvacuation(authenticated, true);
+}
+
+void OperatorHttp::finishEvacuation(const AuthenticatedRequestPtr& authenticated)
+{
+    orderEvacuation(authenticated, false);
+}
+
+void OperatorHttp::orderEvacuation(const AuthenticatedRequestPtr& authenticated, bool evacuated)
+{
+    const HttpQuery query(authenticated->exchange->request().target);
+    const SetEvacuation order { query.text("failureDomain"), evacuated, query.number("base") };
+    if (!isName(order.failureDomain)) {
+        replyBadRequest(authenticated, "failureDomain: not a name; accepted: " + std::string(nameAccepted));
+    } else if (!order.baseRevision && !query.text("base").empty()) {
+        replyBadRequest(authenticated, "base: not a number; accepted: the revision that the order is based on");
+    } else {
+        submit(authenticated, { authenticated->change, order });
+    }
+}
+
 void OperatorHttp::removeMember(const AuthenticatedRequestPtr& authenticated)
 {
     const auto name = HttpQuery(authenticated->exchange->request().target).text("name");
@@ -272,9 +317,11 @@
         replyBadRequest(authenticated, "change: not a change id; accepted: " + std::string(nameAccepted));
         return;
     }
-    m_parts.control->submit(std::move(change), [this, authenticated, alive = std::weak_ptr(m_alive)](const ChangeResult& result) {
+    const auto* order = std::get_if<SetEvacuation>(&change.operation);
+    const auto impliesBase = order && !order->baseRevision;
+    m_parts.control->submit(std::move(change), [this, authenticated, impliesBase, alive = std::weak_ptr(m_alive)](const ChangeResult& result) {
         if (!alive.expired()) {
-            replyChangeResult(authenticated, result);
+            replyChangeResult(authenticated, impliesBase && result.outcome == ChangeOutcome::Conflict ? retryable(result) : result);
         }
     });
 }
--- a/src/app/operator_http.h
+++ b/src/app/operator_http.h
@@ -55,6 +55,10 @@
     void listKeys(const AuthenticatedRequestPtr& authenticated);
     void issueKey(const AuthenticatedRequestPtr& authenticated);
     void withdrawKey(const AuthenticatedRequestPtr& authenticated);
+    void listEvacuations(const AuthenticatedRequestPtr& authenticated);
+    void evacuate(const AuthenticatedRequestPtr& authenticated);
+    void finishEvacuation(const AuthenticatedRequestPtr& authenticated);
+    void orderEvacuation(const AuthenticatedRequestPtr& authenticated, bool evacuated);
     void removeMember(const AuthenticatedRequestPtr& authenticated);
     void bootstrap(const AuthenticatedRequestPtr& authenticated);
     void inForce(const AuthenticatedRequestPtr& authenticated);
--- a/src/app/operator_request_handler.cpp
+++ b/src/app/operator_request_handler.cpp
@@ -18,6 +18,10 @@
 
     Duration timeoutOf(const decltype(OperatorForwardRequest::operation)& what)
     {
+        const auto* change = std::get_if<Change>(&what);
+        if (change && std::holds_alternative<SetEvacuation>(change->operation)) {
+            return config::evacuationOrderTimeout;
+        }
         return std::holds_alternative<AwaitInForce>(what) ? config::inForceTimeout : config::changeTimeout;
     }
 
--- a/src/app/operator_status.cpp
+++ b/src/app/operator_status.cpp
@@ -22,6 +22,11 @@
         std::ranges::for_each(report.roles, [&](const std::string& it) { json.item(it); });
         json.endArray();
         json.field("version", report.version).field("appliedIndex", report.appliedIndex).field("keysValid", report.keysValid);
+        if (!report.evacuatedDomains.empty()) {
+            json.array("evacuatedDomains");
+            std::ranges::for_each(report.evacuatedDomains, [&](const std::string& it) { json.item(it); });
+            json.endArray();
+        }
         if (report.server) {
             json.object("backendServer");
             writeServer(json, report.server->entry);
--- a/src/config.h
+++ b/src/config.h
@@ -333,6 +333,9 @@
 inline constexpr std::size_t maxStoredDeltas = 512;
 /// Time for which a change is retried before its outcome is reported as unknown.
 inline constexpr milliseconds changeTimeout { 5000 };
+/// Time for which an order to evacuate a failure domain is retried. Shorter than changeTimeout, as operators of platforms
+/// resend such an order to other members for 4 s only, and this member may be the one that has lost the leader.
+inline constexpr milliseconds evacuationOrderTimeout { 1000 };
 /// Timeout of a read of the newest configuration.
 inline constexpr milliseconds readTimeout { 800 };
 /// Interval at which an unanswered change is sent to the leader again.
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -207,7 +207,7 @@
     const auto current = m_image.evacuationRevision(change.failureDomain);
     const auto isChange = m_image.isEvacuated(change.failureDomain) != change.evacuated;
     if (isChange && change.baseRevision && *change.baseRevision != current) {
-        return { { ChangeOutcome::Conflict, m_image.configuration().version, 0, "another order for this failure domain was accepted since" }, {} };
+        return { { ChangeOutcome::Conflict, 0, 0, "another order for this failure domain was accepted; its revision is now " + std::to_string(current) }, {} };
     }
     if (current == 0 && m_image.evacuations().size() >= config::maxEvacuations) {
         return invalid("there are too many failure domains with evacuations");
--- a/src/ports/operator_backend.h
+++ b/src/ports/operator_backend.h
@@ -52,7 +52,7 @@
 
     virtual ~OperatorBackend() = default;
 
-    /// Submits \p change. \p done is called exactly once; its outcome is Unknown when the change may have been applied.
+    /// Submits \p change; an evacuation without a base revision is based on the one known at this member. \p done is called exactly once; its outcome is Unknown when the change may have been applied.
     virtual void submit(Change change, Done done) = 0;
 
     /// Calls \p done once with the latest accepted configuration, or with null when this member can't determine it.
@@ -74,6 +74,8 @@
     virtual const ConfigurationRecord& configuration() const = 0;
     /// \returns the keys by id, including withdrawn ones.
     virtual const std::map<std::string, KeyRecord>& keys() const = 0;
+    /// \returns the evacuations by failure domain, including finished ones.
+    virtual const std::map<std::string, EvacuationRecord>& evacuations() const = 0;
     /// \returns the latest accepted configurations, oldest first.
     virtual std::vector<ConfigurationHistoryEntry> history() const = 0;
 };
@@ -94,6 +96,7 @@
     std::uint64_t version = 0; ///< Of the applied configuration.
     std::uint64_t appliedIndex = 0; ///< Log index up to which it applied the replicated state.
     bool keysValid = false; ///< Whether its validity lease holds, so that it may check keys.
+    std::vector<std::string> evacuatedDomains; ///< Evacuated failure domains, as known to it.
     std::optional<LocalServerReport> server;
 };
 
--- a/tests/unit/cli_commands_test.cpp
+++ b/tests/unit/cli_commands_test.cpp
@@ -147,6 +147,36 @@
     BOOST_TEST(outcome.sent[1] == "b:2 POST /v1/keys/withdraw?change=c1&id=key-1");
 }
 
+BOOST_AUTO_TEST_CASE(evacuationsAreOrderedAndFinished)
+{
+    pw::CliOptions options;
+    options.action = pw::CliAction::Evacuate;
+    options.argument = "zone-b";
+    options.changeId = "c1";
+    options.wait = true;
+    // A conflict with a base that the member implied is reported as unavailable, so the same change is sent again.
+    const auto outcome = run(options, { { 503, R"({"outcome":"unavailable"})" }, { 200, accepted }, { 200, R"({"inForce":true})" } });
+    BOOST_TEST((outcome.code == pw::ExitCode::Done), outcome.out + outcome.err);
+    BOOST_TEST_REQUIRE(outcome.sent.size() == 3U);
+    BOOST_TEST(outcome.sent[0] == "a:1 POST /v1/evacuations?change=c1&failureDomain=zone-b");
+    BOOST_TEST(outcome.sent[1] == "b:2 POST /v1/evacuations?change=c1&failureDomain=zone-b");
+    options.finish = true;
+    options.wait = false;
+    options.base = 9;
+    const auto conflict = run(options, { { 409, R"({"outcome":"conflict","version":0,"reason":"its revision is now 12"})" } });
+    BOOST_TEST((conflict.code == pw::ExitCode::Conflict));
+    BOOST_TEST(conflict.err.find("revision is now 12") != std::string::npos, conflict.err);
+    BOOST_TEST(conflict.sent.at(0) == "a:1 POST /v1/evacuations/finish?change=c1&failureDomain=zone-b&base=9");
+}
+
+BOOST_AUTO_TEST_CASE(statusListsEvacuatedFailureDomains)
+{
+    const auto outcome = run({}, { { 200, R"({"daemon":{"name":"d","evacuatedDomains":["zone-a","zone-b"]},"backendServers":[]})" } });
+    BOOST_TEST(outcome.out.find("evacuated failure domains: zone-a zone-b\n") != std::string::npos, outcome.out);
+    const auto none = run({}, { { 200, R"({"daemon":{"name":"d"},"backendServers":[]})" } });
+    BOOST_TEST(none.out.find("evacuated") == std::string::npos, none.out);
+}
+
 BOOST_AUTO_TEST_CASE(issuedKeyIsShownOnceAndNeverSent)
 {
     pw::CliOptions options;
--- a/tests/unit/support/control_fleet.h
+++ b/tests/unit/support/control_fleet.h
@@ -5,6 +5,7 @@
 #include "fake_log_storage.h"
 #include "fake_network.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -17,6 +18,29 @@
     void write(Event, std::initializer_list<EventField>) override { }
 };
 
+/// Event log of all VMs that keeps what the control members decided about changes.
+class DecisionLog : public EventLog {
+public:
+    struct Decision {
+        std::string changeId;
+        std::string outcome;
+
+        bool operator==(const Decision&) const = default;
+    };
+
+    bool shouldWrite(Event event) override { return event == Event::ChangeDecided; }
+
+    void write(Event, std::initializer_list<EventField> fields) override
+    {
+        const auto field = [&fields](std::string_view name) { return std::ranges::find(fields, name, &EventField::name)->value; };
+        const Decision decision { field("change"), field("outcome") };
+        differs = differs || decisions.emplace(std::stoull(field("index")), decision).first->second != decision;
+    }
+
+    std::map<std::uint64_t, Decision> decisions; ///< By log index.
+    bool differs = false; ///< Two members decided differently about the same log entry.
+};
+
 /// Simulated control members and daemons on a fake clock, network and disks.
 class ControlFleet {
 public:
@@ -32,9 +56,9 @@
 
     FakeTimers timers;
     FakeNetwork network;
-    NullEventLog events;
+    DecisionLog events;
 
-    ControlFleet(std::size_t members, std::size_t daemons, std::uint64_t seed)
+    ControlFleet(std::size_t members, std::size_t daemons, std::uint64_t seed, std::uint32_t toleratedLosses = 1)
         : network(timers, seed)
         , m_random(seed)
     {
@@ -43,6 +67,7 @@
             settings.name = (n < members ? "control" : "daemon") + std::to_string(n);
             settings.peerAddress = settings.name;
             settings.control = n < members;
+            settings.toleratedLosses = toleratedLosses;
             settings.failureDomain = "domain" + std::to_string(n % std::max<std::size_t>(members, 1));
             m_vms.push_back(std::make_unique<Vm>());
             m_vms.back()->settings = settings;
