--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -164,7 +164,8 @@
     BOOST_TEST(read->image().isEvacuated("a"));
     BOOST_TEST(!read->image().isEvacuated("b"));
     BOOST_TEST(read->image().evacuationRevision("b") == 4U);
-    const auto applied = state.apply(5, orderOf("c1", "c", true));
+    const auto applied = state.apply(5, orderOf("new", "c", true));
+    BOOST_REQUIRE(applied.delta.has_value());
     const pw::SessionReply reply { 1, true, {}, {}, 4, 5, state.image(), { *applied.delta }, {} };
     const auto received = pw::decodeSessionReply(pw::encodeSessionReply(reply));
     BOOST_REQUIRE(received);
