--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -195,6 +195,7 @@
         pw::decodeSessionReply(damaged);
         pw::decodeChange(damaged);
     }
+    BOOST_TEST(!pw::decodeFleetState(std::span(bytes).first(bytes.size() / 2)).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(ordersReachEveryDaemonWithinASecond)
@@ -266,6 +267,47 @@
     BOOST_TEST((fleet.timers.now() - began <= 1500ms));
 }
 
+/// The platform's operator resends an order for 4 s, to any member, after no answer or a refusal.
+BOOST_AUTO_TEST_CASE(ordersAreAcknowledgedWithinFourSecondsWhenTheLeaderIsLost)
+{
+    pw::Duration longest {};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Fleet fleet(seed);
+        fleet.crash(*fleet.leader());
+        const auto began = fleet.timers.now();
+        auto outcome = ChangeOutcome::Unknown;
+        for (std::uint64_t n = 0; outcome != ChangeOutcome::Accepted && fleet.timers.now() - began < 4s; ++n) {
+            if (auto& asked = *fleet.controls()[(seed + n) % fleet.controls().size()]; asked.log) {
+                outcome = fleet.order(asked, "o" + std::to_string(n), true).outcome;
+            }
+            fleet.timers.run(50ms);
+        }
+        BOOST_TEST((outcome == ChangeOutcome::Accepted), "seed " << seed);
+        longest = std::max(longest, fleet.timers.now() - began);
+    }
+    BOOST_TEST_MESSAGE("longest time to the acknowledgement: " << std::chrono::duration_cast<std::chrono::milliseconds>(longest).count() << " ms");
+    BOOST_TEST((longest <= 4s));
+}
+
+/// Counts the refusals of orders that alternate between members, as those lag behind an acknowledgement.
+BOOST_AUTO_TEST_CASE(ordersInSuccessionAtOtherMembersAreAcknowledgedWithinASecond)
+{
+    Fleet fleet(7);
+    std::size_t refused = 0;
+    for (std::size_t n = 0; n < 30; ++n) {
+        const auto began = fleet.timers.now();
+        auto outcome = ChangeOutcome::Unknown;
+        for (auto copy = 0; outcome != ChangeOutcome::Accepted && copy < 20; ++copy) {
+            outcome = fleet.order(*fleet.controls()[n % 3], "o" + std::to_string(n) + "-" + std::to_string(copy), n % 2 == 0).outcome;
+            refused += outcome == ChangeOutcome::Accepted ? 0 : 1;
+            fleet.timers.run(20ms);
+        }
+        BOOST_TEST((outcome == ChangeOutcome::Accepted));
+        BOOST_TEST((fleet.timers.now() - began <= 1s));
+    }
+    BOOST_TEST_MESSAGE("refused copies: " << refused);
+}
+
 BOOST_AUTO_TEST_CASE(acknowledgedOrderSurvivesTwoWipedDisksAndARestartOfAll)
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
