--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -101,6 +101,12 @@
     m_metrics.gauge(evacuated.name, evacuated.help, {}, [&server] { return server.isEvacuated() ? 1.0 : 0.0; });
 }
 
+void DaemonMetrics::addFleetGauges(const ControlSession& session)
+{
+    const auto& info = metricInfo(Metric::EvacuatedDomains);
+    m_metrics.gauge(info.name, info.help, {}, [&session] { return static_cast<double>(session.evacuatedDomains().size()); });
+}
+
 void DaemonMetrics::addLinkGauges(const LinkTrafficTable& traffic)
 {
     auto gauge = [&](Metric metric, std::uint64_t LinkTraffic::*member) {
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -20,6 +20,7 @@
     BackendWarmUpRequests,
     BackendEvacuated,
     EvacuationRefusals,
+    EvacuatedDomains,
     LinkSentBytes,
     LinkReceivedBytes,
     LinkSentFrames,
