--- a/tests/unit/warm_up_play_test.cpp
+++ b/tests/unit/warm_up_play_test.cpp
@@ -28,8 +28,8 @@
 constexpr std::size_t domainCount = 3;
 constexpr std::uint32_t slots = 108;
 constexpr std::uint32_t usedSlots = 102; ///< With the headroom of the deployment (limit.headroom of 0.05).
-constexpr double requestsPerServer = 56; ///< Per second: 28 roots and as many nested calls.
-constexpr auto meanWork = 1500ms; ///< Uses 0.78 of the slots.
+constexpr double fullLoad = 56; ///< Requests per second and server: 28 roots and as many nested calls, which use 0.78 of the slots.
+constexpr auto meanWork = 1500ms;
 constexpr auto deadline = 6s;
 constexpr double slowdownThreshold = 0.95;
 constexpr double slowdownFactor = 1.3;
@@ -63,6 +63,7 @@
     const char* name;
     Onset onset;
     bool viewShowsRates = true; ///< False: the control plane is out of reach, so that entry daemons learn the rates from answers.
+    double requestsPerServer = fullLoad;
 };
 
 std::ostream& operator<<(std::ostream& out, const PlayRow& row)
@@ -77,6 +78,8 @@
     { "connections reset, without the view", Onset::Reset, false },
     { "announced", Onset::Announced },
     { "announced, without the view", Onset::Announced, false },
+    { "available again together, half the load", Onset::Restart, true, fullLoad / 2 },
+    { "announced, half the load", Onset::Announced, true, fullLoad / 2 },
 };
 
 std::size_t domainOf(std::size_t server)
@@ -259,7 +262,7 @@
         m_requests[id] = { m_random() % serverCount, uniform(m_random) < 0.5, m_now, m_now, 0, {} };
         ++m_sent[secondOf(m_now - begin)];
         attempt(id);
-        const std::chrono::duration<double> gap(-std::log(1 - uniform(m_random)) / (requestsPerServer * serverCount));
+        const std::chrono::duration<double> gap(-std::log(1 - uniform(m_random)) / (m_row.requestsPerServer * serverCount));
         at(m_now + std::chrono::duration_cast<Duration>(gap), [this] { arriveNext(); });
     }
 
@@ -439,7 +442,7 @@
     }
     BOOST_TEST(std::chrono::duration<double>(recovered - from).count() <= std::chrono::duration<double>(recoveryTime).count());
     const auto cold = static_cast<double>(serverCount / domainCount) * settings.requestsPerSecond;
-    const auto possible = std::min(1.0, (cold + play.warmCapacity()) / (requestsPerServer * serverCount));
+    const auto possible = std::min(1.0, (cold + play.warmCapacity()) / (row.requestsPerServer * serverCount));
     BOOST_TEST(play.served(from, from + coldTime) >= tolerance * possible);
     BOOST_TEST_MESSAGE(row.name << ": at most " << play.worstSecond() << " in a second, " << play.reachedCold() << " in all; warm servers " << play.warmThroughput(5s, incidentAt)
                                 << " -> " << play.warmThroughput(from, from + coldTime) << "/s; served while cold " << play.served(from, from + coldTime) << " of " << possible
