--- a/tests/process/evacuation_test.cpp
+++ b/tests/process/evacuation_test.cpp
@@ -21,7 +21,7 @@
     /// \returns whether the status of the daemon at \p address lists \p domain as evacuated.
     bool isListed(const std::string& address, const std::string& domain)
     {
-        return fleet.operators().runAt(address, { "status" }).output.find("evacuated failure domains: " + domain + "\n") != std::string::npos;
+        return fleet.operators().runAt(address, { "status" }).output.find("\"evacuatedDomains\":[\"" + domain + "\"]") != std::string::npos;
     }
 
     Fleet fleet;
@@ -39,7 +39,7 @@
     auto& operators = test.fleet.operators();
     const auto ordered = operators.run({ "evacuate", "d1", "--wait" });
     BOOST_TEST(ordered.status == 0, ordered.output);
-    BOOST_TEST(ordered.output.find("in force everywhere") != std::string::npos, ordered.output);
+    BOOST_TEST(ordered.output.find("\"inForce\":true") != std::string::npos, ordered.output);
     BOOST_TEST(test.isListed(test.entry.spec().operators, "d1"));
     for (auto& it : test.fleet.controls()) {
         it.crash();
