Check that a refused offer closes its domain and that running calls are waited for

Two mutations of the dispatcher passed the tests: without the exclusion of a whole failure domain after one refusal, and with rerouting from a silent server while the others are evacuated.

--- a/tests/unit/dispatcher_test.cpp
+++ b/tests/unit/dispatcher_test.cpp
@@ -322,9 +322,10 @@
     fixture.timers.run(10ms);
     BOOST_TEST_REQUIRE(fixture.one.calls == 1);
     fixture.fleet.evacuate("d2", evacuated);
-    fixture.network.isolate("one");
+    fixture.network.cutOneWay("one", "entry");
     fixture.timers.run(900ms);
     BOOST_TEST(fixture.ended == (evacuated ? 0 : 1));
+    BOOST_TEST(fixture.one.cancelled == (evacuated ? 0 : 1));
     BOOST_TEST(fixture.two.calls == (evacuated ? 0 : 1));
 }
 
--- a/tests/unit/evacuation_play_test.cpp
+++ b/tests/unit/evacuation_play_test.cpp
@@ -112,6 +112,7 @@
         return result;
     }
 
+    std::size_t offersRefused = 0; ///< Calls that the servers' daemons have refused.
     std::vector<Refusal> refusals; ///< Of the requests that have ended.
 
 private:
@@ -129,6 +130,7 @@
             announcement.warmUpTime = 0ms;
             std::string reason;
             BOOST_REQUIRE(role.announce(announcement, reason));
+            role.evacuationRefused().connect([&fleetOfAll](const std::string&) { ++fleetOfAll.offersRefused; });
         }
 
         static Settings settingsOf(std::size_t n)
@@ -210,6 +212,8 @@
         fleet.apply(step.domain, step.knowledge);
         fleet.run(settleTime);
         const auto before = fleet.reached();
+        const auto startedBefore = started;
+        const auto refusedBefore = fleet.offersRefused;
         for (Duration at = step.at + settleTime; at < end; at += callInterval) {
             fleet.start();
             ++started;
@@ -220,6 +224,8 @@
         for (std::size_t domain = 0; domain < domainCount; ++domain) {
             BOOST_TEST((!isClosed(domain) || after[domain] == before[domain]), domainName(domain) << " is reached after step " << n);
         }
+        // A refusal by one server's daemon tells of the whole failure domain.
+        BOOST_TEST(fleet.offersRefused - refusedBefore <= (started - startedBefore) * step.closed.size());
         // It is the entry daemon's own failure domain, which is preferred.
         BOOST_TEST((after[0] > before[0]) == !isClosed(0));
     }
