--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -119,6 +119,7 @@
         m_server->runFinished().connect([this](const RunRecord& record) { m_metrics->count(record); });
         m_server->evacuationRefused().connect([this](const std::string& route) { m_metrics->countEvacuationRefusal(route); });
     }
+    m_metrics->addFleetGauges(*m_session);
     m_metrics->addLinkGauges(m_network.traffic());
     m_reporter = std::make_unique<DaemonReporter>(m_settings, *m_session, *m_view, m_timers, m_server.get());
     if (m_control) {
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -18,6 +18,7 @@
     BackendRateLimit,
     BackendEvacuated,
     EvacuationRefusals,
+    EvacuatedDomains,
     LinkSentBytes,
     LinkReceivedBytes,
     LinkSentFrames,
