--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -69,7 +69,7 @@
     , m_settings(settings)
     , m_client(loop, timers, protocol)
     , m_admission(limitFrom(settings))
-    , m_warmUp({ timers, log, protocol, settings, m_client, m_admission.warmUp() })
+    , m_warmUp({ timers, log, protocol, settings, m_client, m_admission.warmUp(), m_admission.rate() })
     , m_demand(board)
     , m_contexts(randomToken)
 {
--- a/src/app/warm_up_monitor.cpp
+++ b/src/app/warm_up_monitor.cpp
@@ -207,6 +207,7 @@
     }
     if (auto request = probeRequest()) {
         m_parts.warmUp.onProbeSent(now);
+        m_parts.rate.takeToken(now);
         m_parts.client.probe(std::move(*request), config::warmUpProbeTimeout, [this, now](const BackendResult& result) { onProbed(now, result); });
     }
 }
--- a/src/app/warm_up_monitor.h
+++ b/src/app/warm_up_monitor.h
@@ -2,6 +2,7 @@
 
 #include "adapters/backend_client.h"
 #include "app/settings.h"
+#include "core/backend_rate.h"
 #include "core/warm_up.h"
 #include "pistachiowheel/pistachiowheel.h"
 #include "ports/backend_protocol.h"
@@ -47,6 +48,7 @@
         const Settings& settings;
         BackendClient& client;
         WarmUp& warmUp;
+        BackendRate& rate; ///< Limit that the backend server states; probes count towards it.
     };
 
     /// The backend server as last announced.
