Let a cold server's rate rise while rounds of its responses stay fast

A round is 8 responses, since single ones say little. After a round that took at most 1.5 times the fastest one since the cold time began the rate grows by 1.15, up to requestsPerSecond * overage; a slower round, a failure or a new event returns it to the tolerated rate. The service time of the warm server is no reference: work takes longer while cold.

--- a/src/config.h
+++ b/src/config.h
@@ -227,6 +227,12 @@
 inline constexpr double warmUpBurstShare = 0.5;
 /// A remaining warm-up time is counted this much longer, because it may be rounded down and clocks may differ.
 inline constexpr milliseconds warmUpEndMargin { 50 };
+/// Responses in a round from which the rate of a warming server is adapted; single ones say little, because work varies by
+/// route. The rate grows by the factor after a round that took at most the ratio times the fastest round, and otherwise
+/// returns to the tolerated rate.
+inline constexpr std::uint32_t warmUpRoundResponses = 8;
+inline constexpr double warmUpRateGrowth = 1.15;
+inline constexpr double warmUpFastRatio = 1.5;
 /// Minimum interval between two probes of the remaining warm-up time of a backend server, and the timeout of a probe.
 inline constexpr milliseconds warmUpProbeInterval { 200 };
 inline constexpr milliseconds warmUpProbeTimeout { 500 };
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -68,6 +68,7 @@
     LimitSample sample { std::max(Duration(0), held - result.nestedTime), run.queueDelay, running(), result.outcome };
     m_running.erase(it);
     m_limit->onSample(sample, now);
+    m_warmUp.onSample(sample, run.started, now);
     if (result.outcome == RunOutcome::Ok || result.outcome == RunOutcome::Timeout) {
         m_serviceTime.add(held, now);
     }
--- a/src/core/warm_up.cpp
+++ b/src/core/warm_up.cpp
@@ -23,8 +23,16 @@
         return;
     }
     m_settings = settings;
-    if (settings.requestsPerSecond > 0) {
-        m_bucket.configure(settings.requestsPerSecond, std::max(1.0, settings.slack * config::warmUpBurstShare));
+    m_rate = settings.requestsPerSecond;
+    m_round = {};
+    m_fastestRound = {};
+    configureBucket();
+}
+
+void WarmUp::configureBucket()
+{
+    if (m_rate > 0) {
+        m_bucket.configure(m_rate, std::max(1.0, m_settings.slack * config::warmUpBurstShare));
     }
 }
 
@@ -43,6 +51,7 @@
 {
     beginLimiting(now);
     m_unknownSince = now;
+    forgetSamples(now);
 }
 
 void WarmUp::onProbeSent(TimePoint now)
@@ -88,7 +97,7 @@
 
 std::optional<double> WarmUp::rate(TimePoint now) const
 {
-    return isLimiting(now) ? std::optional(m_settings.requestsPerSecond) : std::nullopt;
+    return isLimiting(now) ? std::optional(m_rate) : std::nullopt;
 }
 
 bool WarmUp::hasToken(TimePoint now) const
@@ -123,9 +132,61 @@
 {
     if (!isLimiting(now)) {
         m_bucket.clear(now);
+        forgetSamples(now);
+    }
+}
+
+void WarmUp::onSample(const LimitSample& sample, TimePoint startedAt, TimePoint now)
+{
+    if (!m_settings.rises || !isLimiting(now) || m_unknownSince || startedAt < m_samplesSince || sample.outcome == RunOutcome::Cancelled) {
+        return;
+    }
+    if (sample.outcome != RunOutcome::Ok) {
+        m_round = {};
+        setRate(m_settings.requestsPerSecond, now);
+        return;
+    }
+    ++m_round.count;
+    m_round.total += sample.serviceTime;
+    if (m_round.count >= config::warmUpRoundResponses) {
+        endRound(now);
+    }
+}
+
+/// Raises the rate after a round that was about as fast as the fastest one, otherwise returns to the tolerated rate.
+void WarmUp::endRound(TimePoint now)
+{
+    const auto average = m_round.total / m_round.count;
+    m_round = {};
+    m_fastestRound = m_fastestRound == Duration::zero() ? average : std::min(m_fastestRound, average);
+    const auto fast = std::chrono::duration<double>(average) <= config::warmUpFastRatio * std::chrono::duration<double>(m_fastestRound);
+    setRate(fast ? std::min(m_rate * config::warmUpRateGrowth, highestRate()) : m_settings.requestsPerSecond, now);
+}
+
+/// Goes back to the tolerated rate and forgets the service times, which were those of another state of the server.
+void WarmUp::forgetSamples(TimePoint now)
+{
+    m_round = {};
+    m_fastestRound = {};
+    m_samplesSince = now;
+    setRate(m_settings.requestsPerSecond, now);
+}
+
+void WarmUp::setRate(double requestsPerSecond, TimePoint now)
+{
+    if (requestsPerSecond != m_rate) {
+        m_bucket.refill(now);
+        m_rate = requestsPerSecond;
+        configureBucket();
     }
 }
 
+/// \returns the highest rate that the settings allow; the window of sent requests keeps the bound.
+double WarmUp::highestRate() const
+{
+    return std::max(m_settings.requestsPerSecond, m_settings.requestsPerSecond * m_settings.overage);
+}
+
 void WarmUp::record(TimePoint now, double lowestLevel)
 {
     if (m_settings.requestsPerSecond <= 0) {
--- a/src/core/warm_up.h
+++ b/src/core/warm_up.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "core/limit.h"
 #include "core/token_bucket.h"
 #include "core/types.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <optional>
 
@@ -14,6 +16,7 @@
     double requestsPerSecond = 0; ///< Zero: the server does not warm up and is not limited.
     double overage = 1; ///< In any one-second window the server gets at most requestsPerSecond * overage + slack requests.
     double slack = 0;
+    bool rises = false; ///< The rate rises towards requestsPerSecond * overage while the server's responses stay fast.
 
     bool operator==(const WarmUpSettings&) const = default;
 };
@@ -44,6 +47,10 @@
     /// \param left remaining warm-up time; empty if the probe failed.
     void onProbed(std::optional<Duration> left, TimePoint askedAt, TimePoint now);
 
+    /// Adapts the rate to a finished run that began at \p startedAt, where the settings let it rise. Addresses service times
+    /// without nested calls: a cold server that slows down under the risen rate gets the tolerated one again.
+    void onSample(const LimitSample& sample, TimePoint startedAt, TimePoint now);
+
     /// \returns whether the server is cold or may be.
     bool isLimiting(TimePoint now) const;
 
@@ -71,16 +78,30 @@
 
 private:
     void beginLimiting(TimePoint now);
+    void configureBucket();
+    double highestRate() const;
+    void setRate(double requestsPerSecond, TimePoint now);
+    void forgetSamples(TimePoint now);
+    void endRound(TimePoint now);
     void record(TimePoint now, double lowestLevel);
     std::size_t windowLimit() const;
     TimePoint windowAllows(std::size_t count) const;
 
     WarmUpSettings m_settings;
+    double m_rate = 0; ///< Requests per second while limiting.
     TokenBucket m_bucket; ///< Paces the requests.
     std::deque<TimePoint> m_sent; ///< Times of the last windowLimit() requests, whether or not they were limited.
     TimePoint m_coldUntil {};
     TimePoint m_announcedUntil {}; ///< Latest end of the warm-up time that was announced since m_probeSentAt.
     std::optional<TimePoint> m_unknownSince; ///< Last event after which the server may be cold.
+    /// Responses of the current round.
+    struct Round {
+        std::uint32_t count = 0;
+        Duration total { 0 }; ///< Sum of their service times.
+    };
+    Round m_round;
+    Duration m_fastestRound { 0 }; ///< Average service time of the fastest round since limiting began; zero if there was none.
+    TimePoint m_samplesSince {}; ///< Runs that began earlier do not count.
     bool m_probing = false;
     TimePoint m_probeSentAt {};
     TimePoint m_nextProbe {};
--- a/tests/unit/warm_up_bound_test.cpp
+++ b/tests/unit/warm_up_bound_test.cpp
@@ -21,6 +21,7 @@
 namespace data = boost::unit_test::data;
 
 constexpr WarmUpSettings platformSettings { 13, 1.5, 8 };
+constexpr WarmUpSettings risingSettings { 13, 1.5, 8, true };
 constexpr TimePoint begin { 100s };
 
 /// Something that happens to a server or to the daemon beside it.
@@ -74,6 +75,11 @@
     { "suspended while cold", platformSettings, 100, 20, 100ms, { { 5s, Incident::NewStart }, { 6s, Incident::Suspension } } },
     { "suspended, then cold", platformSettings, 100, 20, 100ms, { { 5s, Incident::Suspension }, { 6s, Incident::NewStart } } },
     { "probes fail", platformSettings, 100, 20, 100ms, { { 5s, Incident::NewStart } }, true },
+    { "rising, steady load", risingSettings, 38, 0, 50ms, { { 5s, Incident::NewStart } } },
+    { "rising, bursts", risingSettings, 100, 100, 20ms, { { 5s, Incident::NewStart }, { 7200ms, Incident::LostConnections } } },
+    { "rising, announced after a burst has reached the cold server", risingSettings, 30, 20, 20ms, { { 4950ms, Incident::Announced, 100ms } } },
+    { "rising, the daemon restarts", risingSettings, 100, 20, 20ms, { { 5s, Incident::NewStart }, { 7500ms, Incident::DaemonRestart } } },
+    { "rising, suspended while cold", risingSettings, 100, 20, 20ms, { { 5s, Incident::NewStart }, { 6s, Incident::Suspension } } },
     { "tiny rate", { 1, 1.5, 8 }, 100, 20, 100ms, { { 5s, Incident::NewStart }, { 7s, Incident::LostConnections } } },
     { "large rate", { 80, 1.2, 4 }, 600, 20, 20ms, { { 5s, Incident::NewStart }, { 7s, Incident::LostConnections } } },
     { "small slack", { 13, 1.5, 2 }, 100, 20, 100ms, { { 5s, Incident::NewStart }, { 7s, Incident::LostConnections } } },
--- a/tests/unit/warm_up_test.cpp
+++ b/tests/unit/warm_up_test.cpp
@@ -228,10 +228,83 @@
         1s, false },
 };
 
+/// Rounds of responses of a cold server, and the rate after them.
+struct RiseRow {
+    const char* name;
+    WarmUpSettings settings;
+    std::vector<Duration> rounds; ///< Average service time of each round.
+    std::optional<RunOutcome> last; ///< Outcome of one more run, if any.
+    double expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const RiseRow& row)
+{
+    return out << row.name;
+}
+
+constexpr WarmUpSettings risingSettings { 13, 1.5, 8, true };
+
+const std::vector<RiseRow> riseRows {
+    { "no response", risingSettings, {}, {}, 13 },
+    { "one fast round", risingSettings, { 100ms }, {}, 13 * 1.15 },
+    { "fast rounds", risingSettings, { 100ms, 110ms, 90ms, 120ms, 100ms, 100ms }, {}, 19.5 },
+    { "a slow round", risingSettings, { 100ms, 100ms, 160ms }, {}, 13 },
+    { "fast again after a slow round", risingSettings, { 100ms, 100ms, 160ms, 100ms }, {}, 13 * 1.15 },
+    { "slower than the fastest round, not than the last", risingSettings, { 100ms, 140ms, 200ms }, {}, 13 },
+    { "a failure", risingSettings, { 100ms, 100ms }, RunOutcome::Failed, 13 },
+    { "a timeout", risingSettings, { 100ms, 100ms }, RunOutcome::Timeout, 13 },
+    { "a refusal", risingSettings, { 100ms, 100ms }, RunOutcome::Refused, 13 },
+    { "a cancelled run says nothing", risingSettings, { 100ms }, RunOutcome::Cancelled, 13 * 1.15 },
+    { "not enabled", platformSettings, { 100ms, 100ms }, {}, 13 },
+    { "no overage", { 13, 1, 8, true }, { 100ms, 100ms }, {}, 13 },
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WarmUps)
 
+/// Guards against a rate that rises while the server slows down, or beyond what the settings allow.
+BOOST_DATA_TEST_CASE(theRateRisesWhileRoundsStayFast, data::make(riseRows), row)
+{
+    WarmUp warmUp;
+    warmUp.configure(row.settings);
+    warmUp.onAnnounced(30s, begin);
+    const auto sample = [&](Duration time, RunOutcome outcome) { warmUp.onSample({ time, 0s, 1, outcome }, begin + 1s, begin + 2s); };
+    for (const auto average : row.rounds) {
+        for (std::uint32_t n = 0; n < config::warmUpRoundResponses; ++n) {
+            sample(average + (n % 2 == 0 ? 1 : -1) * average / 2, RunOutcome::Ok); // Work varies by route.
+        }
+    }
+    if (row.last) {
+        sample(100ms, *row.last);
+    }
+    BOOST_TEST(warmUp.rate(begin + 2s).value() == row.expected, boost::test_tools::tolerance(1e-9));
+}
+
+/// Guards against a risen rate, or service times, that are kept for another cold time.
+BOOST_AUTO_TEST_CASE(anotherColdTimeBeginsAtTheToleratedRate)
+{
+    WarmUp warmUp;
+    warmUp.configure(risingSettings);
+    warmUp.onAnnounced(3s, begin);
+    const auto round = [&](Duration startedAt) {
+        for (std::uint32_t n = 0; n < config::warmUpRoundResponses; ++n) {
+            warmUp.onSample({ 100ms, 0s, 1, RunOutcome::Ok }, begin + startedAt, begin + startedAt + 100ms);
+        }
+    };
+    round(-1s); // Runs from before it became cold.
+    BOOST_TEST(warmUp.rate(begin + 1s).value() == 13);
+    round(1s);
+    BOOST_TEST(warmUp.rate(begin + 2s).value() > 13);
+    warmUp.onStateUnknown(begin + 2s);
+    BOOST_TEST(warmUp.rate(begin + 2s).value() == 13);
+    round(2s); // The state is unknown.
+    BOOST_TEST(warmUp.rate(begin + 3s).value() == 13);
+    warmUp.onProbed(0s, begin + 3s, begin + 3s);
+    warmUp.onAnnounced(3s, begin + 10s);
+    BOOST_TEST(warmUp.rate(begin + 11s).value() == 13);
+}
+
 /// Guards against a server that is taken for warm because of what it announced or was asked before it became cold.
 BOOST_DATA_TEST_CASE(onlyAProbeAfterTheEventEndsTheUnknownState, data::make(stateRows), row)
 {
