--- a/tests/unit/warm_up_play_test.cpp
+++ b/tests/unit/warm_up_play_test.cpp
@@ -26,6 +26,7 @@
 
 constexpr std::size_t serverCount = 27;
 constexpr std::size_t domainCount = 3;
+constexpr std::size_t serversPerDomain = serverCount / domainCount;
 constexpr std::uint32_t slots = 108;
 constexpr std::uint32_t usedSlots = 102; ///< With the headroom of the deployment (limit.headroom of 0.05).
 constexpr double fullLoad = 56; ///< Requests per second and server: 28 roots and as many nested calls, which use 0.78 of the slots.
@@ -441,7 +442,7 @@
         recovered = play.served(second, second + 1s) < recoveredShare ? second + 1s : recovered;
     }
     BOOST_TEST(std::chrono::duration<double>(recovered - from).count() <= std::chrono::duration<double>(recoveryTime).count());
-    const auto cold = static_cast<double>(serverCount / domainCount) * settings.requestsPerSecond;
+    const auto cold = static_cast<double>(serversPerDomain) * settings.requestsPerSecond;
     const auto possible = std::min(1.0, (cold + play.warmCapacity()) / (row.requestsPerServer * serverCount));
     BOOST_TEST(play.served(from, from + coldTime) >= tolerance * possible);
     BOOST_TEST_MESSAGE(row.name << ": at most " << play.worstSecond() << " in a second, " << play.reachedCold() << " in all; warm servers " << play.warmThroughput(5s, incidentAt)
