End a start ramp only after a fast round at all slots

The last doubling reached the slots without a look at the responses to it: a server that slows down from 45 of 128 concurrent requests on was left with all 128.

--- a/src/core/start_ramp.h
+++ b/src/core/start_ramp.h
@@ -56,7 +56,7 @@
     /// \returns the upper bound of the concurrency limit.
     virtual double bound() const = 0;
 
-    /// \returns whether the bound has reached the capacity.
+    /// \returns whether the ramp has ended, with the bound at the capacity.
     virtual bool isDone() const = 0;
 
     virtual RampState state() const { return {}; }
--- a/src/core/start_ramp_answers.cpp
+++ b/src/core/start_ramp_answers.cpp
@@ -34,6 +34,7 @@
             m_trial = {};
             m_began = now;
             m_bound = initialBound();
+            m_isDone = m_bound >= m_capacity;
             // The first runs begin together, so the short ones end first.
             beginRound(now, std::floor(m_bound));
         }
@@ -60,7 +61,7 @@
         }
 
         double bound() const override { return m_bound; }
-        bool isDone() const override { return m_bound >= m_capacity; }
+        bool isDone() const override { return m_isDone; }
 
         RampState state() const override
         {
@@ -152,6 +153,8 @@
             const auto trial = std::exchange(m_trial, {});
             if (average <= config::fastRoundRatio * m_reference) {
                 m_reference = std::max(m_usual, std::min(m_reference, average));
+                // Only a fast round at all slots shows that the last step up was right.
+                m_isDone = m_bound >= m_capacity;
                 setBound(m_bound * (m_isDoubling ? 2 : 1 + config::carefulGrowth), now);
             } else if (trial.average > 0 && average >= config::unchangedRoundRatio * trial.average) {
                 acceptAsReference(average, trial.bound, now);
@@ -185,6 +188,7 @@
 
         double m_capacity;
         double m_bound;
+        bool m_isDone = true;
         double m_reference = 0; ///< In clock ticks; zero: unknown.
         double m_usual = 0; ///< Average service time outside of ramps; zero: unknown.
         std::uint64_t m_usualSamples = 0;
