--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -99,6 +99,9 @@
     /// \returns the requests per second that the backend server gets at most because it is cold or may be; empty while warm.
     std::optional<double> warmUpRate() const { return m_admission.warmUp().rate(m_timers.now()); }
 
+    /// \returns the ramp that bounds the concurrency limit after a start of the backend server.
+    const StartRamp& startRamp() const { return m_admission.ramp(); }
+
 private:
     using CallKey = std::pair<PeerAddress, std::uint64_t>;
 
@@ -138,6 +141,7 @@
     void onRunFinished(std::uint64_t id, BackendResult result);
     void onStatement(const PendingCall& work, const BackendStatement& statement);
     void reportRate(TimePoint now);
+    void reportRamp(TimePoint now);
     ClosedContext closeContext(const PendingCall& work);
     void refuse(std::uint64_t id, Refusal refusal);
     void answer(std::uint64_t id, Answer answer);
@@ -168,6 +172,9 @@
     TimePoint m_priceReported {};
     std::optional<double> m_reportedRate; ///< Rate limit as last logged.
     TimePoint m_rateReported {};
+    RampState m_reportedRamp; ///< As last logged.
+    bool m_rampEndReported = true;
+    TimePoint m_stepBackReported {};
     ContextTable m_contexts;
     ServerEntry m_entry;
     Announcement m_lastAnnouncement;
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -31,6 +31,7 @@
 
 OfferResult Admission::offer(const AdmissionItem& item, TimePoint now)
 {
+    watchWarmUp(now);
     updateAdmissionFloor(now);
     m_offered.add(now);
     if (m_leaving) {
@@ -65,7 +66,8 @@
     }
     auto run = it->second;
     auto held = now - run.started;
-    LimitSample sample { std::max(Duration(0), held - result.nestedTime), run.queueDelay, running(), result.outcome, held };
+    watchWarmUp(now);
+    LimitSample sample { std::max(Duration(0), held - result.nestedTime), run.queueDelay, running(), result.outcome, held, m_warmUp.isLimiting(now) };
     m_running.erase(it);
     m_limit->onSample(sample, now);
     m_warmUp.onSample(sample, run.started, now);
@@ -74,6 +76,16 @@
     }
 }
 
+/// A server whose state was only unknown, for instance after a lost connection, was not cold and keeps its limit.
+void Admission::watchWarmUp(TimePoint now)
+{
+    const auto isLimiting = m_warmUp.isLimiting(now);
+    if (m_wasCold && !isLimiting) {
+        beginColdStart(RampCause::WarmedUp, now);
+    }
+    m_wasCold = isLimiting && (m_wasCold || !m_warmUp.isUnknown());
+}
+
 void Admission::cancel(std::uint64_t id, TimePoint now)
 {
     if (!m_queue.erase(id)) {
@@ -92,6 +104,7 @@
 
 AdmissionWork Admission::poll(TimePoint now)
 {
+    watchWarmUp(now);
     m_polledAt = now;
     updateAdmissionFloor(now);
     AdmissionWork work;
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -87,12 +87,14 @@
     void setCapacity(std::uint32_t slots, std::uint32_t connections);
 
     /// Lowers the limit, for instance after a restart of the backend server, where the start ramp provides for \p cause. That
-    /// the server fails or responds again is detected in finish().
+    /// the server fails or responds again, and the end of its warm-up time, are detected here.
     /// \returns whether the limit was lowered.
     bool beginColdStart(RampCause cause, TimePoint now);
 
     /// \returns the ramp that bounds the limit after a start.
     const StartRamp& ramp() const { return m_limit->ramp(); }
+    /// \returns why the last ramp began.
+    RampCause rampCause() const { return m_limit->rampCause(); }
 
     /// While leaving, new requests are refused; queued and running requests are completed.
     void setLeaving(bool leaving);
@@ -127,6 +129,7 @@
     Duration expectedWait(const AdmissionItem& item, TimePoint now) const;
     bool evictForNewcomer(const AdmissionItem& item, TimePoint now);
     bool canStart(TimePoint now) const;
+    void watchWarmUp(TimePoint now);
     std::size_t queueCapacity(bool standing, TimePoint now) const;
     std::optional<double> requestRate(TimePoint now) const;
     std::optional<TimePoint> nextToken() const;
@@ -143,6 +146,7 @@
     ServiceTime m_serviceTime;
     BackendRate m_rate;
     WarmUp m_warmUp;
+    bool m_wasCold = false; ///< Known to be cold at some time since the warm-up rate began to limit.
     RequestRateEstimate m_offered { config::offeredRateWindow };
     bool m_leaving = false;
     std::optional<TimePoint> m_nonEmptySince; ///< When the queue last became non-empty; empty while the queue is.
--- a/tests/unit/server_role_test.cpp
+++ b/tests/unit/server_role_test.cpp
@@ -98,11 +98,9 @@
 struct Fixture {
     static constexpr std::uint32_t attempts = 5;
 
-    static Settings settingsInDomain(const std::string& failureDomain)
+    explicit Fixture(const std::string& limitStart = {})
+        : settings { .failureDomain = "d1", .limitStart = limitStart }
     {
-        Settings result;
-        result.failureDomain = failureDomain;
-        return result;
     }
 
     /// Runs a call of \p route. \returns its answer, which is filled in when it ends.
@@ -144,7 +142,7 @@
 
     std::unique_ptr<event_base, decltype(&event_base_free)> base { event_base_new(), &event_base_free };
     StreamLoop loop { base.get() };
-    Settings settings = settingsInDomain("d1");
+    Settings settings;
     FakeTimers timers;
     FakeNetwork network { timers, 1 };
     FakePeer peer { network, "d" };
@@ -350,4 +348,48 @@
     BOOST_TEST(((*answer)->refusal.reason == Reason::Evacuated));
 }
 
+namespace {
+
+struct RampRow {
+    const char* name;
+    const char* start;
+    bool announcesWarmUp;
+    std::uint32_t limit;
+    int lines; ///< Of the event that a ramp began.
+};
+
+std::ostream& operator<<(std::ostream& out, const RampRow& row)
+{
+    return out << row.name;
+}
+
+const std::vector<RampRow> rampRows {
+    { "default", "", false, 10, 0 },
+    { "default, announced warm-up", "", true, 80, 0 },
+    { "count", "count", false, 10, 0 },
+    { "count, announced warm-up", "count", true, 80, 0 },
+    { "answers", "answers", false, 5, 1 },
+    { "answers, announced warm-up", "answers", true, 5, 1 },
+};
+
+} // namespace
+
+/// Guards against a new start that gets all its slots at once, and against a change for those who did not ask for one.
+BOOST_DATA_TEST_CASE(theSettingSaysHowANewStartBegins, boost::unit_test::data::make(rampRows), row)
+{
+    Fixture fixture(row.start);
+    for (const std::uint64_t started : { 5, 6 }) {
+        auto announcement = fixture.announcement(started);
+        announcement.slots = 80;
+        announcement.connections = 80;
+        if (row.announcesWarmUp) {
+            announcement.warmUpTime = 3s;
+        }
+        std::string reason;
+        BOOST_REQUIRE(fixture.role.announce(announcement, reason));
+        BOOST_TEST(fixture.role.load().limit == row.limit);
+        BOOST_TEST(std::ranges::count(fixture.log.events, Event::StartRampBegan) == (started == 5 ? 1 : 2) * row.lines);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
