Merge cold servers, evacuations and start ramps

Cold servers get at most their warm-up rate, evacuated failure domains get nothing, and the concurrency limit can rise by a server's responses after a start (limit.start).

--- a/src/app/control_session.h
+++ b/src/app/control_session.h
@@ -24,11 +24,15 @@
     std::uint64_t version() const override;
     std::optional<std::string> workspaceOfKey(const KeyDigest& digest) const override;
     bool keysValid(TimePoint now) const override;
+    bool isEvacuated(const std::string& failureDomain) const override;
     void onChanged(std::function<void()> handler) override;
 
     /// Adds a handler that is called with the control members when they have changed.
     void onMembers(std::function<void(const std::vector<MemberLocation>&)> handler);
 
+    /// \returns the evacuated failure domains, as known to this daemon.
+    std::vector<std::string> evacuatedDomains() const;
+
     /// \returns the log index up to which this daemon has applied the state.
     std::uint64_t appliedIndex() const;
 
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -65,6 +65,18 @@
     observe(Metric::BackendRun, { { "route", record.route } }, record.run);
 }
 
+void DaemonMetrics::count(WarmUpOutcome outcome)
+{
+    const auto& info = metricInfo(Metric::BackendWarmUpRequests);
+    m_metrics.counter(info.name, info.help, { { "outcome", outcome == WarmUpOutcome::Waited ? "waited" : "refused" } }).add();
+}
+
+void DaemonMetrics::countEvacuationRefusal(const std::string& route)
+{
+    const auto& info = metricInfo(Metric::EvacuationRefusals);
+    m_metrics.counter(info.name, info.help, { { "route", route } }).add();
+}
+
 void DaemonMetrics::observe(Metric metric, const MetricLabels& labels, Duration time)
 {
     const auto& info = metricInfo(metric);
@@ -82,6 +94,24 @@
     gauge(Metric::BackendLimit, &LoadHint::limit);
     const auto& rate = metricInfo(Metric::BackendRateLimit);
     m_metrics.gauge(rate.name, rate.help, {}, [&server] { return server.rateLimit().value_or(std::numeric_limits<double>::infinity()); });
+    auto rampGauge = [&](Metric metric, double (*value)(const StartRamp&)) {
+        const auto& info = metricInfo(metric);
+        m_metrics.gauge(info.name, info.help, {}, [&server, value] { return value(server.startRamp()); });
+    };
+    rampGauge(Metric::BackendStartBound, [](const StartRamp& it) { return it.bound(); });
+    rampGauge(Metric::BackendStartStepsBack, [](const StartRamp& it) { return static_cast<double>(it.state().stepsBack); });
+    rampGauge(Metric::BackendStartReference, [](const StartRamp& it) { return std::chrono::duration<double>(it.state().reference).count(); });
+    const auto& warmUpRate = metricInfo(Metric::BackendWarmUpRate);
+    m_metrics.gauge(warmUpRate.name, warmUpRate.help, {},
+        [&server] { return server.warmUpRate().value_or(std::numeric_limits<double>::infinity()); });
+    const auto& evacuated = metricInfo(Metric::BackendEvacuated);
+    m_metrics.gauge(evacuated.name, evacuated.help, {}, [&server] { return server.isEvacuated() ? 1.0 : 0.0; });
+}
+
+void DaemonMetrics::addFleetGauges(const ControlSession& session)
+{
+    const auto& info = metricInfo(Metric::EvacuatedDomains);
+    m_metrics.gauge(info.name, info.help, {}, [&session] { return static_cast<double>(session.evacuatedDomains().size()); });
 }
 
 void DaemonMetrics::addLinkGauges(const LinkTrafficTable& traffic)
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -33,8 +33,9 @@
 
     std::unique_ptr<Limit> limitFrom(const Settings& settings)
     {
-        auto limit = makeLimit(settings.limitStrategy.empty() ? defaultLimitName() : settings.limitStrategy, {});
-        return limit ? std::move(limit) : makeLimit(defaultLimitName(), {});
+        const LimitSettings initial { .start = settings.limitStart };
+        auto limit = makeLimit(settings.limitStrategy.empty() ? defaultLimitName() : settings.limitStrategy, initial);
+        return limit ? std::move(limit) : makeLimit(defaultLimitName(), initial);
     }
 
     std::string rateText(const std::optional<double>& requestsPerSecond)
@@ -59,15 +60,17 @@
 } // namespace
 
 ServerRole::ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-    ServerDirectory& directory, const BackendProtocol& protocol, const DemandCache& board)
+    ServerDirectory& directory, FleetView& fleet, const BackendProtocol& protocol, const DemandCache& board)
     : m_network(network)
     , m_timers(timers)
     , m_log(log)
     , m_directory(directory)
+    , m_fleet(fleet)
     , m_protocol(protocol)
     , m_settings(settings)
     , m_client(loop, timers, protocol)
     , m_admission(limitFrom(settings))
+    , m_warmUp({ timers, log, protocol, settings, m_client, m_admission.warmUp(), m_admission.rate() })
     , m_demand(board)
     , m_contexts(randomToken)
 {
@@ -79,7 +82,11 @@
     m_entry.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
     network.onMessage(MessageKind::Call, [this](const PeerAddress& from, std::span<const std::byte> message) { onCall(from, message); });
     network.onMessage(MessageKind::Cancel, [this](const PeerAddress& from, std::span<const std::byte> message) { onCancel(from, message); });
+    m_warmUp.rateChanged().connect([this] { onWarmUpRateChanged(); });
+    m_warmUp.limitLifted().connect([this] { processQueue(); });
     network.onLost([this](const PeerAddress& peer) { onPeerLost(peer); });
+    fleet.onChanged([this] { updateEvacuation(); });
+    updateEvacuation();
 }
 
 ServerRole::~ServerRole()
@@ -121,12 +128,18 @@
     if (announcement.leaving) {
         onServerLeaving();
     }
+    const auto started = isNewStart || isReturn ? std::optional(UnknownCause::BackendStarted) : std::nullopt;
+    m_warmUp.onAnnounced({ announcement.service, announcement.instance, announcement.connections, announcement.warmUpTime },
+        isFirst ? std::optional(UnknownCause::DaemonStarted) : started);
+    if (m_entry.leaving) {
+        m_warmUp.pause();
+    }
     if (changed) {
         m_admission.setCapacity(usableSlots(announcement.slots), announcement.connections);
-        // A server that announces its warm-up time adjusts its slots itself and needs no cold start limit.
-        if ((isFirst || isNewStart) && !announcement.warmUpTime) {
-            m_admission.beginColdStart();
+        if (isFirst || isNewStart) {
+            m_admission.beginColdStart(announcement.warmUpTime ? RampCause::StartedWarmingUp : RampCause::Started, m_timers.now());
         }
+        reportRamp(m_timers.now());
         PW_EVENT(m_log, Event::BackendAnnounced, { "service", m_entry.service }, { "address", announcement.address }, { "slots", m_entry.slots });
         publish();
         processQueue();
@@ -185,6 +198,7 @@
         return;
     }
     m_announced = false;
+    m_warmUp.pause();
     if (m_entry.leaving) {
         return;
     }
@@ -222,6 +236,7 @@
         return;
     }
     m_entry.leaving = true;
+    m_warmUp.pause();
     PW_EVENT(m_log, Event::BackendLeft, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance }, { "pending", m_calls.size() });
     publish();
     m_stopAdmittingAt = m_timers.now() + leaveGrace();
@@ -232,15 +247,15 @@
 {
     m_admissionStopped = true;
     m_admission.setLeaving(true);
-    refuseQueued();
+    refuseQueued(Reason::Leaving);
     processQueue();
 }
 
 /// Refuses the queued calls with the verdict not-run, so that other backend servers can run them.
-void ServerRole::refuseQueued()
+void ServerRole::refuseQueued(Reason reason)
 {
     for (const auto id : m_admission.removeAllQueued()) {
-        refuse(id, { Verdict::NotRun, Reason::Leaving, {} });
+        refuse(id, { Verdict::NotRun, reason, {} });
     }
 }
 
@@ -250,6 +265,7 @@
         return;
     }
     ++m_entry.sequence;
+    m_entry.warmUpRate = m_warmUp.rate();
     // Identify the start as gone only when it announced that it leaves. A server that missed its announcements, or whose
     // daemon stops, may come back.
     m_entry.backendIncarnation = !m_entry.leaving || m_serverLeft ? m_backendId : 0;
@@ -289,6 +305,9 @@
 
 std::optional<Refusal> ServerRole::immediateRefusal(const Call& call) const
 {
+    if (m_evacuated) {
+        return Refusal { Verdict::NotRun, Reason::Evacuated, {} };
+    }
     if (m_admissionStopped) {
         return Refusal { Verdict::NotRun, Reason::Leaving, {} };
     }
@@ -357,7 +376,11 @@
 {
     const auto& work = m_calls.at(id);
     AdmissionItem item { id, work.call.rank, work.call.nested, work.call.workspace, work.deadline };
+    const auto limited = !m_admission.warmUp().hasToken(m_timers.now());
     auto result = m_admission.offer(item, m_timers.now());
+    if (limited && result.outcome != AdmissionOutcome::Started) {
+        recordHeldBack(result.outcome == AdmissionOutcome::Queued ? WarmUpOutcome::Waited : WarmUpOutcome::Refused);
+    }
     if (result.outcome == AdmissionOutcome::Started) {
         startRun(id);
     } else if (result.outcome == AdmissionOutcome::Refused) {
@@ -365,6 +388,23 @@
     }
 }
 
+void ServerRole::onWarmUpRateChanged()
+{
+    const auto began = m_entry.warmUpRate == 0 && m_warmUp.rate() > 0;
+    publish();
+    if (began) {
+        // Most of the calls that were queued before can no longer run in time and are refused, so that other servers run them.
+        std::ranges::for_each(m_admission.removeAllQueued(), [this](std::uint64_t id) { admit(id); });
+        processQueue();
+    }
+}
+
+void ServerRole::recordHeldBack(WarmUpOutcome outcome)
+{
+    m_warmUp.recordHeldBack(outcome);
+    m_heldBack.emit(outcome);
+}
+
 HttpRequest ServerRole::requestFor(std::uint64_t id, const PendingCall& work) const
 {
     return m_protocol.request({ work.call, exchangeId(id), m_lastAnnouncement.instance, work.token,
@@ -428,6 +468,32 @@
     m_rateReported = now;
 }
 
+/// Logs the beginning, steps back and the end of a start ramp; steps back at most once per config::rampLogInterval.
+void ServerRole::reportRamp(TimePoint now)
+{
+    const auto& ramp = startRamp();
+    const auto state = ramp.state();
+    const auto micros = [](Duration time) { return std::chrono::duration_cast<std::chrono::microseconds>(time).count(); };
+    if (state.begun != m_reportedRamp.begun) {
+        PW_EVENT(m_log, Event::StartRampBegan, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance },
+            { "cause", rampCauseName(m_admission.rampCause()) }, { "bound", ramp.bound() }, { "slots", m_entry.slots },
+            { "reference_micros", micros(state.reference) });
+        m_reportedRamp = state;
+        m_rampEndReported = false;
+    } else if (state.stepsBack != m_reportedRamp.stepsBack && now - m_stepBackReported >= config::rampLogInterval) {
+        PW_EVENT(m_log, Event::StartRampSteppedBack, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance },
+            { "steps", state.stepsBack - m_reportedRamp.stepsBack }, { "bound", ramp.bound() }, { "round_micros", micros(state.lastRound) },
+            { "reference_micros", micros(state.reference) });
+        m_reportedRamp = state;
+        m_stepBackReported = now;
+    }
+    if (ramp.isDone() && !m_rampEndReported) {
+        PW_EVENT(m_log, Event::StartRampEnded, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance }, { "bound", ramp.bound() },
+            { "round_micros", micros(state.lastRound) }, { "reference_micros", micros(state.reference) });
+        m_rampEndReported = true;
+    }
+}
+
 ClosedContext ServerRole::closeContext(const PendingCall& work)
 {
     if (work.token.empty()) {
@@ -446,6 +512,7 @@
     m_demand.ended(work.call.route, now - work.startedAt, now);
     m_runFinished.emit({ work.call.route, work.startedAt - work.arrived, now - work.startedAt });
     m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
+    reportRamp(now);
     if (result.statement) {
         onStatement(work, *result.statement);
     }
@@ -474,10 +541,14 @@
 void ServerRole::refuse(std::uint64_t id, Refusal refusal)
 {
     const auto& call = m_calls.at(id).call;
-    PW_EVENT(m_log, Event::AdmissionRefused, { "request", call.requestId }, { "route", call.route }, { "workspace", call.workspace },
+    const auto isEvacuation = refusal.reason == Reason::Evacuated;
+    PW_EVENT(m_log, isEvacuation ? Event::EvacuationRefused : Event::AdmissionRefused, { "request", call.requestId }, { "route", call.route }, { "workspace", call.workspace },
         { "rank", std::to_string(call.rank.workspace) + "." + std::to_string(call.rank.route) }, { "reason", reasonInfo(refusal.reason).name },
         { "running", m_admission.running() }, { "queued", m_admission.queued() }, { "limit", m_admission.limit() },
         { "rate", rateText(rateLimit()) }, { "retry_ms", refusal.retryAfter.count() });
+    if (isEvacuation) {
+        m_evacuationRefused.emit(call.route);
+    }
     Answer reply;
     reply.refusal = refusal;
     reply.attemptsUnused = call.attempts;
@@ -529,8 +600,15 @@
 void ServerRole::processQueue()
 {
     auto ready = m_admission.poll(m_timers.now());
+    reportRamp(m_timers.now());
+    const auto limited = !m_admission.warmUp().hasToken(m_timers.now());
     std::ranges::for_each(ready.start, [this](std::uint64_t id) { startRun(id); });
-    std::ranges::for_each(ready.shed, [this](const ShedRequest& it) { refuse(it.id, it.refusal); });
+    std::ranges::for_each(ready.shed, [&](const ShedRequest& it) {
+        if (limited) {
+            recordHeldBack(WarmUpOutcome::Refused);
+        }
+        refuse(it.id, it.refusal);
+    });
     m_timers.cancel(std::exchange(m_wakeTimer, 0));
     if (auto wake = m_admission.nextWake()) {
         m_wakeTimer = m_timers.after(*wake - m_timers.now(), [this] {
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -3,6 +3,7 @@
 #include "adapters/backend_client.h"
 #include "app/request_record.h"
 #include "app/settings.h"
+#include "app/warm_up_monitor.h"
 #include "core/admission.h"
 #include "core/call.h"
 #include "core/context_table.h"
@@ -18,6 +19,7 @@
 #include <map>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace pw {
 
@@ -41,7 +43,7 @@
     using Done = std::function<void(Answer)>;
 
     ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-        ServerDirectory& directory, const BackendProtocol& protocol, const DemandCache& board);
+        ServerDirectory& directory, FleetView& fleet, const BackendProtocol& protocol, const DemandCache& board);
     ~ServerRole();
     ServerRole(const ServerRole&) = delete;
     ServerRole& operator=(const ServerRole&) = delete;
@@ -71,12 +73,22 @@
     /// Sets the weights by which workspaces share this server.
     void setWorkspaceWeights(std::map<std::string, double> rates);
 
+    /// Applies the services of the configuration in force.
+    void setServices(std::vector<Service> services) { m_warmUp.setServices(std::move(services)); }
+
     ContextTable& contexts() { return m_contexts; }
     /// Records a nested call made by the backend server.
     void recordNestedCall(const std::string& route) { m_demand.nestedCallSent(route); }
     /// Emitted with the context token of a request that has ended. Its remaining nested calls are orphaned.
     sigc::signal<void(const std::string& token)>& contextClosed() { return m_contextClosed; }
     sigc::signal<void(const RunRecord&)>& runFinished() { return m_runFinished; }
+    /// Emitted for each request that is held back by the warm-up rate of the backend server.
+    sigc::signal<void(WarmUpOutcome)>& heldBack() { return m_heldBack; }
+    /// Emitted with the route of a call that was refused because the own failure domain is evacuated.
+    sigc::signal<void(const std::string& route)>& evacuationRefused() { return m_evacuationRefused; }
+    /// \returns whether the own failure domain is evacuated, as known to this daemon. Nothing may be sent to the backend
+    /// server meanwhile; requests already running there complete.
+    bool isEvacuated() const { return m_evacuated; }
     /// \returns the number of queued and running calls.
     std::size_t pending() const { return m_calls.size(); }
     /// \returns the backend server's entry in the membership view, as last published.
@@ -84,6 +96,11 @@
     LoadHint load() const;
     /// \returns the requests per second that the backend server states as its limit; empty if it states none.
     std::optional<double> rateLimit() const { return m_admission.rate().limit(); }
+    /// \returns the requests per second that the backend server gets at most because it is cold or may be; empty while warm.
+    std::optional<double> warmUpRate() const { return m_admission.warmUp().rate(m_timers.now()); }
+
+    /// \returns the ramp that bounds the concurrency limit after a start of the backend server.
+    const StartRamp& startRamp() const { return m_admission.ramp(); }
 
 private:
     using CallKey = std::pair<PeerAddress, std::uint64_t>;
@@ -112,7 +129,10 @@
     bool isOutdated(const Announcement& announcement) const;
     void onServerStarted(const Announcement& announcement);
     void startLeaving();
-    void refuseQueued();
+    void refuseQueued(Reason reason);
+    void updateEvacuation();
+    void onEvacuationBegan();
+    void onEvacuationEnded();
     void admit(std::uint64_t id);
     void startRun(std::uint64_t id);
     HttpRequest requestFor(std::uint64_t id, const PendingCall& work) const;
@@ -121,10 +141,13 @@
     void onRunFinished(std::uint64_t id, BackendResult result);
     void onStatement(const PendingCall& work, const BackendStatement& statement);
     void reportRate(TimePoint now);
+    void reportRamp(TimePoint now);
     ClosedContext closeContext(const PendingCall& work);
     void refuse(std::uint64_t id, Refusal refusal);
     void answer(std::uint64_t id, Answer answer);
     void processQueue();
+    void onWarmUpRateChanged();
+    void recordHeldBack(WarmUpOutcome outcome);
     void renewLease();
     void onLeaseExpired();
     void publish();
@@ -138,15 +161,20 @@
     Timers& m_timers;
     EventLog& m_log;
     ServerDirectory& m_directory;
+    FleetView& m_fleet;
     const BackendProtocol& m_protocol;
     const Settings& m_settings;
     BackendClient m_client;
     Admission m_admission;
+    WarmUpMonitor m_warmUp;
     ServerDemand m_demand;
     int m_priceStep = 0; ///< Logarithmic step of the last reported price; zero while slots are not scarce.
     TimePoint m_priceReported {};
     std::optional<double> m_reportedRate; ///< Rate limit as last logged.
     TimePoint m_rateReported {};
+    RampState m_reportedRamp; ///< As last logged.
+    bool m_rampEndReported = true;
+    TimePoint m_stepBackReported {};
     ContextTable m_contexts;
     ServerEntry m_entry;
     Announcement m_lastAnnouncement;
@@ -157,6 +185,7 @@
     bool m_stopping = false; ///< This daemon is stopping.
     bool m_admissionStopped = false; ///< Leaving, and the time for the fleet to learn of it has passed.
     TimePoint m_stopAdmittingAt {}; ///< While leaving.
+    bool m_evacuated = false; ///< The own failure domain is evacuated.
     TimerId m_leaseTimer = 0;
     TimerId m_leaveTimer = 0;
     TimerId m_wakeTimer = 0;
@@ -165,6 +194,8 @@
     std::map<CallKey, std::uint64_t> m_idsByKey;
     sigc::signal<void(const std::string& token)> m_contextClosed;
     sigc::signal<void(const RunRecord&)> m_runFinished;
+    sigc::signal<void(WarmUpOutcome)> m_heldBack;
+    sigc::signal<void(const std::string& route)> m_evacuationRefused;
 };
 
 } // namespace pw
--- a/src/config.h
+++ b/src/config.h
@@ -89,6 +89,25 @@
 inline constexpr std::size_t maxSkippedAnswers = 3;
 /// Time limit to connect to the backend server beside a daemon.
 inline constexpr milliseconds backendConnectTimeout { 500 };
+/// Time without any response from a backend server after which a timed out request counts as a lost connection. A shorter
+/// silence occurs when requests with short deadlines time out at a slow server.
+inline constexpr milliseconds backendSilence { 500 };
+/// Time since the last response within which another open connection shows that a backend server has not restarted. At twelve
+/// requests per second, the lowest usual rate of a limited service, three gaps between requests are shorter.
+inline constexpr milliseconds backendResponsive { 300 };
+/// Interval at which the warm-up state is checked for changes that come with time only, and at most as long until a limit
+/// because of a lost connection is published: most last only until the first probe is answered.
+inline constexpr milliseconds warmUpCheckInterval { 50 };
+/// Share of the additional requests in the settings (warmUp.extra) that a backend server gets per second, with the rest as
+/// slack, while no configuration has been received: it is within the bound whatever rate the configuration states.
+inline constexpr double unconfiguredWarmUpShare = 0.5;
+/// Age from which an announcement cannot be on its way any more. The first one that arrives as long after the start of the
+/// daemon tells the state of the backend server when no configuration says how to probe it.
+inline constexpr milliseconds maxAnnouncementDelay { 5000 };
+/// Minimum interval between two log lines on failed probes of one backend server.
+inline constexpr milliseconds probeLogInterval { 1000 };
+/// Relative change of a warm-up rate that is published.
+inline constexpr double warmUpRateStep = 0.1;
 /// Deadline of a route whose configuration sets none.
 inline constexpr milliseconds defaultRouteDeadline { 2000 };
 /// Maximum deadline that a caller may request.
@@ -99,6 +118,8 @@
 inline constexpr std::uint32_t budgetReserveDivisor = 4;
 /// Retry-After when no backend server, no configuration or no valid set of keys is known.
 inline constexpr milliseconds noServerRetryAfter { 1000 };
+/// Retry-After when every backend server of the service is in an evacuated failure domain.
+inline constexpr milliseconds evacuatedRetryAfter { 1000 };
 /// Retry-After while a request with the same id is running.
 inline constexpr milliseconds duplicateRetryAfter { 500 };
 /// Retry-After when no quorum of claim replicas could be reached for a request id.
@@ -110,8 +131,30 @@
 
 /// Announced slots below which no slot is reserved as headroom: one slot would be too large a share of the total.
 inline constexpr std::uint32_t minSlotsForHeadroom = 16;
-/// Initial concurrency limit of a new backend server, as a share of its announced slots.
+/// Initial concurrency limit of a new backend server with the ramp `count`, as a share of its announced slots.
 inline constexpr double coldStartShare = 0.125;
+/// Initial bound of the ramp `answers`: a share of the announced slots, but at least two, since a single response says little.
+inline constexpr double answersStartShare = 1.0 / 16;
+inline constexpr double minAnswersBound = 2;
+/// Ratio of a round's average service time to the reference up to which the round counts as fast. Nearly full servers take
+/// 1.3 times as long, which must not stop the ramp.
+inline constexpr double fastRoundRatio = 1.5;
+/// Growth of the bound by a fast round after a step back.
+inline constexpr double carefulGrowth = 0.25;
+/// Slow rounds for which the bound is held before a lower one is tried.
+inline constexpr std::uint32_t heldRounds = 4;
+/// Slow rounds at the initial bound after which their average becomes the reference: so few requests do not slow a server down.
+inline constexpr std::uint32_t heldInitialRounds = 2;
+/// Ratio of the averages at half the bound and at the bound from which the bound is not the cause of slow responses.
+inline constexpr double unchangedRoundRatio = 0.8;
+/// Share of a round that may fail before the bound is lowered. Without it, a route that fails now and then would keep the
+/// bound low.
+inline constexpr double tolerableFailureShare = 0.1;
+/// Weight of a response in the usual service time of a backend server.
+inline constexpr double usualServiceTimeWeight = 0.002;
+/// Failures without a complete response in between after which a backend server counts as one that does not respond. A reused
+/// connection that was just closed causes one or two.
+inline constexpr std::uint32_t failuresWithoutResponse = 3;
 /// Share of the concurrency limit that must be in use for a sample to raise it.
 inline constexpr double limitInUseThreshold = 0.8;
 /// Multiplicative decrease of a concurrency limit when its strategy backs off.
@@ -217,16 +260,39 @@
 /// and in a burst.
 inline constexpr milliseconds pacedStandingQueue { 250 };
 inline constexpr milliseconds pacedBurstQueue { 500 };
+/// Requests to a warming server are counted over the window of the bound (one second) and the spread of the times from sending
+/// a request to its arrival, and kept this many requests below the bound, or half of the slack if that is less. Probes and
+/// requests that were delayed by a suspension of the VM use the margin.
+inline constexpr milliseconds warmUpWindow { 1000 };
+inline constexpr milliseconds warmUpArrivalSpread { 100 };
+inline constexpr double warmUpMargin = 3.0;
+/// Share of the slack that a warming server may be sent as a burst.
+inline constexpr double warmUpBurstShare = 0.5;
+/// A remaining warm-up time is counted this much longer, because it may be rounded down and clocks may differ.
+inline constexpr milliseconds warmUpEndMargin { 50 };
+/// Responses in a round from which the rate of a warming server is adapted; single ones say little, because work varies by
+/// route. The rate grows by the factor after a round that took at most the ratio times the fastest round, and otherwise
+/// returns to the tolerated rate.
+inline constexpr std::uint32_t warmUpRoundResponses = 8;
+inline constexpr double warmUpRateGrowth = 1.15;
+inline constexpr double warmUpFastRatio = 1.5;
+/// Minimum interval between two probes of the remaining warm-up time of a backend server, and the timeout of a probe.
+inline constexpr milliseconds warmUpProbeInterval { 200 };
+inline constexpr milliseconds warmUpProbeTimeout { 500 };
 /// Averaging time of the rate of requests that are offered to a backend server with a rate limit.
 inline constexpr milliseconds offeredRateWindow { 1000 };
 /// Minimum interval between two log lines on the rate limit that a backend server states.
 inline constexpr milliseconds rateLogInterval { 250 };
+/// Minimum time between two log lines on steps back of a start ramp.
+inline constexpr milliseconds rampLogInterval { 250 };
 /// Ratio of load to concurrency limit from which a backend server counts as loaded.
 inline constexpr double loadedThreshold = 0.8;
 /// Load difference up to which a server in the same failure domain or region is preferred to a farther one.
 inline constexpr double localityLoadTolerance = 0.3;
 /// Age from which the running and queued counts of a load hint are ignored.
 inline constexpr milliseconds loadHintLifetime { 500 };
+/// Age up to which a load hint decides whether a backend server is warming up; then the membership view does.
+inline constexpr milliseconds warmUpHintLifetime { 2000 };
 /// Upper bound of the assumed concurrency limit of a backend server that has not sent a load hint.
 inline constexpr std::uint32_t maxOutstandingBeforeHint = 2;
 /// Consecutive failures after which a backend server is ejected.
@@ -321,6 +387,8 @@
 /// Size limit of all keys in the replicated state, withdrawn ones included, in bytes. Together with the configuration and
 /// the stored answers it stays below maxFrameBytes, so that the state fits in one message.
 inline constexpr std::size_t maxKeyBytes = 1536 * 1024;
+/// Limit of failure domains with an evacuation, finished ones included.
+inline constexpr std::size_t maxEvacuations = 64;
 /// Estimated size of a key in the replicated state in addition to its id, workspace and label, in bytes.
 inline constexpr std::size_t keyOverheadBytes = 128;
 /// Limit of stored answers to changes, for changes that are re-sent.
@@ -331,6 +399,9 @@
 inline constexpr std::size_t maxStoredDeltas = 512;
 /// Time for which a change is retried before its outcome is reported as unknown.
 inline constexpr milliseconds changeTimeout { 5000 };
+/// Time for which an order to evacuate a failure domain is retried. Shorter than changeTimeout, as operators of platforms
+/// resend such an order to other members for 4 s only, and this member may be the one that has lost the leader.
+inline constexpr milliseconds evacuationOrderTimeout { 1000 };
 /// Timeout of a read of the newest configuration.
 inline constexpr milliseconds readTimeout { 800 };
 /// Interval at which an unanswered change is sent to the leader again.
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -8,6 +8,7 @@
 #include "core/request_rate_estimate.h"
 #include "core/service_time.h"
 #include "core/types.h"
+#include "core/warm_up.h"
 
 #include <array>
 #include <cstdint>
@@ -85,8 +86,15 @@
 
     void setCapacity(std::uint32_t slots, std::uint32_t connections);
 
-    /// Lowers the limit after a restart of the backend server, which may be slow at first.
-    void beginColdStart();
+    /// Lowers the limit, for instance after a restart of the backend server, where the start ramp provides for \p cause. That
+    /// the server fails or responds again, and the end of its warm-up time, are detected here.
+    /// \returns whether the limit was lowered.
+    bool beginColdStart(RampCause cause, TimePoint now);
+
+    /// \returns the ramp that bounds the limit after a start.
+    const StartRamp& ramp() const { return m_limit->ramp(); }
+    /// \returns why the last ramp began.
+    RampCause rampCause() const { return m_limit->rampCause(); }
 
     /// While leaving, new requests are refused; queued and running requests are completed.
     void setLeaving(bool leaving);
@@ -98,11 +106,15 @@
     BackendRate& rate() { return m_rate; }
     const BackendRate& rate() const { return m_rate; }
 
+    /// Request rate while the backend server warms up.
+    WarmUp& warmUp() { return m_warmUp; }
+    const WarmUp& warmUp() const { return m_warmUp; }
+
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::uint32_t queued() const { return static_cast<std::uint32_t>(m_queue.size()); }
     std::uint32_t limit() const { return m_limit->current(); }
     /// \returns how many requests the backend server can run at once: the smaller of its announced slots and connections, and
-    /// of what its rate limit keeps busy.
+    /// of what its rate limit or its warm-up rate keeps busy.
     double capacity(TimePoint now) const;
 
 private:
@@ -117,7 +129,10 @@
     Duration expectedWait(const AdmissionItem& item, TimePoint now) const;
     bool evictForNewcomer(const AdmissionItem& item, TimePoint now);
     bool canStart(TimePoint now) const;
-    std::size_t queueCapacity(bool standing) const;
+    void watchWarmUp(TimePoint now);
+    std::size_t queueCapacity(bool standing, TimePoint now) const;
+    std::optional<double> requestRate(TimePoint now) const;
+    std::optional<TimePoint> nextToken() const;
     void updateQueueState(TimePoint now);
     Refusal refusal(Reason reason, TimePoint now) const;
     void recordShed(const Rank& rank, TimePoint now);
@@ -130,11 +145,14 @@
     std::vector<ShedRequest> m_shed;
     ServiceTime m_serviceTime;
     BackendRate m_rate;
+    WarmUp m_warmUp;
+    bool m_wasCold = false; ///< Known to be cold at some time since the warm-up rate began to limit.
     RequestRateEstimate m_offered { config::offeredRateWindow };
     bool m_leaving = false;
     std::optional<TimePoint> m_nonEmptySince; ///< When the queue last became non-empty; empty while the queue is.
     bool m_hasStandingQueue = false; ///< Whether the queue persists beyond a burst, so that it adds delay but no throughput.
     TimePoint m_lastShed {};
+    TimePoint m_polledAt {}; ///< Time of the last poll().
 
     /// Numbers of started and shed requests of one importance in the current interval.
     struct Tally {
