--- /dev/null
+++ b/src/app/server_role_registration.cpp
@@ -0,0 +1,198 @@
+#include "app/server_role.h"
+
+#include "config.h"
+#include "core/member_selector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace pw {
+namespace {
+
+    /// \returns a hash that identifies one start of a backend server, or zero when it gives no instance and start time.
+    std::uint64_t backendIdOf(const Announcement& announcement)
+    {
+        const auto isIdentified = !announcement.instance.empty() || announcement.started != 0;
+        return isIdentified ? rendezvousWeight(announcement.instance, std::to_string(announcement.started)) : 0;
+    }
+
+} // namespace
+
+bool ServerRole::announce(const Announcement& announcement, std::string& reason)
+{
+    if (announcement.service.empty() || announcement.slots == 0 || announcement.connections == 0) {
+        reason = "service, slots and connections are required";
+        return false;
+    }
+    if (isOutdated(announcement)) {
+        return true;
+    }
+    if (!m_client.setAddress(announcement.address)) {
+        reason = "not an ip:port address: " + announcement.address;
+        return false;
+    }
+    const auto isFirst = m_entry.service.empty();
+    auto changed = !m_announced || m_entry.service != announcement.service || m_entry.slots != announcement.slots
+        || m_entry.connections != announcement.connections;
+    const auto isNewStart = announcement.started != m_lastAnnouncement.started || announcement.instance != m_lastAnnouncement.instance;
+    const auto isReturn = !isNewStart && announcesReturn(announcement);
+    if (isNewStart || isReturn) {
+        onServerStarted(announcement);
+        changed = true;
+    }
+    m_lastAnnouncement = announcement;
+    m_entry.service = announcement.service;
+    m_entry.slots = announcement.slots;
+    m_entry.connections = announcement.connections;
+    m_backendId = backendIdOf(announcement);
+    m_announced = true;
+    renewLease();
+    if (announcement.leaving) {
+        onServerLeaving();
+    }
+    const auto started = isNewStart || isReturn ? std::optional(UnknownCause::BackendStarted) : std::nullopt;
+    m_warmUp.onAnnounced({ announcement.service, announcement.instance, announcement.connections, announcement.warmUpTime },
+        isFirst ? std::optional(UnknownCause::DaemonStarted) : started);
+    if (m_entry.leaving) {
+        m_warmUp.pause();
+    }
+    if (changed) {
+        m_admission.setCapacity(usableSlots(announcement.slots), announcement.connections);
+        if (isFirst || isNewStart) {
+            m_admission.beginColdStart(announcement.warmUpTime ? RampCause::StartedWarmingUp : RampCause::Started, m_timers.now());
+        }
+        reportRamp(m_timers.now());
+        PW_EVENT(m_log, Event::BackendAnnounced, { "service", m_entry.service }, { "address", announcement.address }, { "slots", m_entry.slots });
+        publish();
+        processQueue();
+    }
+    return true;
+}
+
+/// \returns whether a server that has left and has no identity is back: it announces itself after its leave notice, or after
+/// its announcements had lapsed. Until the fleet knows of the leave, an announcement may just be late.
+bool ServerRole::announcesReturn(const Announcement& announcement) const
+{
+    const auto hasLeft = m_serverLeft && m_admissionStopped && backendIdOf(announcement) == 0;
+    return hasLeft && !announcement.leaving && (!m_statedLeaving || !m_announced);
+}
+
+/// Leaves headroom because a nearly full server may be slower. With few slots, even one would be too large a share.
+std::uint32_t ServerRole::usableSlots(std::uint32_t slots) const
+{
+    const auto headroom = std::ceil(slots * m_settings.limitHeadroom);
+    return slots < config::minSlotsForHeadroom ? slots : slots - static_cast<std::uint32_t>(headroom);
+}
+
+bool ServerRole::isOutdated(const Announcement& announcement) const
+{
+    const auto isOlder = std::pair(announcement.started, announcement.sequence) < std::pair(m_lastAnnouncement.started, m_lastAnnouncement.sequence);
+    return announcement.started != 0 && isOlder;
+}
+
+/// Resets the state kept for the previous start of the backend server.
+void ServerRole::onServerStarted(const Announcement& announcement)
+{
+    m_client.closeIdle();
+    m_admission.rate().reset();
+    m_serverLeft = false;
+    m_statedLeaving = false;
+    if (m_stopping) {
+        return;
+    }
+    m_timers.cancel(std::exchange(m_leaveTimer, 0));
+    m_entry.leaving = false;
+    m_admissionStopped = false;
+    m_admission.setLeaving(false);
+    PW_EVENT(m_log, Event::BackendStarted, { "service", announcement.service }, { "instance", announcement.instance },
+        { "previous", m_lastAnnouncement.instance }, { "started", announcement.started });
+}
+
+void ServerRole::renewLease()
+{
+    m_timers.cancel(m_leaseTimer);
+    m_leaseTimer = m_timers.after(m_settings.announcementLease, [this] { onLeaseExpired(); });
+}
+
+void ServerRole::onLeaseExpired()
+{
+    if (!m_announced) {
+        return;
+    }
+    m_announced = false;
+    m_warmUp.pause();
+    if (m_entry.leaving) {
+        return;
+    }
+    PW_EVENT(m_log, Event::BackendLapsed, { "service", m_entry.service });
+    m_entry.leaving = true;
+    publish();
+    m_entry.leaving = false;
+}
+
+void ServerRole::onServerLeaving()
+{
+    const auto isFirstNotice = !std::exchange(m_serverLeft, true);
+    if (m_entry.leaving && isFirstNotice) {
+        publish();
+    }
+    startLeaving();
+}
+
+void ServerRole::onServerLeaving(const std::string& instance, std::uint64_t started)
+{
+    if (instance == m_lastAnnouncement.instance && (started == 0 || started == m_lastAnnouncement.started)) {
+        onServerLeaving();
+    }
+}
+
+void ServerRole::leave()
+{
+    m_stopping = true;
+    startLeaving();
+}
+
+void ServerRole::startLeaving()
+{
+    if (m_entry.leaving) {
+        return;
+    }
+    m_entry.leaving = true;
+    m_warmUp.pause();
+    PW_EVENT(m_log, Event::BackendLeft, { "service", m_entry.service }, { "instance", m_lastAnnouncement.instance }, { "pending", m_calls.size() });
+    publish();
+    m_stopAdmittingAt = m_timers.now() + leaveGrace();
+    m_leaveTimer = m_timers.after(leaveGrace(), [this] { stopAdmitting(); });
+}
+
+void ServerRole::stopAdmitting()
+{
+    m_admissionStopped = true;
+    m_admission.setLeaving(true);
+    refuseQueued(Reason::Leaving);
+    processQueue();
+}
+
+/// Refuses the queued calls with the verdict not-run, so that other backend servers can run them.
+void ServerRole::refuseQueued(Reason reason)
+{
+    for (const auto id : m_admission.removeAllQueued()) {
+        refuse(id, { Verdict::NotRun, reason, {} });
+    }
+}
+
+void ServerRole::publish()
+{
+    if (m_entry.service.empty()) {
+        return;
+    }
+    ++m_entry.sequence;
+    m_entry.warmUpRate = m_warmUp.rate();
+    // Identify the start as gone only when it announced that it leaves. A server that missed its announcements, or whose
+    // daemon stops, may come back.
+    m_entry.backendIncarnation = !m_entry.leaving || m_serverLeft ? m_backendId : 0;
+    m_directory.publish(m_entry);
+}
+
+} // namespace pw
