Review a configuration before it is sent: config review, warnings in config check

Operators asked for a check of errors, of entries that can never match, of limits that contradict each other, and of what differs from the version in force. core/deployment_review finds what is valid but most likely not meant; config check prints it, and config review adds the differences from the accepted version. A warning never makes a file invalid.

--- a/src/app/cli_commands.cpp
+++ b/src/app/cli_commands.cpp
@@ -9,6 +9,7 @@
 
     constexpr std::array<cli::Handler, static_cast<std::size_t>(CliAction::Count)> handlers {
         cli::configCheck,
+        cli::configReview,
         cli::configDiff,
         cli::configSubmit,
         cli::configShow,
--- a/src/app/cli_config.cpp
+++ b/src/app/cli_config.cpp
@@ -2,6 +2,7 @@
 
 #include "app/deployment_diff.h"
 #include "app/deployment_yaml.h"
+#include "core/deployment_review.h"
 #include "core/json_writer.h"
 
 #include <algorithm>
@@ -64,25 +65,53 @@
     }
 
     void printCounts(const CliContext& context, const Deployment& deployment)
+    {
+        context.out << "valid: " << deployment.services.size() << " services, " << deployment.routes.size() << " routes, "
+                    << deployment.workspaces.size() << " workspaces\n";
+    }
+
+    std::vector<std::string> warningsOf(const Deployment& deployment)
+    {
+        const auto warnings = deploymentWarnings(deployment);
+        std::vector<std::string> lines(warnings.size());
+        std::ranges::transform(warnings, lines.begin(), [](const DeploymentProblem& it) { return problemText(it, "suggested"); });
+        return lines;
+    }
+
+    void addItems(JsonWriter& json, std::string_view name, const std::vector<std::string>& lines)
+    {
+        json.array(name);
+        std::ranges::for_each(lines, [&json](const std::string& it) { json.item(it); });
+        json.endArray();
+    }
+
+    void printWarnings(const CliContext& context, const std::vector<std::string>& warnings)
+    {
+        std::ranges::for_each(warnings, [&context](const std::string& it) { context.out << "warning: " << it << '\n'; });
+    }
+
+    void printReview(const CliContext& context, std::uint64_t version, const std::vector<std::string>& warnings, const std::vector<std::string>& changes)
     {
         if (context.options.json) {
             JsonWriter json;
-            json.object().field("valid", true).field("services", deployment.services.size());
-            json.field("routes", deployment.routes.size()).field("workspaces", deployment.workspaces.size()).endObject();
-            context.out << json.text() << '\n';
+            json.object().field("valid", true).field("version", version);
+            addItems(json, "warnings", warnings);
+            addItems(json, "changes", changes);
+            context.out << json.endObject().text() << '\n';
             return;
         }
-        context.out << "valid: " << deployment.services.size() << " services, " << deployment.routes.size() << " routes, "
-                    << deployment.workspaces.size() << " workspaces\n";
+        printWarnings(context, warnings);
+        std::ranges::for_each(changes, [&context](const std::string& it) { context.out << it << '\n'; });
+        context.err << warnings.size() << " warnings, " << changes.size() << " differences from version " << version << '\n';
     }
 
     void printDiff(const CliContext& context, std::uint64_t version, const std::vector<std::string>& lines)
     {
         if (context.options.json) {
             JsonWriter json;
-            json.object().field("version", version).array("changes");
-            std::ranges::for_each(lines, [&](const std::string& it) { json.item(it); });
-            context.out << json.endArray().endObject().text() << '\n';
+            json.object().field("version", version);
+            addItems(json, "changes", lines);
+            context.out << json.endObject().text() << '\n';
             return;
         }
         std::ranges::for_each(lines, [&](const std::string& it) { context.out << it << '\n'; });
@@ -98,10 +127,38 @@
     if (!deployment) {
         return ExitCode::Invalid;
     }
+    const auto warnings = warningsOf(*deployment);
+    if (context.options.json) {
+        JsonWriter json;
+        json.object().field("valid", true).field("services", deployment->services.size());
+        json.field("routes", deployment->routes.size()).field("workspaces", deployment->workspaces.size());
+        addItems(json, "warnings", warnings);
+        context.out << json.endObject().text() << '\n';
+        return ExitCode::Done;
+    }
     printCounts(context, *deployment);
+    printWarnings(context, warnings);
     return ExitCode::Done;
 }
 
+ExitCode configReview(const CliContext& context)
+{
+    std::string text;
+    const auto after = readDeployment(context, text);
+    if (!after) {
+        return ExitCode::Invalid;
+    }
+    auto code = ExitCode::Done;
+    std::uint64_t version = 0;
+    const auto before = fetchDeployment(context, version, code);
+    if (!before) {
+        return code;
+    }
+    const auto changes = diffDeployments(*before, *after);
+    printReview(context, version, warningsOf(*after), changes);
+    return changes.empty() ? ExitCode::Done : ExitCode::Differs;
+}
+
 ExitCode configDiff(const CliContext& context)
 {
     std::string text;
--- a/src/app/cli_options.cpp
+++ b/src/app/cli_options.cpp
@@ -44,6 +44,8 @@
 
     constexpr std::array<Subcommand, static_cast<std::size_t>(CliAction::Count)> subcommands { {
         { "config", "check", CliAction::ConfigCheck, "FILE", Offline, "Check a configuration file without submitting it.", "llanw.yaml" },
+        { "config", "review", CliAction::ConfigReview, "FILE", NoFlags,
+            "Check a file and show its warnings and what it would change.", "llanw.yaml" },
         { "config", "diff", CliAction::ConfigDiff, "FILE", NoFlags, "Show what a file would change.", "llanw.yaml" },
         { "config", "submit", CliAction::ConfigSubmit, "FILE", TakesBase | TakesChange,
             "Submit a file as the next version of the configuration.", "llanw.yaml --base 41 --wait" },
--- a/src/app/cli_options.h
+++ b/src/app/cli_options.h
@@ -20,12 +20,13 @@
     Unavailable = 5, ///< Not applied: no member could process it.
     NotInForce = 6, ///< Accepted, but not confirmed to be in force on all daemons within the timeout.
     SecretRefused = 7, ///< The member rejected the operators' secret.
-    Differs = 8, ///< `config diff` found differences.
+    Differs = 8, ///< `config diff` or `config review` found differences.
 };
 
 /// A subcommand of the command-line tool.
 enum class CliAction : std::uint8_t {
     ConfigCheck,
+    ConfigReview,
     ConfigDiff,
     ConfigSubmit,
     ConfigShow,
--- a/src/app/cli_support.h
+++ b/src/app/cli_support.h
@@ -57,6 +57,7 @@
 ExitCode printFailure(const CliContext& context, const OperatorHttpReply& reply);
 
 ExitCode configCheck(const CliContext& context);
+ExitCode configReview(const CliContext& context);
 ExitCode configDiff(const CliContext& context);
 ExitCode configSubmit(const CliContext& context);
 ExitCode configShow(const CliContext& context);
--- a/src/core/deployment_check.cpp
+++ b/src/core/deployment_check.cpp
@@ -263,13 +263,17 @@
     return problems;
 }
 
+std::string problemText(const DeploymentProblem& problem, std::string_view label)
+{
+    const auto field = problem.field.empty() ? "" : "." + problem.field;
+    return problem.section + "[" + std::to_string(problem.index) + "]" + field + ": " + problem.wrong + "; " + std::string(label) + ": " + problem.accepted;
+}
+
 std::optional<std::string> check(const Deployment& deployment)
 {
     std::string text;
     for (const auto& it : deploymentProblems(deployment)) {
-        text += text.empty() ? "" : "\n";
-        text += it.section + "[" + std::to_string(it.index) + "]" + (it.field.empty() ? "" : "." + it.field) + ": ";
-        text += it.wrong + "; accepted: " + it.accepted;
+        text += (text.empty() ? "" : "\n") + problemText(it);
     }
     return text.empty() ? std::nullopt : std::optional(text);
 }
--- a/src/core/deployment_check.h
+++ b/src/core/deployment_check.h
@@ -48,6 +48,9 @@
     std::string accepted; ///< What is accepted instead.
 };
 
+/// \returns \p problem as one line of text, with \p label before what is accepted instead.
+std::string problemText(const DeploymentProblem& problem, std::string_view label = "accepted");
+
 /// \returns whether \p text is a valid name of a service, route, workspace or daemon.
 bool isName(std::string_view text);
 
--- a/tests/unit/cli_commands_test.cpp
+++ b/tests/unit/cli_commands_test.cpp
@@ -225,6 +225,30 @@
     BOOST_TEST(same.err == "0 differences from version 3\n");
 }
 
+/// Guards against a review that stops at the first kind of finding, or that calls a file with warnings invalid.
+BOOST_AUTO_TEST_CASE(reviewShowsWarningsAndDifferences)
+{
+    const auto file = std::filesystem::temp_directory_path() / ("pw-review-" + std::to_string(getpid()));
+    std::ofstream(file) << "services:\n  - { name: s }\nworkspaces:\n  - { name: w, rate: 5 }\n";
+    pw::CliOptions options;
+    options.action = pw::CliAction::ConfigReview;
+    options.argument = file;
+    const auto outcome = run(options, { { 200, R"({"version":3,"text":"workspaces:\u000a  - { name: w, rate: 5 }\u000a"})" } });
+    options.json = true;
+    const auto json = run(options, { { 200, R"({"version":0,"text":""})" } });
+    std::ofstream(file) << "workspaces:\n  - { name: w, rate: -1 }\n";
+    options.json = false;
+    const auto invalid = run(options, {});
+    std::filesystem::remove(file);
+    BOOST_TEST((outcome.code == pw::ExitCode::Differs), outcome.err);
+    BOOST_TEST(outcome.out == "warning: services[0].name: no route leads to it; suggested: a route, or remove it\n+ service s\n");
+    BOOST_TEST(outcome.err == "1 warnings, 1 differences from version 3\n");
+    BOOST_TEST(json.out.find(R"("warnings":["services[0].name: no route leads to it)") != std::string::npos, json.out);
+    BOOST_TEST(json.out.find(R"("changes":["+ service s","+ workspace w"])") != std::string::npos, json.out);
+    BOOST_TEST((invalid.code == pw::ExitCode::Invalid));
+    BOOST_TEST(invalid.sent.empty());
+}
+
 BOOST_AUTO_TEST_CASE(statusIsPrintedForPeople)
 {
     pw::CliOptions options;
--- a/tests/unit/cli_options_test.cpp
+++ b/tests/unit/cli_options_test.cpp
@@ -48,6 +48,7 @@
     { "config check", pw::ExitCode::Usage, "FILE is missing" },
     { "config check a b", pw::ExitCode::Usage, "too many arguments" },
     { "config check a --members x", pw::ExitCode::Usage, "members" },
+    { "config review", pw::ExitCode::Usage, "FILE is missing" },
     { "status extra", pw::ExitCode::Usage, "takes no argument" },
     { "status --timeout 0", pw::ExitCode::Usage, "--timeout is out of range" },
     { "status --timeout soon", pw::ExitCode::Usage, "soon" },
