Look up the servers of a pick by name only once they change

Cause: each pick looked up every server of the service by name four times or more (latency, leaving, ejection, warm-up), and hashing the names took most of its time. The picker now keeps, for each service, the observations in the order of the last pick, and compares the name of each server instead. Observations of servers that were never used are created by the first pick, with the same values as before.

Ruled out: indices by position without comparing names, since the membership view may reorder its servers between two picks.

PickerTraces passes with the checksums of the former code.

--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -19,7 +19,8 @@
 
 std::optional<std::size_t> Picker::pick(const std::vector<ServerEntry>& servers, const PickContext& context, TimePoint now)
 {
-    PickState state { servers, slowThreshold(servers), now };
+    const auto& named = observations(servers);
+    PickState state { servers, named, slowThreshold(named), now };
     auto all = withoutWarming(state, usable(state, context));
     if (all.empty()) {
         return std::nullopt;
@@ -33,6 +34,7 @@
     // From the widest tier to the narrowest: a nearer server is preferred unless it is loaded and the farther one much less so.
     for (auto inTier : localityTiers | std::views::reverse) {
         Candidates candidates;
+        candidates.reserve(all.size());
         std::ranges::copy_if(all, std::back_inserter(candidates), [&](std::size_t n) { return inTier(servers[n], context); });
         if (candidates.empty()) {
             break;
@@ -48,12 +50,12 @@
 
 bool Picker::hasCapacity(const ServerEntry& server, TimePoint now) const
 {
-    return load({ { server }, std::numeric_limits<double>::max(), now }, 0) <= 1;
+    return load({ { server }, { &observation(server.name) }, std::numeric_limits<double>::max(), now }, 0) <= 1;
 }
 
 std::optional<StatedRate> Picker::statedRate(const std::string& server) const
 {
-    const auto& hint = observation(server).hint;
+    const auto& hint = observation(server).second.hint;
     return hint && hint->requestsPerSecond ? std::optional(StatedRate { hint->backendStart, *hint->requestsPerSecond }) : std::nullopt;
 }
 
@@ -103,11 +105,12 @@
 
 std::uint32_t Picker::outstanding(const std::string& server) const
 {
-    return observation(server).outstanding;
+    return observation(server).second.outstanding;
 }
 
 void Picker::retain(const std::vector<std::string>& known)
 {
+    m_lastPicks.clear(); // Refers to the observations.
     std::erase_if(m_observations, [&known](const auto& entry) {
         return entry.second.outstanding == 0 && std::ranges::find(known, entry.first) == known.end();
     });
@@ -117,28 +120,30 @@
 {
     const auto& servers = state.servers;
     Candidates allowed;
+    allowed.reserve(servers.size());
     for (std::size_t n = 0; n < servers.size(); ++n) {
-        auto leaving = servers[n].leaving || reportedLeaving(servers[n], observation(servers[n].name), state.now);
+        auto leaving = servers[n].leaving || reportedLeaving(servers[n], state.observed(n), state.now);
         const auto evacuated = context.isEvacuated && context.isEvacuated(servers[n].failureDomain);
         if (!leaving && !evacuated && std::ranges::find(context.excluded, servers[n].name) == context.excluded.end()) {
             allowed.push_back(n);
         }
     }
     Candidates healthy;
+    healthy.reserve(allowed.size());
     std::ranges::copy_if(allowed, std::back_inserter(healthy),
-        [&](std::size_t n) { return !m_unresponsive.contains(servers[n].daemon) && !isEjected(observation(servers[n].name), state.now); });
+        [&](std::size_t n) { return !m_unresponsive.contains(servers[n].daemon) && !isEjected(state.observed(n), state.now); });
     // If no server is healthy, all are used: avoiding every one of them would only turn failures into refusals.
     return answeredSince(context.preferAnsweredSince, state, healthy.empty() ? std::move(allowed) : std::move(healthy));
 }
 
-Picker::Candidates Picker::answeredSince(TimePoint since, const PickState& state, Candidates candidates) const
+Picker::Candidates Picker::answeredSince(TimePoint since, const PickState& state, Candidates candidates)
 {
     if (since == TimePoint {}) {
         return candidates;
     }
     Candidates answered;
     std::ranges::copy_if(candidates, std::back_inserter(answered), [&](std::size_t n) {
-        const auto& observed = observation(state.servers[n].name);
+        const auto& observed = state.observed(n);
         return observed.hint && observed.hintReceivedAt >= since;
     });
     return answered.empty() ? candidates : answered;
@@ -146,11 +151,10 @@
 
 /// \returns the candidates that are not warming up. Only when even the least loaded of them is loaded, those warming servers
 /// whose rate is not exhausted are returned instead.
-Picker::Candidates Picker::withoutWarming(const PickState& state, Candidates candidates) const
+Picker::Candidates Picker::withoutWarming(const PickState& state, Candidates candidates)
 {
     const auto isWarming = [&](std::size_t n) {
-        const auto& server = state.servers[n];
-        return warmUpRate(server, observation(server.name), state.now) > 0;
+        return warmUpRate(state.servers[n], state.observed(n), state.now) > 0;
     };
     const auto loadOf = [&](std::size_t n) { return load(state, n); };
     auto warming = std::ranges::stable_partition(candidates, std::not_fn(isWarming));
@@ -159,8 +163,7 @@
     }
     Candidates withRoom;
     std::ranges::copy_if(warming, std::back_inserter(withRoom), [&](std::size_t n) {
-        const auto& server = state.servers[n];
-        return loadOf(n) <= 1 && warmUpLoad(server, observation(server.name), state.now) < 1;
+        return loadOf(n) <= 1 && warmUpLoad(state.servers[n], state.observed(n), state.now) < 1;
     });
     const Candidates others(candidates.begin(), warming.begin());
     if (others.empty()) {
@@ -186,10 +189,10 @@
     return load(state, a) <= load(state, b) ? a : b;
 }
 
-double Picker::load(const PickState& state, std::size_t server) const
+double Picker::load(const PickState& state, std::size_t server)
 {
     const auto& entry = state.servers[server];
-    const auto& observed = observation(entry.name);
+    const auto& observed = state.observed(server);
     double limit = std::min(config::maxOutstandingBeforeHint, std::max(1U, std::min(entry.slots, entry.connections)));
     double busy = observed.outstanding;
     if (observed.hint && observed.hint->limit > 0) {
@@ -237,11 +240,11 @@
     return static_cast<double>(observed.outstanding) / config::maxOutstandingBeforeHint;
 }
 
-double Picker::slowThreshold(const std::vector<ServerEntry>& servers) const
+double Picker::slowThreshold(const NamedObservations& observations)
 {
     auto fastest = 0.0;
-    for (const auto& server : servers) {
-        auto latency = observation(server.name).latency;
+    for (const auto* named : observations) {
+        const auto latency = named->second.latency;
         if (latency > 0 && (fastest == 0 || latency < fastest)) {
             fastest = latency;
         }
@@ -272,11 +275,29 @@
     return observed.hint && observed.hint->leaving && now - observed.hintReceivedAt < config::leavingHintLifetime;
 }
 
-const Picker::Observation& Picker::observation(const std::string& server) const
+/// \returns the observations of \p servers, in the same order. Looks up only servers whose position differs from the last pick
+/// of the service: comparing a name costs less than finding it.
+const Picker::NamedObservations& Picker::observations(const std::vector<ServerEntry>& servers)
 {
-    static const Observation none;
+    static const NamedObservations none;
+    if (servers.empty()) {
+        return none;
+    }
+    auto& named = m_lastPicks[servers.front().service];
+    named.resize(servers.size());
+    for (std::size_t n = 0; n < servers.size(); ++n) {
+        if (!named[n] || named[n]->first != servers[n].name) {
+            named[n] = &*m_observations.try_emplace(servers[n].name).first;
+        }
+    }
+    return named;
+}
+
+const Picker::NamedObservation& Picker::observation(const std::string& server) const
+{
+    static const NamedObservation none;
     auto it = m_observations.find(server);
-    return it == m_observations.end() ? none : it->second;
+    return it == m_observations.end() ? none : *it;
 }
 
 void Picker::recordFailure(Observation& observed, TimePoint now)
--- a/src/core/picker.h
+++ b/src/core/picker.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace pw {
@@ -74,31 +75,38 @@
     };
 
     using Candidates = std::vector<std::size_t>;
+    using NamedObservation = std::pair<const std::string, Observation>;
+    using NamedObservations = std::vector<const NamedObservation*>;
 
-    /// State of one pick: the servers of the service and the time of the pick.
+    /// State of one pick: the servers of the service, their observations in the same order, and the time of the pick.
     struct PickState {
         const std::vector<ServerEntry>& servers;
+        const NamedObservations& named;
         double slowThreshold; ///< Latency from which a server counts as slow, in clock ticks.
         TimePoint now;
+
+        const Observation& observed(std::size_t server) const { return named[server]->second; }
     };
 
     Candidates usable(const PickState& state, const PickContext& context) const;
-    Candidates answeredSince(TimePoint since, const PickState& state, Candidates candidates) const;
-    Candidates withoutWarming(const PickState& state, Candidates candidates) const;
+    static Candidates answeredSince(TimePoint since, const PickState& state, Candidates candidates);
+    static Candidates withoutWarming(const PickState& state, Candidates candidates);
     std::size_t pickLessLoaded(const PickState& state, const Candidates& candidates);
-    double load(const PickState& state, std::size_t server) const;
+    static double load(const PickState& state, std::size_t server);
     static double rateLoad(const Observation& observed, double rate, TimePoint now);
     static double warmUpRate(const ServerEntry& server, const Observation& observed, TimePoint now);
     static double warmUpLoad(const ServerEntry& server, const Observation& observed, TimePoint now);
-    double slowThreshold(const std::vector<ServerEntry>& servers) const;
+    static double slowThreshold(const NamedObservations& observations);
     static double slowPenalty(const Observation& observed, const PickState& state);
     static bool reportedLeaving(const ServerEntry& server, const Observation& observed, TimePoint now);
     static bool isEjected(const Observation& observed, TimePoint now);
-    const Observation& observation(const std::string& server) const;
+    const NamedObservations& observations(const std::vector<ServerEntry>& servers);
+    const NamedObservation& observation(const std::string& server) const;
     void recordFailure(Observation& observed, TimePoint now);
 
     Random m_random;
     std::unordered_map<std::string, Observation> m_observations;
+    std::unordered_map<std::string, NamedObservations> m_lastPicks; ///< By service: observations of the servers of its last pick.
     std::unordered_set<std::string> m_unresponsive; ///< Addresses of unresponsive daemons.
 };
 
