Read the number of open files from the size of /proc/self/fd

Cause: a daemon counts its open files four times a second by listing /proc/self/fd, which costs time for each open file and does not depend on its load. Callgrind of an entry daemon for 6 s with 24 listings and 10 to 20 open files: 11.4 of 38.0 million instructions; strace: openat, fcntl, fstat, two getdents64 and close for each. Since Linux 6.2 the size of the folder is this number, read with one system call; older kernels report zero and get the listing as before. The count stays the same, with the descriptor that a listing uses (test: equal to the listing with a varying number of files).

--- a/src/app/connection_limiter.cpp
+++ b/src/app/connection_limiter.cpp
@@ -3,6 +3,7 @@
 #include "config.h"
 
 #include <sys/resource.h>
+#include <sys/stat.h>
 
 #include <algorithm>
 #include <filesystem>
@@ -42,8 +43,16 @@
 
 std::size_t countOpenFiles()
 {
+    constexpr const char* folder = "/proc/self/fd";
+    // Since Linux 6.2 the size of the folder is the number of open files. Older kernels report zero, and listing the files there
+    // costs time for each of them.
+    struct stat info { };
+    if (stat(folder, &info) == 0 && info.st_size > 0) {
+        constexpr std::size_t listing = 1; // A listing counts the descriptor that it uses.
+        return static_cast<std::size_t>(info.st_size) + listing;
+    }
     std::error_code ec;
-    std::filesystem::directory_iterator files("/proc/self/fd", ec);
+    std::filesystem::directory_iterator files(folder, ec);
     return ec ? 0 : static_cast<std::size_t>(std::distance(begin(files), end(files)));
 }
 
--- a/tests/unit/connection_limiter_test.cpp
+++ b/tests/unit/connection_limiter_test.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <vector>
 
 BOOST_AUTO_TEST_SUITE(ConnectionBounds)
@@ -30,4 +33,15 @@
     BOOST_TEST(pw::countOpenFiles() >= 3U);
 }
 
+/// Guards against a count that differs from the listing of the open files, which kernels before Linux 6.2 need.
+BOOST_AUTO_TEST_CASE(theCountOfOpenFilesIsThatOfTheirListing)
+{
+    std::vector<std::ifstream> files;
+    for (auto n = 0; n < 20; ++n) {
+        const std::filesystem::directory_iterator listing("/proc/self/fd");
+        BOOST_TEST(pw::countOpenFiles() == static_cast<std::size_t>(std::distance(begin(listing), end(listing))));
+        files.emplace_back("/proc/self/status");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
