Draw the random bytes of context tokens in batches

Cause: a daemon beside a backend server draws 16 random bytes for each run. Tokens still come from the same generator, each is used once.

--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -15,13 +15,25 @@
 namespace pw {
 namespace {
 
-    ContextTable::Token randomToken()
-    {
-        auto bytes = crypto::randomBytes(ContextTable::tokenBytes);
-        ContextTable::Token token;
-        std::memcpy(token.data(), bytes.data(), token.size());
-        return token;
-    }
+    /// Random tokens, drawn in batches: each draw costs system calls, whatever its size.
+    class TokenSource {
+    public:
+        ContextTable::Token operator()()
+        {
+            if (m_unused.empty()) {
+                m_unused = crypto::randomBytes(tokensPerDraw * ContextTable::tokenBytes);
+            }
+            ContextTable::Token token;
+            std::memcpy(token.data(), m_unused.data() + m_unused.size() - token.size(), token.size());
+            m_unused.resize(m_unused.size() - token.size());
+            return token;
+        }
+
+    private:
+        static constexpr std::size_t tokensPerDraw = 32;
+
+        std::string m_unused;
+    };
 
     std::unique_ptr<Limit> limitFrom(const Settings& settings)
     {
@@ -64,7 +76,7 @@
     , m_admission(limitFrom(settings))
     , m_warmUp({ timers, log, protocol, settings, m_client, m_admission.warmUp(), m_admission.rate() })
     , m_demand(board)
-    , m_contexts(randomToken)
+    , m_contexts(TokenSource())
 {
     m_entry.name = settings.name;
     m_entry.daemon = settings.peerAddress;
