Find a single header in one pass

singleHeader counted all occurrences and then searched for the first. It now searches for the first and for a further one, with the same result: nothing if the header is absent or repeated.

--- a/src/core/header_rules.cpp
+++ b/src/core/header_rules.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace pw {
 namespace {
@@ -48,11 +49,12 @@
 
 std::optional<std::string_view> singleHeader(const std::vector<HeaderLine>& headers, std::string_view name)
 {
-    if (countHeader(headers, name) != 1) {
+    const auto isNamed = [name](const HeaderLine& it) { return sameHeader(it.name, name); };
+    const auto found = std::ranges::find_if(headers, isNamed);
+    if (found == headers.end() || std::any_of(std::next(found), headers.end(), isNamed)) {
         return std::nullopt;
     }
-    auto it = std::ranges::find_if(headers, [&](const HeaderLine& line) { return sameHeader(line.name, name); });
-    return std::string_view(it->value);
+    return std::string_view(found->value);
 }
 
 std::vector<HeaderLine> forwardedHeaders(const std::vector<HeaderLine>& headers, std::string_view ownPrefix)
