--- a/src/core/header_rules.cpp
+++ b/src/core/header_rules.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
+#include <iterator>
 
 namespace pw {
 namespace {
@@ -11,9 +11,11 @@
         "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
         "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Host", "Content-Length", "Expect", "Date"
     };
-    char lower(char c)
+
+    /// Only ASCII letters differ in case. The standard function depends on the locale and costs a call for each character.
+    constexpr char lower(char c)
     {
-        return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
     }
 
     bool startsWith(std::string_view name, std::string_view prefix)
@@ -47,11 +49,12 @@
 
 std::optional<std::string_view> singleHeader(const std::vector<HeaderLine>& headers, std::string_view name)
 {
-    if (countHeader(headers, name) != 1) {
+    const auto isNamed = [name](const HeaderLine& it) { return sameHeader(it.name, name); };
+    const auto found = std::ranges::find_if(headers, isNamed);
+    if (found == headers.end() || std::any_of(std::next(found), headers.end(), isNamed)) {
         return std::nullopt;
     }
-    auto it = std::ranges::find_if(headers, [&](const HeaderLine& line) { return sameHeader(line.name, name); });
-    return std::string_view(it->value);
+    return std::string_view(found->value);
 }
 
 std::vector<HeaderLine> forwardedHeaders(const std::vector<HeaderLine>& headers, std::string_view ownPrefix)
