Refuse requests that will most likely not be served (admission.outlook)

Cause: a request whose caller does not wait as long as any response takes, or whose chain of nested calls fails for most requests, fails after it has started. One that is not idempotent can then not be repeated.

RouteOutlook tracks for each route how the requests that this daemon admitted have ended. CallerEndpoint asks it after the key and the downstream load, before a token of the rate is taken and before the claim. Calls made by backend servers are neither refused nor recorded.

--- a/src/app/caller_endpoint.cpp
+++ b/src/app/caller_endpoint.cpp
@@ -29,6 +29,7 @@
 
 CallerEndpoint::CallerEndpoint(const Dependencies& dependencies)
     : m_dependencies(dependencies)
+    , m_outlook(crypto::randomNumber())
     , m_http(
           m_dependencies.loop, m_dependencies.timers, [this](std::shared_ptr<HttpExchange> exchange) { onRequest(std::move(exchange)); },
           [&protocol = m_dependencies.protocol](int status, std::string_view what) { return protocol.errorResponse(status, what); })
@@ -43,6 +44,7 @@
     m_routes = RouteTable(deployment.routes);
     m_split.configure(deployment.routes);
     m_rootGate.configure(deployment);
+    m_outlook.configure(deployment.routes);
     m_priorities.clear();
     std::ranges::transform(deployment.workspaces, std::inserter(m_priorities, m_priorities.end()),
         [](const Workspace& it) { return std::pair(it.name, it.priority); });
@@ -62,17 +64,14 @@
     incoming->exchange = std::move(exchange);
     incoming->started = m_dependencies.timers.now();
     using Check = std::optional<Refusal> (CallerEndpoint::*)(Incoming&);
-    constexpr std::array<Check, 3> checks { &CallerEndpoint::parseRequest, &CallerEndpoint::findRoute, &CallerEndpoint::checkKey };
+    constexpr std::array<Check, 5> checks { &CallerEndpoint::parseRequest, &CallerEndpoint::findRoute, &CallerEndpoint::checkKey,
+        &CallerEndpoint::checkDownstreamLoad, &CallerEndpoint::checkOutlook };
     for (auto check : checks) {
         if (auto refusal = (this->*check)(*incoming)) {
             refuse(incoming, *refusal);
             return;
         }
     }
-    if (auto refusal = checkDownstreamLoad(*incoming)) {
-        refuse(incoming, *refusal);
-        return;
-    }
     incoming->exchange->onDisconnected([this, weak = std::weak_ptr(incoming)] {
         if (auto it = weak.lock()) {
             onCallerDisconnected(it);
@@ -129,9 +128,9 @@
 }
 
 /// Refuses a root request whose price at the downstream services exceeds its value.
-std::optional<Refusal> CallerEndpoint::checkDownstreamLoad(const Incoming& incoming)
+std::optional<Refusal> CallerEndpoint::checkDownstreamLoad(Incoming& incoming)
 {
-    if (incoming.ask.nested && incoming.route.open) {
+    if (incoming.isNested()) {
         if (m_dependencies.server) {
             m_dependencies.server->recordNestedCall(incoming.route.name);
         }
@@ -144,6 +143,16 @@
     return Refusal { Verdict::NotRun, Reason::DownstreamOverloaded, config::throttledRetryAfter };
 }
 
+/// Refuses a root request that will most likely not be served. A nested call is part of a request that has already started.
+std::optional<Refusal> CallerEndpoint::checkOutlook(Incoming& incoming)
+{
+    if (!m_dependencies.settings.outlook || incoming.isNested()) {
+        return std::nullopt;
+    }
+    const auto now = m_dependencies.timers.now();
+    return m_outlook.check(incoming.route, incoming.deadline - now, now);
+}
+
 void CallerEndpoint::acquireRateToken(const IncomingPtr& incoming)
 {
     if (incoming->workspace.empty()) {
@@ -197,10 +206,13 @@
     dispatchRequest.maxServers = route.maxServers;
     dispatchRequest.call = makeCall(request, route, m_split.next(route), m_dependencies.protocol.forwarded(request));
     dispatchRequest.call.callerService = m_dependencies.settings.localService;
-    dispatchRequest.call.nested = incoming->ask.nested && route.open;
+    dispatchRequest.call.nested = incoming->isNested();
     dispatchRequest.call.rank = incoming->rank;
     dispatchRequest.call.workspace = incoming->workspace;
     dispatchRequest.call.requestId = incoming->ask.requestId;
+    if (m_dependencies.settings.outlook && !incoming->isNested()) {
+        m_outlook.started(route, m_dependencies.timers.now());
+    }
     auto answeredInline = std::make_shared<bool>(false);
     auto id = m_dependencies.dispatcher.start(std::move(dispatchRequest), [this, incoming, answeredInline](const Answer& answer) {
         *answeredInline = true;
@@ -214,6 +226,7 @@
     incoming->dispatchId = 0;
     const auto& route = incoming->route;
     m_dependencies.board.record(route.name, answer.demands, m_dependencies.timers.now());
+    recordOutlook(*incoming, answer);
     auto response = m_dependencies.protocol.answer(answer);
     if (incoming->claimed) {
         m_dependencies.claims.finish(incoming->workspace, incoming->ask.requestId, toStoredAnswer(answer, response));
@@ -222,6 +235,21 @@
     reply(incoming, answer.refusal, response);
 }
 
+void CallerEndpoint::recordOutlook(const Incoming& incoming, const Answer& answer)
+{
+    if (!m_dependencies.settings.outlook || incoming.isNested()) {
+        return;
+    }
+    const auto now = m_dependencies.timers.now();
+    const auto change = m_outlook.ended(incoming.route, answer, now - incoming.started, now);
+    if (!change) {
+        return;
+    }
+    PW_EVENT(m_dependencies.log, Event::RouteOutlookChanged, { "route", incoming.route.name }, { "state", change->lowered ? "lowered" : "restored" },
+        { "failed_share", change->failedShare }, { "results", change->results },
+        { "failing_ms", std::chrono::duration_cast<std::chrono::milliseconds>(change->lasted).count() });
+}
+
 void CallerEndpoint::onCallerDisconnected(const IncomingPtr& incoming)
 {
     incoming->disconnected = true;
--- a/src/app/caller_endpoint.h
+++ b/src/app/caller_endpoint.h
@@ -5,6 +5,7 @@
 #include "app/request_record.h"
 #include "core/demand_cache.h"
 #include "core/root_throttle.h"
+#include "core/route_outlook.h"
 #include "core/route_table.h"
 #include "core/service_split.h"
 #include "ports/caller_protocol.h"
@@ -18,8 +19,8 @@
 
 namespace pw {
 
-/// Accepts requests from callers over HTTP. Checks the key, the load of the downstream services, the workspace's rate and
-/// the request id, in this order, and then passes the request to the dispatcher.
+/// Accepts requests from callers over HTTP. Checks the key, the load of the downstream services, the outlook of the request,
+/// the workspace's rate and the request id, in this order, and then passes the request to the dispatcher.
 class CallerEndpoint {
 public:
     /// Everything must outlive the endpoint.
@@ -56,6 +57,9 @@
     /// \returns the number of requests not answered yet.
     std::size_t pending() const { return m_http.pending(); }
 
+    /// \returns how requests of each route have ended recently.
+    const RouteOutlook& outlook() const { return m_outlook; }
+
     /// Emitted for each answered request.
     sigc::signal<void(const RequestRecord&)>& finished() { return m_finished; }
 
@@ -72,6 +76,9 @@
         bool claimed = false; ///< Holds the claim of its request id.
         bool disconnected = false; ///< The caller has closed its connection.
         std::uint64_t dispatchId = 0; ///< Handle in the dispatcher; zero while the dispatcher does not have the request.
+
+        /// \returns whether a backend server made this call while it ran another request.
+        bool isNested() const { return ask.nested && route.open; }
     };
     using IncomingPtr = std::shared_ptr<Incoming>;
 
@@ -79,11 +86,13 @@
     std::optional<Refusal> parseRequest(Incoming& incoming);
     std::optional<Refusal> findRoute(Incoming& incoming);
     std::optional<Refusal> checkKey(Incoming& incoming);
-    std::optional<Refusal> checkDownstreamLoad(const Incoming& incoming);
+    std::optional<Refusal> checkDownstreamLoad(Incoming& incoming);
+    std::optional<Refusal> checkOutlook(Incoming& incoming);
     void acquireRateToken(const IncomingPtr& incoming);
     void claimRequestId(const IncomingPtr& incoming);
     void onClaimDecided(const IncomingPtr& incoming, ClaimOutcome outcome, const std::optional<StoredAnswer>& storedAnswer);
     void dispatch(const IncomingPtr& incoming);
+    void recordOutlook(const Incoming& incoming, const Answer& answer);
     void onAnswer(const IncomingPtr& incoming, const Answer& answer);
     void configure();
     void onCallerDisconnected(const IncomingPtr& incoming);
@@ -92,6 +101,7 @@
 
     Dependencies m_dependencies;
     RootThrottle m_rootGate;
+    RouteOutlook m_outlook;
     RouteTable m_routes;
     ServiceSplit m_split;
     std::unordered_map<std::string, std::uint16_t> m_priorities; ///< By workspace.
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -92,6 +92,7 @@
         *m_dispatcher, m_interface->callerProtocol(), m_settings, m_demandBoard, m_server.get(),
         maxConnections });
     m_callerEndpoint->finished().connect([this](const RequestRecord& record) { m_metrics->count(record); });
+    m_metrics->addOutlookGauges(m_callerEndpoint->outlook());
     if (!m_callerEndpoint->init(m_settings.callerAddress, reason)) {
         return false;
     }
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -83,6 +83,14 @@
     m_metrics.histogram(info.name, info.help, labels).observe(std::chrono::duration_cast<std::chrono::microseconds>(time));
 }
 
+void DaemonMetrics::addOutlookGauges(const RouteOutlook& outlook)
+{
+    const auto& lowered = metricInfo(Metric::OutlookLoweredRoutes);
+    m_metrics.gauge(lowered.name, lowered.help, {}, [&outlook] { return static_cast<double>(outlook.loweredCount()); });
+    const auto& share = metricInfo(Metric::OutlookLowestShare);
+    m_metrics.gauge(share.name, share.help, {}, [&outlook] { return outlook.lowestAdmittedShare(); });
+}
+
 void DaemonMetrics::addServerGauges(const ServerRole& server)
 {
     auto gauge = [&](Metric metric, std::uint32_t LoadHint::*member) {
--- a/src/app/daemon_metrics.h
+++ b/src/app/daemon_metrics.h
@@ -6,6 +6,7 @@
 #include "app/metrics.h"
 #include "app/request_record.h"
 #include "app/server_role.h"
+#include "core/route_outlook.h"
 #include "ports/timers.h"
 
 namespace pw {
@@ -30,6 +31,9 @@
     /// Records a call of \p route that was refused because the failure domain is evacuated.
     void countEvacuationRefusal(const std::string& route);
 
+    /// Adds gauges for the admitted shares of \p outlook, which must outlive this object.
+    void addOutlookGauges(const RouteOutlook& outlook);
+
     /// Adds gauges for the load of \p server, which must outlive this object.
     void addServerGauges(const ServerRole& server);
 
--- a/src/app/metric_catalogue.cpp
+++ b/src/app/metric_catalogue.cpp
@@ -9,6 +9,8 @@
         { "pistachiowheel_requests_total", "counter", "route,workspace,verdict,reason", "Requests of callers, by their end." },
         { "pistachiowheel_request_seconds", "summary", "route", "Time from a request to its answer." },
         { "pistachiowheel_request_latency_seconds", "histogram", "route,outcome", "Time from a request to its answer, by outcome." },
+        { "pistachiowheel_outlook_lowered_routes", "gauge", "", "Routes of which requests are refused because most of them fail." },
+        { "pistachiowheel_outlook_lowest_share", "gauge", "", "Lowest share of the requests of a route that is admitted." },
         { "pistachiowheel_backend_wait_seconds", "histogram", "route", "Time that requests which ran waited for the backend server." },
         { "pistachiowheel_backend_run_seconds", "histogram", "route", "Time that requests ran at the backend server." },
         { "pistachiowheel_backend_running", "gauge", "", "Requests running at the backend server." },
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -10,6 +10,8 @@
     Requests,
     RequestQuantiles,
     RequestLatency,
+    OutlookLoweredRoutes,
+    OutlookLowestShare,
     BackendWait,
     BackendRun,
     BackendRunning,
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -43,6 +43,7 @@
     const std::vector<std::string_view> whenUnreachableChoices { "refuse", "continue" };
     const std::vector<std::string_view> proofChoices { "secret", "none" };
     const std::vector<std::string_view> outputChoices { "error", "output" };
+    const std::vector<std::string_view> outlookChoices { "off", "on" };
 
     const std::vector<std::string_view> logLevels { "debug", "info", "warning", "error" };
 
@@ -356,6 +357,13 @@
         map.reportUnknownKeys();
     }
 
+    void readAdmission(YamlMap& root, Settings& settings)
+    {
+        auto map = root.map("admission");
+        settings.outlook = map.choice("outlook", outlookChoices).value_or(0) == 1;
+        map.reportUnknownKeys();
+    }
+
     void readLog(YamlMap& root, Settings& settings)
     {
         auto map = root.map("log");
@@ -408,6 +416,7 @@
         readRateTolerance(root, settings);
         readWarmUp(root, settings);
         readLimit(root, settings);
+        readAdmission(root, settings);
         readLog(root, settings);
         root.reportUnknownKeys();
         checkIdentity(root, settings);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -75,6 +75,7 @@
     std::chrono::milliseconds drainTimeout { 2000 }; ///< From the notice that a backend server leaves until it gets no new requests.
     std::chrono::milliseconds stopTimeout { 60000 }; ///< From the stop signal until the process must have exited.
     std::chrono::milliseconds announcementLease { 3000 }; ///< A backend server that doesn't renew its announcement for this long is removed.
+    bool outlook = false; ///< Entry role: refuses requests that will most likely not be served, see RouteOutlook.
     double limitHeadroom = 0; ///< Fraction of the announced slots left unused, as some servers slow down when nearly full.
     RetryBudgetSettings retryBudget;
     RateTolerance rateTolerance;
--- a/src/app/settings_changes.cpp
+++ b/src/app/settings_changes.cpp
@@ -25,6 +25,7 @@
         SettingRow { "bounds.stop", &Settings::stopTimeout },
         SettingRow { "retryBudget", &Settings::retryBudget },
         SettingRow { "rateTolerance", &Settings::rateTolerance },
+        SettingRow { "admission.outlook", &Settings::outlook },
     };
 
     /// Settings that take effect only at start.
--- a/src/core/types.cpp
+++ b/src/core/types.cpp
@@ -33,6 +33,8 @@
         { "duplicate-unknown", 409 },
         { "claim-unavailable", 503 },
         { "evacuated", 503 },
+        { "too-late", 503 },
+        { "route-failing", 503 },
     } };
 
     constexpr std::array<std::string_view, static_cast<std::size_t>(Verdict::Count)> verdictNames {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -59,6 +59,8 @@
     DuplicateUnknown, ///< A request with the same id was started; its outcome is unknown.
     ClaimUnavailable, ///< No quorum was available to confirm that the request id is new.
     Evacuated, ///< The failure domain of the backend server is evacuated.
+    TooLate, ///< Responses of the route take longer than the time left until the request's deadline.
+    RouteFailing, ///< Most recent requests of the route failed at the backend server.
     Count
 };
 
--- a/tests/unit/platform_contract_test.cpp
+++ b/tests/unit/platform_contract_test.cpp
@@ -71,6 +71,8 @@
     { pw::Reason::Overloaded, pw::Verdict::NotRun, 503, 50ms, "0.050" },
     { pw::Reason::RateExceeded, pw::Verdict::NotRun, 429, 1250ms, "1.250" },
     { pw::Reason::DownstreamOverloaded, pw::Verdict::NotRun, 503, 300ms, "0.300" },
+    { pw::Reason::TooLate, pw::Verdict::NotRun, 503, 0ms, "" },
+    { pw::Reason::RouteFailing, pw::Verdict::NotRun, 503, 450ms, "0.450" },
     { pw::Reason::NoConfiguration, pw::Verdict::NotRun, 503, 1000ms, "1.000" },
     { pw::Reason::NoRoute, pw::Verdict::NotRun, 404, 0ms, "" },
     { pw::Reason::UnknownKey, pw::Verdict::NotRun, 401, 0ms, "" },
