Require two standard deviations above the threshold for idempotent requests too

Ruled out: refusing less at the same evidence, since the estimate from ten results does not tell 0.8 from 0.96.

Now the number of failures must exceed the threshold (0.5, or 0.8 where requests are idempotent) by two standard deviations of the number expected at the threshold: 7 of 8, or 17 of 17.

--- a/src/config_outlook.h
+++ b/src/config_outlook.h
@@ -18,9 +18,10 @@
 /// Share of failures above which the admitted share is lowered. A failed idempotent request can be repeated, so that it
 /// is refused only where that would most likely fail too.
 inline constexpr double failingShare = 0.5;
-inline constexpr double failingShareIdempotent = 0.9;
-/// Standard deviations by which the failures must exceed half of the results. Without them, failures of three requests in
-/// ten would now and then pass for a failing route: more than half of eight results fail in 6% of the cases.
+inline constexpr double failingShareIdempotent = 0.8;
+/// Standard deviations by which the failures must exceed this share of the results. Without them, failures of three requests
+/// in ten would now and then pass for a failing route: more than half of eight results fail in 6% of the cases. It takes at
+/// least seven failures in eight results, or 17 failures where requests are idempotent.
 inline constexpr double failingConfidence = 2.0;
 /// Factor of the admitted share for each further failure.
 inline constexpr double outlookDecrease = 0.5;
--- a/src/core/route_outlook.cpp
+++ b/src/core/route_outlook.cpp
@@ -53,9 +53,9 @@
 {
     const auto results = static_cast<double>(counts.results);
     const auto threshold = idempotent ? config::failingShareIdempotent : config::failingShare;
-    const auto margin = config::failingConfidence * std::sqrt(results) / 2; // Standard deviation at a probability of one half.
-    return counts.results >= config::minOutlookResults && static_cast<double>(counts.failed) > results / 2 + margin
-        && counts.failedShare() > threshold;
+    const auto deviation = std::sqrt(results * threshold * (1 - threshold)); // Of the failures, if their probability is the threshold.
+    return counts.results >= config::minOutlookResults
+        && static_cast<double>(counts.failed) > results * threshold + config::failingConfidence * deviation;
 }
 
 /// The fastest response decides: with the 0.1 quantile, one fast response after a slow phase was not enough to admit again.
