Add a table of slot prices and parameters of the price control loop

Cause: over four levels a price reaches the entry daemons seconds late, because each daemon averages the demands and reports them for one route at a time. The table keeps the newest report of each server for direct propagation. Reports are ordered by a number of their own daemon: ages grow only while a daemon holds a report, so that a report that comes back over another daemon would count as newer by its time on links. Nothing uses the table yet; the control loop keeps its constants as defaults.

--- a/src/core/call.h
+++ b/src/core/call.h
@@ -48,6 +48,15 @@
     std::chrono::microseconds work { 0 }; ///< Slot time that the request uses at the service.
 };
 
+/// Price of a second of slot time at one backend server, as reported by the daemon beside it and passed on by others.
+struct SlotPrice {
+    std::string service;
+    std::uint64_t server = 0; ///< slotPriceServerId() of the server's name.
+    std::uint32_t report = 0; ///< Increases with each report of the server; wraps around.
+    double price = 0; ///< Zero once after a price has ended.
+    std::chrono::milliseconds age { 0 }; ///< Time since the report, without its time on links.
+};
+
 /// Load of a backend server as measured by the daemon beside it; sent with every answer.
 struct LoadHint {
     std::uint32_t running = 0;
@@ -75,6 +84,7 @@
     std::vector<std::string> downstream; ///< Services that nested calls reached, without duplicates.
     std::string saturated; ///< Downstream service that shed a nested call of this call, if any.
     std::vector<ServiceDemand> demands; ///< Service demands of a request of this route; empty if they were reported recently.
+    std::vector<SlotPrice> prices; ///< Prices of scarce slots, whatever the route; empty with `admission.prices: chain`.
 
     /// \returns whether the backend server sent a complete answer.
     bool isComplete() const { return refusal.reason == Reason::None; }
--- a/src/core/server_demand.cpp
+++ b/src/core/server_demand.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-ServerDemand::ServerDemand(const DemandCache& board)
+ServerDemand::ServerDemand(const DemandCache& board, const PriceControl& control)
     : m_board(board)
+    , m_priceController(control)
 {
 }
 
--- a/src/core/server_demand.h
+++ b/src/core/server_demand.h
@@ -18,7 +18,7 @@
 class ServerDemand {
 public:
     /// \param board reported demands of the routes that the backend server calls; must outlive this object.
-    explicit ServerDemand(const DemandCache& board);
+    explicit ServerDemand(const DemandCache& board, const PriceControl& control = {});
 
     /// Records the arrival of a nested call, whether or not it is run. Roots are not recorded, because they can be refused
     /// here without any wasted work.
--- a/src/core/slot_price_controller.cpp
+++ b/src/core/slot_price_controller.cpp
@@ -36,14 +36,14 @@
     // While calls wait, the arriving calls belong to roots that were admitted earlier. The bound on the wait penalty keeps
     // the price from rising further because of them.
     const auto excess = std::log(ratio) + waiting * config::maxWaitPenalty;
-    const auto gain = excess < 0 ? config::priceFallGain : config::priceRiseGain;
-    const auto step = std::clamp(excess * gain, -config::maxLogPriceFallPerSecond, config::maxLogPriceRisePerSecond) * passed;
-    m_logPrice = std::clamp(m_logPrice + step, config::minLogPrice, config::maxLogPrice);
+    const auto gain = excess < 0 ? m_control.fallGain : m_control.riseGain;
+    const auto step = std::clamp(excess * gain, -m_control.maxFallPerSecond, m_control.maxRisePerSecond) * passed;
+    m_logPrice = std::clamp(m_logPrice + step, m_control.minLogPrice, config::maxLogPrice);
 }
 
 double SlotPriceController::price() const
 {
-    return m_logPrice <= config::minLogPrice ? 0 : std::exp(m_logPrice);
+    return m_logPrice <= m_control.minLogPrice ? 0 : std::exp(m_logPrice);
 }
 
 } // namespace pw
--- a/src/core/slot_price_controller.h
+++ b/src/core/slot_price_controller.h
@@ -5,6 +5,15 @@
 
 namespace pw {
 
+/// Parameters of the price control loop; see config::priceRiseGain.
+struct PriceControl {
+    double riseGain = config::priceRiseGain;
+    double fallGain = config::priceFallGain;
+    double maxRisePerSecond = config::maxLogPriceRisePerSecond;
+    double maxFallPerSecond = config::maxLogPriceFallPerSecond;
+    double minLogPrice = config::minLogPrice;
+};
+
 /// Control loop for the price of a second of slot time at one backend server; the price expresses how scarce its slots are.
 ///
 /// The inputs are the ratio of the offered load of nested calls to the server's slots, and the time these calls wait in its
@@ -13,6 +22,12 @@
 /// them. This protects a service deep in the call graph that several kinds of requests lead to.
 class SlotPriceController {
 public:
+    explicit SlotPriceController(const PriceControl& control = {})
+        : m_control(control)
+        , m_logPrice(control.minLogPrice)
+    {
+    }
+
     /// Adds an arriving nested call to the offered load.
     /// \param work time that the call is expected to hold a slot.
     void callArrived(Duration work, TimePoint now);
@@ -29,9 +44,10 @@
     double offered(TimePoint now) const;
 
 private:
+    PriceControl m_control;
+    double m_logPrice;
     double m_offered = 0;
     TimePoint m_offeredAt {};
-    double m_logPrice = config::minLogPrice;
     TimePoint m_updated {};
 };
 
