Pass slot prices on with every answer where admission.prices is direct

Cause: with 93 entry daemons that each get about ten answers per second, a price that travels along the chain arrives late and decays after 0.5 s while few roots are admitted. The setting admission.prices (chain by default) adds the table to the daemon: the server role records its price and sends changed reports with its answers, the call transport records those that it receives, and the cost of a root uses them where a server of the service has reported within 2 s, otherwise the price of the chain. A link that is lost makes the next answer repeat the reports. With chain there is no table, and the new field of an answer stays empty. The average counts servers without a report as zero: at the smallest price above zero (0.37) a root that makes eight calls of 71 ms is admitted at 0.24, so that one server alone would throttle the whole fleet. The unit tests have not been run yet.

--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -2,9 +2,12 @@
 
 #include "adapters/codec_packed.h"
 #include "call.capnp.h"
+#include "config.h"
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
+#include <map>
 
 namespace pw {
 namespace {
@@ -80,6 +83,43 @@
         }
     }
 
+    /// Prices are grouped by service, so that its name is sent once.
+    void writePrices(proto::Answer::Builder message, const std::vector<SlotPrice>& prices)
+    {
+        std::map<std::string, std::vector<SlotPrice>> byService;
+        std::ranges::for_each(prices, [&](const SlotPrice& it) { byService[it.service].push_back(it); });
+        auto list = message.initPrices(static_cast<unsigned>(byService.size()));
+        unsigned n = 0;
+        for (const auto& [service, servers] : byService) {
+            auto group = list[n++];
+            group.setService(toText(service));
+            auto entries = group.initServers(static_cast<unsigned>(servers.size()));
+            for (unsigned i = 0; i < servers.size(); ++i) {
+                entries[i].setServer(servers[i].server);
+                entries[i].setPrice(static_cast<float>(servers[i].price));
+                entries[i].setReport(servers[i].report);
+                entries[i].setAgeMillis(static_cast<std::uint16_t>(std::clamp<std::int64_t>(servers[i].age.count(), 0, UINT16_MAX)));
+            }
+        }
+    }
+
+    /// Leaves out prices that are not numbers, and those above the limit of one answer.
+    std::vector<SlotPrice> readPrices(proto::Answer::Reader message)
+    {
+        std::vector<SlotPrice> result;
+        for (auto group : message.getPrices()) {
+            for (auto it : group.getServers()) {
+                if (result.size() >= config::maxSlotPricesPerAnswer) {
+                    return result;
+                }
+                if (const auto price = readRate(true, it.getPrice())) {
+                    result.push_back({ fromText(group.getService()), it.getServer(), it.getReport(), *price, std::chrono::milliseconds(it.getAgeMillis()) });
+                }
+            }
+        }
+        return result;
+    }
+
     Call readCall(proto::Call::Reader message)
     {
         Call call;
@@ -127,6 +167,7 @@
         for (auto demand : message.getDemands()) {
             answer.demands.push_back({ fromText(demand.getService()), demand.getPrice(), std::chrono::microseconds(demand.getWorkMicros()) });
         }
+        answer.prices = readPrices(message);
         return answer;
     }
 
@@ -185,6 +226,9 @@
     if (!answer.demands.empty()) {
         writeDemands(message.initDemands(static_cast<unsigned>(answer.demands.size())), answer.demands);
     }
+    if (!answer.prices.empty()) {
+        writePrices(message, answer.prices);
+    }
     return detail::toPackedBytes(builder);
 }
 
--- a/src/app/call_transport.cpp
+++ b/src/app/call_transport.cpp
@@ -3,6 +3,7 @@
 #include "adapters/codec_call.h"
 #include "app/server_role.h"
 #include "config.h"
+#include "core/slot_price_table.h"
 
 #include <algorithm>
 #include <ranges>
@@ -17,10 +18,13 @@
 
 } // namespace
 
-CallTransport::CallTransport(PeerNetwork& network, Timers& timers, EventLog& events, ServerRole* localServer, std::uint64_t firstId)
+CallTransport::CallTransport(PeerNetwork& network, Timers& timers, EventLog& events, ServerRole* localServer, std::uint64_t firstId,
+    SlotPriceTable* prices)
     : m_network(network)
     , m_timers(timers)
+    , m_events(events)
     , m_localServer(localServer)
+    , m_prices(prices)
     , m_lastId(firstId)
     , m_failureDetector(network, timers, events)
 {
@@ -105,6 +109,10 @@
     if (!answer) {
         return;
     }
+    // Prices do not depend on the call, so they count even if it has ended.
+    if (m_prices) {
+        recordPrices(answer->prices);
+    }
     auto it = m_pending.find(answer->id);
     // Accept an answer only from the daemon that the call was sent to.
     if (it != m_pending.end() && it->second.daemon == from) {
@@ -112,6 +120,20 @@
     }
 }
 
+/// Logs when the first price becomes known or the last one ends, at most once per config::priceLogInterval.
+void CallTransport::recordPrices(const std::vector<SlotPrice>& prices)
+{
+    const auto now = m_timers.now();
+    m_prices->record(prices, now);
+    const auto servers = m_prices->pricedServers(now);
+    if ((servers > 0) == m_knowsPrices || now - m_pricesReported < config::priceLogInterval) {
+        return;
+    }
+    m_knowsPrices = servers > 0;
+    m_pricesReported = now;
+    PW_EVENT(m_events, Event::SlotPricesKnown, { "servers", servers });
+}
+
 void CallTransport::onUnsent(std::span<const std::byte> message)
 {
     if (auto call = decodeCall(message)) {
--- a/src/app/call_transport.h
+++ b/src/app/call_transport.h
@@ -12,6 +12,7 @@
 namespace pw {
 
 class ServerRole;
+class SlotPriceTable;
 
 /// Sends calls to the daemons beside backend servers and receives their answers. Every call ends exactly once: with an
 /// answer, or with a refusal whose verdict tells whether the request may have run.
@@ -20,8 +21,10 @@
     using Done = std::function<void(Answer)>;
 
     /// \param localServer the server role of this daemon, or nullptr.
+    /// \param prices receives the prices in answers; nullptr: they are ignored.
     /// \param firstId random, so that answers meant for an earlier process at this address match no call.
-    CallTransport(PeerNetwork& network, Timers& timers, EventLog& events, ServerRole* localServer, std::uint64_t firstId);
+    CallTransport(PeerNetwork& network, Timers& timers, EventLog& events, ServerRole* localServer, std::uint64_t firstId,
+        SlotPriceTable* prices = nullptr);
     ~CallTransport();
     CallTransport(const CallTransport&) = delete;
     CallTransport& operator=(const CallTransport&) = delete;
@@ -53,11 +56,16 @@
     void onLost(const PeerAddress& peer);
     void onUnresponsive(const PeerAddress& peer);
     void failCalls(const PeerAddress& peer, bool idempotentOnly);
+    void recordPrices(const std::vector<SlotPrice>& prices);
     void sendCancel(std::uint64_t id, const PeerAddress& daemon);
 
     PeerNetwork& m_network;
     Timers& m_timers;
+    EventLog& m_events;
     ServerRole* m_localServer;
+    SlotPriceTable* m_prices;
+    bool m_knowsPrices = false; ///< As last logged.
+    TimePoint m_pricesReported {};
     std::uint64_t m_lastId;
     std::unordered_map<std::uint64_t, Pending> m_pending;
     PeerFailureDetector m_failureDetector;
--- a/src/app/caller_endpoint.cpp
+++ b/src/app/caller_endpoint.cpp
@@ -137,7 +137,10 @@
         }
         return std::nullopt;
     }
-    const auto demands = m_dependencies.board.demandsOf(incoming.route.name, m_dependencies.timers.now());
+    auto demands = m_dependencies.board.demandsOf(incoming.route.name, m_dependencies.timers.now());
+    if (m_dependencies.prices) {
+        m_dependencies.prices->applyTo(demands, m_dependencies.timers.now());
+    }
     if (m_rootGate.admit(incoming.route.name, incoming.workspace, incoming.rank, demands, m_dependencies.timers.now())) {
         return std::nullopt;
     }
--- a/src/app/caller_endpoint.h
+++ b/src/app/caller_endpoint.h
@@ -7,6 +7,7 @@
 #include "core/root_throttle.h"
 #include "core/route_table.h"
 #include "core/service_split.h"
+#include "core/slot_price_table.h"
 #include "ports/caller_protocol.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
@@ -34,6 +35,7 @@
         const CallerProtocol& protocol;
         const Settings& settings;
         DemandCache& board;
+        const SlotPriceTable* prices; ///< Null with `admission.prices: chain`.
         ServerRole* server; ///< Null without the server role.
         std::size_t maxConnections; ///< Caller connections above which idle ones are closed.
     };
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -15,6 +15,7 @@
 #include "app/operator_control.h"
 #include "app/readiness_endpoint.h"
 #include "config.h"
+#include "core/slot_price_table.h"
 
 #include <algorithm>
 #include <map>
@@ -38,6 +39,7 @@
 bool Daemon::init(std::string& reason)
 {
     makeSession();
+    makeSlotPrices();
     makeServer();
     if (!makeControl(reason) || !makeEntry(reason) || !makeEndpoints(reason) || !m_network.init(reason)) {
         return false;
@@ -66,15 +68,25 @@
     return m_control->init(reason);
 }
 
+void Daemon::makeSlotPrices()
+{
+    if (m_settings.priceMode != PriceMode::Direct) {
+        return;
+    }
+    m_slotPrices = std::make_unique<SlotPriceTable>();
+    m_view->onChanged([this](const std::string& service) { m_slotPrices->setServerCount(service, m_view->servers(service).size()); });
+    m_metrics->addSlotPriceGauges(*m_slotPrices, m_timers);
+}
+
 void Daemon::makeServer()
 {
     if (m_settings.server) {
-        m_server = std::make_unique<ServerRole>(m_loop, m_settings, m_network, m_timers, m_log, *m_view, *m_session, m_interface->backendProtocol(), m_demandBoard);
+        m_server = std::make_unique<ServerRole>(m_loop, m_settings, m_network, m_timers, m_log, *m_view, *m_session, m_interface->backendProtocol(), m_demandBoard, m_slotPrices.get());
     }
     if (!m_settings.server && !m_settings.entry) {
         return;
     }
-    m_transport = std::make_unique<CallTransport>(m_network, m_timers, m_log, m_server.get(), crypto::randomNumber());
+    m_transport = std::make_unique<CallTransport>(m_network, m_timers, m_log, m_server.get(), crypto::randomNumber(), m_slotPrices.get());
     m_dispatcher = std::make_unique<Dispatcher>(m_settings, *m_transport, m_timers, m_log, *m_view, *m_session, crypto::randomNumber());
 }
 
@@ -89,7 +101,7 @@
     const auto files = raiseOpenFileLimit(config::maxOpenFiles + config::reservedOpenFiles);
     const auto maxConnections = std::min(m_settings.callerConnectionLimit, files / 2);
     m_callerEndpoint = std::make_unique<CallerEndpoint>(CallerEndpoint::Dependencies { m_loop, m_timers, m_log, *m_session, *m_grants, *m_claims,
-        *m_dispatcher, m_interface->callerProtocol(), m_settings, m_demandBoard, m_server.get(),
+        *m_dispatcher, m_interface->callerProtocol(), m_settings, m_demandBoard, m_slotPrices.get(), m_server.get(),
         maxConnections });
     m_callerEndpoint->finished().connect([this](const RequestRecord& record) { m_metrics->count(record); });
     if (!m_callerEndpoint->init(m_settings.callerAddress, reason)) {
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -31,6 +31,7 @@
 class OperatorControl;
 class ReadinessEndpoint;
 class ServerRole;
+class SlotPriceTable;
 struct EndpointDependencies;
 
 /// Secrets read from the files given in the settings.
@@ -61,6 +62,7 @@
 private:
     void makeSession();
     bool makeControl(std::string& reason);
+    void makeSlotPrices();
     void makeServer();
     bool makeEntry(std::string& reason);
     bool makeEndpoints(std::string& reason);
@@ -88,6 +90,7 @@
     std::unique_ptr<DaemonGrants> m_grants;
     std::unique_ptr<DaemonClaims> m_claims;
     DemandCache m_demandBoard;
+    std::unique_ptr<SlotPriceTable> m_slotPrices; ///< Null with `admission.prices: chain`.
     std::unique_ptr<ServerRole> m_server;
     std::unique_ptr<CallTransport> m_transport;
     std::unique_ptr<Dispatcher> m_dispatcher;
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -114,6 +114,12 @@
     m_metrics.gauge(info.name, info.help, {}, [&session] { return static_cast<double>(session.evacuatedDomains().size()); });
 }
 
+void DaemonMetrics::addSlotPriceGauges(const SlotPriceTable& prices, const Timers& timers)
+{
+    const auto& info = metricInfo(Metric::SlotPriceServers);
+    m_metrics.gauge(info.name, info.help, {}, [&prices, &timers] { return static_cast<double>(prices.pricedServers(timers.now())); });
+}
+
 void DaemonMetrics::addLinkGauges(const LinkTrafficTable& traffic)
 {
     auto gauge = [&](Metric metric, std::uint64_t LinkTraffic::*member) {
--- a/src/app/daemon_metrics.h
+++ b/src/app/daemon_metrics.h
@@ -36,6 +36,9 @@
     /// Adds gauges for the replicated state as known to \p session, which must outlive this object.
     void addFleetGauges(const ControlSession& session);
 
+    /// Adds a gauge for the prices known to this daemon. Both arguments must outlive this object.
+    void addSlotPriceGauges(const SlotPriceTable& prices, const Timers& timers);
+
     /// Adds gauges for the traffic on the links to other daemons. \p traffic must outlive this object.
     void addLinkGauges(const LinkTrafficTable& traffic);
 
--- a/src/app/metric_catalogue.cpp
+++ b/src/app/metric_catalogue.cpp
@@ -23,6 +23,7 @@
         { "pistachiowheel_backend_evacuated", "gauge", "", "1 while the failure domain of the backend server is evacuated, otherwise 0." },
         { "pistachiowheel_evacuation_refusals_total", "counter", "route", "Calls refused because the failure domain is evacuated." },
         { "pistachiowheel_evacuated_domains", "gauge", "", "Evacuated failure domains, as known to this daemon." },
+        { "pistachiowheel_slot_price_servers", "gauge", "", "Backend servers with a price of slots above zero, as known to this daemon." },
         { "pistachiowheel_link_sent_bytes", "gauge", "kind", "Bytes sent to other daemons." },
         { "pistachiowheel_link_received_bytes", "gauge", "kind", "Bytes received from other daemons." },
         { "pistachiowheel_link_sent_frames", "gauge", "kind", "Messages sent to other daemons." },
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -24,6 +24,7 @@
     BackendEvacuated,
     EvacuationRefusals,
     EvacuatedDomains,
+    SlotPriceServers,
     LinkSentBytes,
     LinkReceivedBytes,
     LinkSentFrames,
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -52,7 +52,8 @@
 } // namespace
 
 ServerRole::ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-    ServerDirectory& directory, FleetView& fleet, const BackendProtocol& protocol, const DemandCache& board)
+    ServerDirectory& directory, FleetView& fleet, const BackendProtocol& protocol, const DemandCache& board,
+    SlotPriceTable* prices)
     : m_network(network)
     , m_timers(timers)
     , m_log(log)
@@ -64,6 +65,7 @@
     , m_admission(limitFrom(settings))
     , m_warmUp({ timers, log, protocol, settings, m_client, m_admission.warmUp(), m_admission.rate() })
     , m_demand(board)
+    , m_prices(prices)
     , m_contexts(randomToken)
 {
     m_entry.name = settings.name;
@@ -379,9 +381,23 @@
     answer.load = load();
     updateDemand();
     answer.demands = m_demand.demandsToReport(node.mapped().key.first, node.mapped().call.route, m_entry.service, m_timers.now());
+    addPrices(node.mapped().key.first, answer);
     node.mapped().done(std::move(answer));
 }
 
+void ServerRole::addPrices(const PeerAddress& receiver, Answer& answer)
+{
+    if (!m_prices) {
+        return;
+    }
+    if (m_announced) {
+        m_prices->recordOwn(m_entry.service, m_entry.name, m_demand.price(), m_timers.now());
+    }
+    if (receiver != m_network.self()) {
+        answer.prices = m_prices->pricesFor(receiver, m_timers.now());
+    }
+}
+
 void ServerRole::cancel(const PeerAddress& from, std::uint64_t callId)
 {
     auto entry = m_idsByKey.find({ from, callId });
@@ -403,6 +419,9 @@
 
 void ServerRole::onPeerLost(const PeerAddress& peer)
 {
+    if (m_prices) {
+        m_prices->forgetPeer(peer);
+    }
     std::vector<std::uint64_t> orphans;
     for (const auto& [id, work] : m_calls) {
         // A non-idempotent request that is already running is left to finish.
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -8,6 +8,7 @@
 #include "core/call.h"
 #include "core/context_table.h"
 #include "core/server_demand.h"
+#include "core/slot_price_table.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
 #include "ports/peer_network.h"
@@ -42,8 +43,10 @@
 public:
     using Done = std::function<void(Answer)>;
 
+    /// \param prices is sent along with answers; nullptr: none are sent.
     ServerRole(StreamLoop& loop, const Settings& settings, PeerNetwork& network, Timers& timers, EventLog& log,
-        ServerDirectory& directory, FleetView& fleet, const BackendProtocol& protocol, const DemandCache& board);
+        ServerDirectory& directory, FleetView& fleet, const BackendProtocol& protocol, const DemandCache& board,
+        SlotPriceTable* prices = nullptr);
     ~ServerRole();
     ServerRole(const ServerRole&) = delete;
     ServerRole& operator=(const ServerRole&) = delete;
@@ -152,6 +155,7 @@
     void onLeaseExpired();
     void publish();
     void updateDemand();
+    void addPrices(const PeerAddress& receiver, Answer& answer);
     void reportPrice(TimePoint now);
     void stopAdmitting();
     /// \returns how long a leaving server still accepts new calls.
@@ -168,6 +172,7 @@
     Admission m_admission;
     WarmUpMonitor m_warmUp;
     ServerDemand m_demand;
+    SlotPriceTable* m_prices; ///< Null with `admission.prices: chain`.
     int m_priceStep = 0; ///< Logarithmic step of the last reported price; zero while slots are not scarce.
     TimePoint m_priceReported {};
     std::optional<double> m_reportedRate; ///< Rate limit as last logged.
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -42,6 +42,8 @@
 
     const std::vector<std::string_view> whenUnreachableChoices { "refuse", "continue" };
     const std::vector<std::string_view> proofChoices { "secret", "none" };
+    /// Indexed by PriceMode.
+    const std::vector<std::string_view> priceChoices { "chain", "direct" };
     const std::vector<std::string_view> outputChoices { "error", "output" };
 
     const std::vector<std::string_view> logLevels { "debug", "info", "warning", "error" };
@@ -356,6 +358,15 @@
         map.reportUnknownKeys();
     }
 
+    void readAdmission(YamlMap& root, Settings& settings)
+    {
+        auto map = root.map("admission");
+        if (auto n = map.choice("prices", priceChoices)) {
+            settings.priceMode = static_cast<PriceMode>(*n);
+        }
+        map.reportUnknownKeys();
+    }
+
     void readLog(YamlMap& root, Settings& settings)
     {
         auto map = root.map("log");
@@ -408,6 +419,7 @@
         readRateTolerance(root, settings);
         readWarmUp(root, settings);
         readLimit(root, settings);
+        readAdmission(root, settings);
         readLog(root, settings);
         root.reportUnknownKeys();
         checkIdentity(root, settings);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -39,6 +39,13 @@
     bool operator==(const WarmUpTolerance&) const = default;
 };
 
+/// How prices of scarce slots reach the daemons that receive roots; see docs/design/slot-prices.md.
+enum class PriceMode : std::uint8_t {
+    Chain, ///< Averaged in the demands that each daemon reports with answers.
+    Direct, ///< Also passed on by every daemon with answers of any route.
+    Count
+};
+
 /// The settings file of one daemon.
 struct Settings {
     std::string name; ///< Unique in the fleet.
@@ -75,6 +82,7 @@
     std::chrono::milliseconds drainTimeout { 2000 }; ///< From the notice that a backend server leaves until it gets no new requests.
     std::chrono::milliseconds stopTimeout { 60000 }; ///< From the stop signal until the process must have exited.
     std::chrono::milliseconds announcementLease { 3000 }; ///< A backend server that doesn't renew its announcement for this long is removed.
+    PriceMode priceMode = PriceMode::Chain;
     double limitHeadroom = 0; ///< Fraction of the announced slots left unused, as some servers slow down when nearly full.
     RetryBudgetSettings retryBudget;
     RateTolerance rateTolerance;
--- a/src/app/settings_changes.cpp
+++ b/src/app/settings_changes.cpp
@@ -51,6 +51,7 @@
         SettingRow { "warmUp", &Settings::warmUp },
         SettingRow { "limit.strategy", &Settings::limitStrategy },
         SettingRow { "limit.start", &Settings::limitStart },
+        SettingRow { "admission.prices", &Settings::priceMode },
         SettingRow { "limit.headroom", &Settings::limitHeadroom },
         SettingRow { "log.level", &Settings::logLevel },
         SettingRow { "log.file", &Settings::logFile },
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -29,6 +29,7 @@
         { 303, "retry-decision", Level::Info, true },
         { 304, "admission-refused", Level::Info, true },
         { 305, "price-changed", Level::Info, false },
+        { 306, "slot-prices-known", Level::Info, false },
         { 405, "announcement-refused", Level::Warning, false },
         { 400, "backend-announced", Level::Info, false },
         { 404, "backend-started", Level::Info, false },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -44,6 +44,7 @@
     RetryDecision,
     AdmissionRefused,
     PriceChanged,
+    SlotPricesKnown,
     AnnouncementRefused,
     BackendAnnounced,
     BackendStarted,
--- a/src/proto/call.capnp
+++ b/src/proto/call.capnp
@@ -39,6 +39,18 @@
   workMicros @2 :UInt32;
 }
 
+struct SlotPrice {
+  server @0 :UInt64;
+  price @1 :Float32;
+  report @2 :UInt32;
+  ageMillis @3 :UInt16;
+}
+
+struct ServicePrices {
+  service @0 :Text;
+  servers @1 :List(SlotPrice);
+}
+
 struct LoadHint {
   running @0 :UInt32;
   queued @1 :UInt32;
@@ -67,6 +79,7 @@
   saturated @10 :Text;
   arrived @11 :Bool;
   demands @12 :List(ServiceDemand);
+  prices @13 :List(ServicePrices);
 }
 
 struct Cancel {
--- a/src/proto/call.capnp.h
+++ b/src/proto/call.capnp.h
@@ -19,6 +19,8 @@
 CAPNP_DECLARE_SCHEMA(d24398d9a473503c);
 CAPNP_DECLARE_SCHEMA(8e8cc65576cde28b);
 CAPNP_DECLARE_SCHEMA(8d51672daaad5fbf);
+CAPNP_DECLARE_SCHEMA(ab4663a18a3ab301);
+CAPNP_DECLARE_SCHEMA(d4a15500615b2376);
 CAPNP_DECLARE_SCHEMA(b3b418a10b9ac5f3);
 CAPNP_DECLARE_SCHEMA(9fba8f84f39cb111);
 CAPNP_DECLARE_SCHEMA(8e455b42f5c5fb76);
@@ -74,6 +76,36 @@
   };
 };
 
+struct SlotPrice {
+  SlotPrice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ab4663a18a3ab301, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServicePrices {
+  ServicePrices() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d4a15500615b2376, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadHint {
   LoadHint() = delete;
 
@@ -97,7 +129,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9fba8f84f39cb111, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(9fba8f84f39cb111, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -534,6 +566,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class SlotPrice::Reader {
+public:
+  typedef SlotPrice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer() const;
+
+  inline float getPrice() const;
+
+  inline  ::uint32_t getReport() const;
+
+  inline  ::uint16_t getAgeMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SlotPrice::Builder {
+public:
+  typedef SlotPrice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
+
+  inline float getPrice();
+  inline void setPrice(float value);
+
+  inline  ::uint32_t getReport();
+  inline void setReport( ::uint32_t value);
+
+  inline  ::uint16_t getAgeMillis();
+  inline void setAgeMillis( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotPrice::Pipeline {
+public:
+  typedef SlotPrice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServicePrices::Reader {
+public:
+  typedef ServicePrices Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>::Reader getServers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServicePrices::Builder {
+public:
+  typedef ServicePrices Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasServers();
+  inline  ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>::Builder getServers();
+  inline void setServers( ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>> disownServers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServicePrices::Pipeline {
+public:
+  typedef ServicePrices Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadHint::Reader {
 public:
   typedef LoadHint Reads;
@@ -709,6 +923,9 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
+  inline bool hasPrices() const;
+  inline  ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>::Reader getPrices() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -801,6 +1018,13 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pw::proto::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
+  inline bool hasPrices();
+  inline  ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>::Builder getPrices();
+  inline void setPrices( ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>::Builder initPrices(unsigned int size);
+  inline void adoptPrices(::capnp::Orphan< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>> disownPrices();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1544,6 +1768,130 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SlotPrice::Reader::getServer() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotPrice::Builder::getServer() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotPrice::Builder::setServer( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float SlotPrice::Reader::getPrice() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float SlotPrice::Builder::getPrice() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SlotPrice::Builder::setPrice(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotPrice::Reader::getReport() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotPrice::Builder::getReport() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SlotPrice::Builder::setReport( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t SlotPrice::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t SlotPrice::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SlotPrice::Builder::setAgeMillis( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServicePrices::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServicePrices::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServicePrices::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServicePrices::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServicePrices::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServicePrices::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServicePrices::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServicePrices::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ServicePrices::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServicePrices::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>::Reader ServicePrices::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>::Builder ServicePrices::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServicePrices::Builder::setServers( ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>::Builder ServicePrices::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServicePrices::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>> ServicePrices::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::SlotPrice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t LoadHint::Reader::getRunning() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2009,6 +2357,40 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool Answer::Reader::hasPrices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Answer::Builder::hasPrices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>::Reader Answer::Reader::getPrices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::getPrices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Answer::Builder::setPrices( ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>::Builder Answer::Builder::initPrices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Answer::Builder::adoptPrices(
+    ::capnp::Orphan< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>> Answer::Builder::disownPrices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pw::proto::ServicePrices,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Cancel::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
