--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -79,6 +79,8 @@
     { "decisionSampling: 10", "decisionSampling: 1e3", "log.decisionSampling: \"1e3\"" },
     { "strategy: static", "strategy: magic", "limit.strategy: \"magic\"; accepted: " },
     { "strategy: static", "start: slow", "limit.start: \"slow\"; accepted: count, answers" },
+    { "limit:", "admission: { prices: both }\nlimit:", "admission.prices: \"both\"; accepted: chain, direct" },
+    { "limit:", "admission: { price: chain }\nlimit:", "admission.price: unknown key; accepted: " },
     { "limit:", "warmUp: { overage: 0.9 }\nlimit:", "warmUp.overage: \"0.9\"; accepted: a number from 1" },
     { "limit:", "warmUp: { extra: -1 }\nlimit:", "warmUp.extra: \"-1\"; accepted: a number from 0" },
     { "limit:", "warmUp: { slack: 8 }\nlimit:", "warmUp.slack: unknown key; accepted: extra, overage" },
@@ -116,6 +118,17 @@
     BOOST_TEST(settings->limitStart == "answers");
 }
 
+BOOST_AUTO_TEST_CASE(thePropagationOfPricesIsRead)
+{
+    std::string reason;
+    auto settings = pw::parseSettings(validText, "f.yaml", reason);
+    BOOST_TEST_REQUIRE(settings.has_value(), reason);
+    BOOST_TEST((settings->priceMode == pw::PriceMode::Chain));
+    settings = pw::parseSettings(replaced(validText, { "limit:", "admission: { prices: direct }\nlimit:", "" }), "f.yaml", reason);
+    BOOST_TEST_REQUIRE(settings.has_value(), reason);
+    BOOST_TEST((settings->priceMode == pw::PriceMode::Direct));
+}
+
 BOOST_DATA_TEST_CASE(wrongTextIsExplained, data::make(wrongRows), row)
 {
     std::string reason;
