--- a/src/app/caller_endpoint.h
+++ b/src/app/caller_endpoint.h
@@ -8,6 +8,7 @@
 #include "core/route_outlook.h"
 #include "core/route_table.h"
 #include "core/service_split.h"
+#include "core/slot_price_table.h"
 #include "ports/caller_protocol.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
@@ -35,6 +36,7 @@
         const CallerProtocol& protocol;
         const Settings& settings;
         DemandCache& board;
+        const SlotPriceTable* prices; ///< Null with `admission.prices: chain`.
         ServerRole* server; ///< Null without the server role.
         std::size_t maxConnections; ///< Caller connections above which idle ones are closed.
     };
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -26,6 +26,7 @@
     BackendEvacuated,
     EvacuationRefusals,
     EvacuatedDomains,
+    SlotPriceServers,
     LinkSentBytes,
     LinkReceivedBytes,
     LinkSentFrames,
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -42,6 +42,8 @@
 
     const std::vector<std::string_view> whenUnreachableChoices { "refuse", "continue" };
     const std::vector<std::string_view> proofChoices { "secret", "none" };
+    /// Indexed by PriceMode.
+    const std::vector<std::string_view> priceChoices { "chain", "direct" };
     const std::vector<std::string_view> outputChoices { "error", "output" };
     const std::vector<std::string_view> outlookChoices { "off", "on" };
 
@@ -361,6 +363,9 @@
     {
         auto map = root.map("admission");
         settings.outlook = map.choice("outlook", outlookChoices).value_or(0) == 1;
+        if (auto n = map.choice("prices", priceChoices)) {
+            settings.priceMode = static_cast<PriceMode>(*n);
+        }
         map.reportUnknownKeys();
     }
 
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -30,6 +30,7 @@
         { 304, "admission-refused", Level::Info, true },
         { 305, "price-changed", Level::Info, false },
         { 306, "route-outlook-changed", Level::Info, false },
+        { 307, "slot-prices-known", Level::Info, false },
         { 405, "announcement-refused", Level::Warning, false },
         { 400, "backend-announced", Level::Info, false },
         { 404, "backend-started", Level::Info, false },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -45,6 +45,7 @@
     AdmissionRefused,
     PriceChanged,
     RouteOutlookChanged,
+    SlotPricesKnown,
     AnnouncementRefused,
     BackendAnnounced,
     BackendStarted,
