Select backend servers by expected completion where pick.by says so

Cause: load relative to the concurrency limit rates servers of speeds 0.6 and 1.6 alike, so that calls wait at slow servers while fast ones have free slots.

With pick.by: completion the daemon beside a server reports the work time of the call's route with each answer, and the picker takes the one of two random servers with the earlier expected completion: the work time, plus a penalty from 0.8 of the limit on; a server whose oldest unanswered call is three times as old as usual is rated by that age. Pairs of which one has no work time are compared by load. A server in a farther place is used where it is earlier by a quarter and 2 ms.

Errors are left out of the work time: a server that fails at once would look fast. A work time is not decayed without responses, as the service time estimate is, but withdrawn after 2 s, since a decayed one looks fast.

The default is load, with the same random numbers and comparisons as before.

--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace pw {
 namespace {
@@ -61,6 +62,7 @@
         message.setBackendStart(load.backendStart);
         message.setDeparted(load.departed);
         message.setWarmUpRate(load.warmUpRate);
+        message.setWorkMicros(static_cast<std::uint32_t>(std::clamp<std::int64_t>(load.workTime.count(), 0, std::numeric_limits<std::uint32_t>::max())));
     }
 
     LoadHint readLoad(proto::LoadHint::Reader message)
@@ -68,7 +70,7 @@
         return { message.getRunning(), message.getQueued(), message.getLimit(), readEnum<Importance>(message.getAdmissionFloor()),
             message.getLeaving(), readRate(message.getHasRateLimit(), message.getRequestsPerSecond()),
             readRate(true, message.getOfferedPerSecond()).value_or(0), message.getBackendStart(), message.getDeparted(),
-            readRate(true, message.getWarmUpRate()).value_or(0) };
+            readRate(true, message.getWarmUpRate()).value_or(0), std::chrono::microseconds(message.getWorkMicros()) };
     }
 
     void writeDemands(capnp::List<proto::ServiceDemand>::Builder list, const std::vector<ServiceDemand>& demands)
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -50,7 +50,7 @@
     , m_directory(directory)
     , m_fleet(fleet)
     , m_random(seed)
-    , m_picker(seed + 1)
+    , m_picker(seed + 1, settings.pickBy)
     , m_retryBudget(settings.retryBudget.ratio, settings.retryBudget.extra, settings.retryBudget.window)
 {
     directory.onChanged([this](const std::string&) { updateRetryBudget(); });
@@ -91,7 +91,7 @@
 PickContext Dispatcher::pickContext(const Job& job) const
 {
     return { m_settings.failureDomain, m_settings.region, job.triedServers, {},
-        [this, &job](const std::string& failureDomain) { return isEvacuated(job, failureDomain); } };
+        [this, &job](const std::string& failureDomain) { return isEvacuated(job, failureDomain); }, job.request.call.route };
 }
 
 const ServerEntry* Dispatcher::pick(const Job& job)
@@ -156,7 +156,7 @@
     job.failureDomain = server->failureDomain;
     job.sentAt = now;
     job.triedServers.push_back(server->name);
-    m_picker.started(server->name, now);
+    m_picker.started(server->name, now, job.request.call.route);
     if (job.attemptsMade == 1) {
         m_retryBudget.recordFirstAttempt(job.request.call.service, now);
     }
@@ -174,7 +174,7 @@
     auto& job = m_jobs.at(id);
     auto now = m_timers.now();
     auto hasLoad = answer.isComplete() || answer.load.limit > 0 || answer.load.leaving;
-    m_picker.finished(job.serverName, outcomeOf(answer), now - job.sentAt, hasLoad ? &answer.load : nullptr, now);
+    m_picker.finished(job.serverName, outcomeOf(answer), now - job.sentAt, hasLoad ? &answer.load : nullptr, now, job.request.call.route);
     auto notDelivered = answer.refusal.verdict == Verdict::NotRun && answer.refusal.reason == Reason::Unreachable;
     job.request.attempts += notDelivered ? job.delegatedAttempts : std::min(answer.attemptsUnused, job.delegatedAttempts);
     if (answer.arrived || answer.refusal.verdict == Verdict::MayHaveRun) {
@@ -351,7 +351,7 @@
     m_timers.cancel(job.retryTimer);
     if (job.retryTimer == 0) {
         auto now = m_timers.now();
-        m_picker.finished(job.serverName, RunOutcome::Cancelled, now - job.sentAt, nullptr, now);
+        m_picker.finished(job.serverName, RunOutcome::Cancelled, now - job.sentAt, nullptr, now, job.request.call.route);
         m_transport.cancel(job.callId);
     }
 }
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -310,6 +310,16 @@
     }
 }
 
+/// Errors are left out: a server that fails at once must not look fast.
+void ServerRole::recordPace(const PendingCall& work, const BackendResult& result, Duration nestedTime)
+{
+    const auto isWhole = result.refusal.reason == Reason::None && result.response.status < http_status::internalError;
+    if (m_settings.pickBy == PickBy::Completion && isWhole && work.backendId == m_backendId) {
+        const auto now = m_timers.now();
+        m_pace.add(work.call.route, now - work.startedAt - nestedTime, now);
+    }
+}
+
 ClosedContext ServerRole::closeContext(const PendingCall& work)
 {
     if (work.token.empty()) {
@@ -328,6 +338,7 @@
     m_demand.ended(work.call.route, now - work.startedAt, now);
     m_runFinished.emit({ work.call.route, work.startedAt - work.arrived, now - work.startedAt });
     m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
+    recordPace(work, result, context.nestedTime);
     reportRamp(now);
     if (result.statement) {
         onStatement(work, *result.statement);
@@ -377,6 +388,7 @@
     m_idsByKey.erase(node.mapped().key);
     answer.id = node.mapped().call.id;
     answer.load = load();
+    answer.load.workTime = m_pace.workTime(node.mapped().call.route, m_timers.now());
     updateDemand();
     answer.demands = m_demand.demandsToReport(node.mapped().key.first, node.mapped().call.route, m_entry.service, m_timers.now());
     node.mapped().done(std::move(answer));
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -8,6 +8,7 @@
 #include "core/call.h"
 #include "core/context_table.h"
 #include "core/server_demand.h"
+#include "core/server_pace.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
 #include "ports/peer_network.h"
@@ -142,6 +143,7 @@
     void onStatement(const PendingCall& work, const BackendStatement& statement);
     void reportRate(TimePoint now);
     void reportRamp(TimePoint now);
+    void recordPace(const PendingCall& work, const BackendResult& result, Duration nestedTime);
     ClosedContext closeContext(const PendingCall& work);
     void refuse(std::uint64_t id, Refusal refusal);
     void answer(std::uint64_t id, Answer answer);
@@ -168,6 +170,7 @@
     Admission m_admission;
     WarmUpMonitor m_warmUp;
     ServerDemand m_demand;
+    ServerPace m_pace; ///< Used with PickBy::Completion.
     int m_priceStep = 0; ///< Logarithmic step of the last reported price; zero while slots are not scarce.
     TimePoint m_priceReported {};
     std::optional<double> m_reportedRate; ///< Rate limit as last logged.
--- a/src/app/server_role_registration.cpp
+++ b/src/app/server_role_registration.cpp
@@ -96,6 +96,7 @@
 {
     m_client.closeIdle();
     m_admission.rate().reset();
+    m_pace.reset();
     m_serverLeft = false;
     m_statedLeaving = false;
     if (m_stopping) {
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -41,6 +41,7 @@
     constexpr double maxRateExtra = 1e6;
 
     const std::vector<std::string_view> whenUnreachableChoices { "refuse", "continue" };
+    const std::vector<std::string_view> pickByChoices { "load", "completion" }; ///< In the order of PickBy.
     const std::vector<std::string_view> proofChoices { "secret", "none" };
     const std::vector<std::string_view> outputChoices { "error", "output" };
 
@@ -356,6 +357,13 @@
         map.reportUnknownKeys();
     }
 
+    void readPick(YamlMap& root, Settings& settings)
+    {
+        auto map = root.map("pick");
+        settings.pickBy = static_cast<PickBy>(map.choice("by", pickByChoices).value_or(0));
+        map.reportUnknownKeys();
+    }
+
     void readLog(YamlMap& root, Settings& settings)
     {
         auto map = root.map("log");
@@ -408,6 +416,7 @@
         readRateTolerance(root, settings);
         readWarmUp(root, settings);
         readLimit(root, settings);
+        readPick(root, settings);
         readLog(root, settings);
         root.reportUnknownKeys();
         checkIdentity(root, settings);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "core/ledger_account.h"
+#include "core/pick_by.h"
 #include "ports/peer_network.h"
 
 #include <chrono>
@@ -76,6 +77,7 @@
     std::chrono::milliseconds stopTimeout { 60000 }; ///< From the stop signal until the process must have exited.
     std::chrono::milliseconds announcementLease { 3000 }; ///< A backend server that doesn't renew its announcement for this long is removed.
     double limitHeadroom = 0; ///< Fraction of the announced slots left unused, as some servers slow down when nearly full.
+    PickBy pickBy = PickBy::Load; ///< By what the entry role compares servers; the server role reports what is needed for that.
     RetryBudgetSettings retryBudget;
     RateTolerance rateTolerance;
     WarmUpTolerance warmUp;
--- a/src/app/settings_changes.cpp
+++ b/src/app/settings_changes.cpp
@@ -52,6 +52,7 @@
         SettingRow { "limit.strategy", &Settings::limitStrategy },
         SettingRow { "limit.start", &Settings::limitStart },
         SettingRow { "limit.headroom", &Settings::limitHeadroom },
+        SettingRow { "pick.by", &Settings::pickBy },
         SettingRow { "log.level", &Settings::logLevel },
         SettingRow { "log.file", &Settings::logFile },
         SettingRow { "log.decisionSampling", &Settings::decisionSampling },
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -60,6 +60,7 @@
     std::uint64_t backendStart = 0; ///< ServerEntry::backendIncarnation of the backend server; zero if unknown.
     bool departed = false; ///< This start of the backend server has said that it is leaving.
     double warmUpRate = 0; ///< Requests per second that it is sent at most while it warms up; zero otherwise.
+    std::chrono::microseconds workTime { 0 }; ///< Recent work time of the call's route at it; zero: unknown.
 };
 
 /// Result of a call.
--- a/src/core/picker.cpp
+++ b/src/core/picker.cpp
@@ -12,14 +12,16 @@
 
 namespace pw {
 
-Picker::Picker(std::uint64_t seed)
+Picker::Picker(std::uint64_t seed, PickBy pickBy)
     : m_random(seed)
+    , m_pickBy(pickBy)
 {
 }
 
 std::optional<std::size_t> Picker::pick(const std::vector<ServerEntry>& servers, const PickContext& context, TimePoint now)
 {
-    PickState state { servers, slowThreshold(servers), now };
+    const auto& strategy = strategies.at(static_cast<std::size_t>(m_pickBy));
+    PickState state { servers, slowThreshold(servers), now, context.route };
     auto all = withoutWarming(state, usable(state, context));
     if (all.empty()) {
         return std::nullopt;
@@ -29,17 +31,16 @@
         [](const ServerEntry& server, const PickContext& place) { return server.failureDomain == place.failureDomain; },
         [](const ServerEntry& server, const PickContext& place) { return server.region == place.region; },
     };
-    auto choice = pickLessLoaded(state, all);
-    // From the widest tier to the narrowest: a nearer server is preferred unless it is loaded and the farther one much less so.
+    auto choice = (this->*strategy.best)(state, all);
+    // From the widest tier to the narrowest: a nearer server is preferred unless the farther one is much better.
     for (auto inTier : localityTiers | std::views::reverse) {
         Candidates candidates;
         std::ranges::copy_if(all, std::back_inserter(candidates), [&](std::size_t n) { return inTier(servers[n], context); });
         if (candidates.empty()) {
             break;
         }
-        const auto nearer = pickLessLoaded(state, candidates);
-        const auto nearerLoad = load(state, nearer);
-        if (nearerLoad < config::loadedThreshold || nearerLoad <= load(state, choice) + config::localityLoadTolerance) {
+        const auto nearer = (this->*strategy.best)(state, candidates);
+        if ((this->*strategy.prefersNearer)(state, nearer, choice)) {
             choice = nearer;
         }
     }
@@ -57,8 +58,11 @@
     return hint && hint->requestsPerSecond ? std::optional(StatedRate { hint->backendStart, *hint->requestsPerSecond }) : std::nullopt;
 }
 
-void Picker::started(const std::string& server, TimePoint now)
+void Picker::started(const std::string& server, TimePoint now, std::string_view route)
 {
+    if (m_pickBy == PickBy::Completion) {
+        m_completion.started(server, route, now);
+    }
     auto& observed = m_observations[server];
     ++observed.outstanding;
     ++observed.sentSinceHint;
@@ -68,8 +72,11 @@
     }
 }
 
-void Picker::finished(const std::string& server, RunOutcome outcome, Duration latency, const LoadHint* hint, TimePoint now)
+void Picker::finished(const std::string& server, RunOutcome outcome, Duration latency, const LoadHint* hint, TimePoint now, std::string_view route)
 {
+    if (m_pickBy == PickBy::Completion) {
+        m_completion.finished(server, { route, outcome, latency, hint ? hint->workTime : std::chrono::microseconds(0) }, now);
+    }
     auto& observed = m_observations[server];
     observed.outstanding -= std::min(observed.outstanding, 1U);
     if (hint) {
@@ -111,6 +118,7 @@
     std::erase_if(m_observations, [&known](const auto& entry) {
         return entry.second.outstanding == 0 && std::ranges::find(known, entry.first) == known.end();
     });
+    m_completion.retain(known);
 }
 
 Picker::Candidates Picker::usable(const PickState& state, const PickContext& context) const
@@ -186,6 +194,12 @@
     return load(state, a) <= load(state, b) ? a : b;
 }
 
+bool Picker::prefersNearerByLoad(const PickState& state, std::size_t nearer, std::size_t other) const
+{
+    const auto nearerLoad = load(state, nearer);
+    return nearerLoad < config::loadedThreshold || nearerLoad <= load(state, other) + config::localityLoadTolerance;
+}
+
 double Picker::load(const PickState& state, std::size_t server) const
 {
     const auto& entry = state.servers[server];
--- a/src/proto/call.capnp
+++ b/src/proto/call.capnp
@@ -51,6 +51,7 @@
   backendStart @8 :UInt64;
   departed @9 :Bool;
   warmUpRate @10 :Float64;
+  workMicros @11 :UInt32;
 }
 
 struct Answer {
--- a/src/proto/call.capnp.h
+++ b/src/proto/call.capnp.h
@@ -82,7 +82,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 6, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b3b418a10b9ac5f3, 7, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -573,6 +573,8 @@
 
   inline double getWarmUpRate() const;
 
+  inline  ::uint32_t getWorkMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -634,6 +636,9 @@
   inline double getWarmUpRate();
   inline void setWarmUpRate(double value);
 
+  inline  ::uint32_t getWorkMicros();
+  inline void setWorkMicros( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1698,6 +1703,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LoadHint::Reader::getWorkMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadHint::Builder::getWorkMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void LoadHint::Builder::setWorkMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Answer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/server_role_test.cpp
+++ b/tests/unit/server_role_test.cpp
@@ -69,7 +69,7 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
     /// Answers the last request.
-    void reply() { evhttp_send_reply(std::exchange(m_request, nullptr), 200, "OK", nullptr); }
+    void reply(int status = 200) { evhttp_send_reply(std::exchange(m_request, nullptr), status, "", nullptr); }
 
     /// Runs the event loop until \p done returns true, for a few seconds at most.
     void runUntil(const std::function<bool()>& done) const
@@ -98,8 +98,8 @@
 struct Fixture {
     static constexpr std::uint32_t attempts = 5;
 
-    explicit Fixture(const std::string& limitStart = {})
-        : settings { .failureDomain = "d1", .limitStart = limitStart }
+    explicit Fixture(const std::string& limitStart = {}, PickBy pickBy = PickBy::Load)
+        : settings { .failureDomain = "d1", .limitStart = limitStart, .pickBy = pickBy }
     {
     }
 
@@ -292,6 +292,50 @@
 }
 
 /// Guards against logging or counting what did not happen, and against a domain that stays closed after its evacuation.
+struct WorkTimeRow {
+    const char* name;
+    PickBy pickBy;
+    int status; ///< Of the first answer.
+    bool restarts; ///< The backend server is replaced after that.
+    std::chrono::microseconds expected; ///< Reported with the second answer, to a call that is refused.
+};
+
+std::ostream& operator<<(std::ostream& out, const WorkTimeRow& row)
+{
+    return out << row.name;
+}
+
+const std::vector<WorkTimeRow> workTimeRows {
+    { "by load", PickBy::Load, 200, false, 0us },
+    { "by completion", PickBy::Completion, 200, false, 40ms },
+    { "an error", PickBy::Completion, 500, false, 0us },
+    { "another start of the server", PickBy::Completion, 200, true, 0us },
+};
+
+/// Guards against a server that looks fast because it fails at once, and against work times of a replaced server.
+BOOST_DATA_TEST_CASE(answersReportTheWorkTimeOfTheirRoute, data::make(workTimeRows), row)
+{
+    Fixture fixture({}, row.pickBy);
+    StubServer server(fixture.base.get());
+    fixture.address = server.address();
+    fixture.announce(5);
+    const auto first = fixture.run("a");
+    server.runUntil([&] { return server.requests == 1; });
+    fixture.timers.run(40ms);
+    server.reply(row.status);
+    server.runUntil([&] { return first->has_value(); });
+    BOOST_TEST_REQUIRE(first->has_value());
+    if (row.restarts) {
+        fixture.announce(6);
+    }
+    fixture.fleet.evacuate("d1");
+    const auto second = fixture.run("a");
+    const auto other = fixture.run("b");
+    BOOST_TEST_REQUIRE((second->has_value() && other->has_value()));
+    BOOST_TEST((*second)->load.workTime.count() == row.expected.count());
+    BOOST_TEST((*other)->load.workTime.count() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(theEndOfAnEvacuationAdmitsCallsAgain)
 {
     Fixture fixture;
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -10,6 +10,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
 
 namespace {
 
@@ -83,6 +84,8 @@
     { "limit:", "warmUp: { extra: -1 }\nlimit:", "warmUp.extra: \"-1\"; accepted: a number from 0" },
     { "limit:", "warmUp: { slack: 8 }\nlimit:", "warmUp.slack: unknown key; accepted: extra, overage" },
     { "limit:", "limits:", "limits: unknown key" },
+    { "limit:", "pick: { by: speed }\nlimit:", "pick.by: \"speed\"; accepted: load, completion" },
+    { "limit:", "pick: { from: load }\nlimit:", "pick.from: unknown key; accepted: by" },
     { "log:\n", "log: [", "(text):" },
 };
 
@@ -116,6 +119,18 @@
     BOOST_TEST(settings->limitStart == "answers");
 }
 
+BOOST_AUTO_TEST_CASE(theSelectionOfServersIsRead)
+{
+    const std::map<std::string, pw::PickBy> rows { { "", pw::PickBy::Load }, { "pick: { by: load }\n", pw::PickBy::Load },
+        { "pick: { by: completion }\n", pw::PickBy::Completion } };
+    for (const auto& [text, expected] : rows) {
+        std::string reason;
+        const auto settings = pw::parseSettings(std::string(validText) + text, "f.yaml", reason);
+        BOOST_TEST_REQUIRE(settings.has_value(), reason);
+        BOOST_TEST((settings->pickBy == expected));
+    }
+}
+
 BOOST_DATA_TEST_CASE(wrongTextIsExplained, data::make(wrongRows), row)
 {
     std::string reason;
