--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -63,6 +63,9 @@
 {
     observe(Metric::BackendWait, { { "route", record.route } }, record.wait);
     observe(Metric::BackendRun, { { "route", record.route } }, record.run);
+    if (record.work) {
+        observe(Metric::BackendWork, { { "route", record.route } }, *record.work);
+    }
 }
 
 void DaemonMetrics::count(WarmUpOutcome outcome)
--- a/src/app/metric_catalogue.cpp
+++ b/src/app/metric_catalogue.cpp
@@ -11,6 +11,7 @@
         { "pistachiowheel_request_latency_seconds", "histogram", "route,outcome", "Time from a request to its answer, by outcome." },
         { "pistachiowheel_backend_wait_seconds", "histogram", "route", "Time that requests which ran waited for the backend server." },
         { "pistachiowheel_backend_run_seconds", "histogram", "route", "Time that requests ran at the backend server." },
+        { "pistachiowheel_backend_work_seconds", "histogram", "route", "Work time of requests at the backend server; with pick.by: completion." },
         { "pistachiowheel_backend_running", "gauge", "", "Requests running at the backend server." },
         { "pistachiowheel_backend_queued", "gauge", "", "Requests waiting for the backend server." },
         { "pistachiowheel_backend_limit", "gauge", "", "Concurrency limit of the backend server." },
--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -12,6 +12,7 @@
     RequestLatency,
     BackendWait,
     BackendRun,
+    BackendWork,
     BackendRunning,
     BackendQueued,
     BackendLimit,
--- a/src/app/request_record.h
+++ b/src/app/request_record.h
@@ -2,6 +2,7 @@
 
 #include "core/types.h"
 
+#include <optional>
 #include <string>
 
 namespace pw {
@@ -21,6 +22,7 @@
     std::string route;
     Duration wait { 0 }; ///< Time in the queue.
     Duration run { 0 }; ///< Service time.
+    std::optional<Duration> work {}; ///< Work time that is reported to entry daemons; empty if it is not.
 };
 
 } // namespace pw
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -310,14 +310,18 @@
     }
 }
 
-/// Errors are left out: a server that fails at once must not look fast.
-void ServerRole::recordPace(const PendingCall& work, const BackendResult& result, Duration nestedTime)
+/// \returns the work time of a run that ended with a complete response; empty with PickBy::Load. Errors are left out: a server
+/// that fails at once must not look fast.
+std::optional<Duration> ServerRole::recordPace(const PendingCall& work, const BackendResult& result, Duration nestedTime)
 {
     const auto isWhole = result.refusal.reason == Reason::None && result.response.status < http_status::internalError;
-    if (m_settings.pickBy == PickBy::Completion && isWhole && work.backendId == m_backendId) {
-        const auto now = m_timers.now();
-        m_pace.add(work.call.route, now - work.startedAt - nestedTime, now);
+    if (m_settings.pickBy != PickBy::Completion || !isWhole || work.backendId != m_backendId) {
+        return std::nullopt;
     }
+    const auto now = m_timers.now();
+    const auto workTime = std::max(now - work.startedAt - nestedTime, Duration(0));
+    m_pace.add(work.call.route, workTime, now);
+    return workTime;
 }
 
 ClosedContext ServerRole::closeContext(const PendingCall& work)
@@ -336,9 +340,8 @@
     auto now = m_timers.now();
     auto context = closeContext(work);
     m_demand.ended(work.call.route, now - work.startedAt, now);
-    m_runFinished.emit({ work.call.route, work.startedAt - work.arrived, now - work.startedAt });
+    m_runFinished.emit({ work.call.route, work.startedAt - work.arrived, now - work.startedAt, recordPace(work, result, context.nestedTime) });
     m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
-    recordPace(work, result, context.nestedTime);
     reportRamp(now);
     if (result.statement) {
         onStatement(work, *result.statement);
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -143,7 +143,7 @@
     void onStatement(const PendingCall& work, const BackendStatement& statement);
     void reportRate(TimePoint now);
     void reportRamp(TimePoint now);
-    void recordPace(const PendingCall& work, const BackendResult& result, Duration nestedTime);
+    std::optional<Duration> recordPace(const PendingCall& work, const BackendResult& result, Duration nestedTime);
     ClosedContext closeContext(const PendingCall& work);
     void refuse(std::uint64_t id, Refusal refusal);
     void answer(std::uint64_t id, Answer answer);
--- a/src/core/completion_estimate.cpp
+++ b/src/core/completion_estimate.cpp
@@ -1,6 +1,6 @@
 #include "core/completion_estimate.h"
 
-#include "config.h"
+#include "config_pick.h"
 
 #include <algorithm>
 
@@ -14,40 +14,46 @@
 
 } // namespace
 
-void CompletionEstimate::started(std::string_view server, std::string_view route, TimePoint now)
+void CompletionEstimate::started(const std::string& server, std::string_view route, TimePoint now)
 {
-    auto& observed = m_servers[std::string(server)];
-    const auto it = observed.routes.find(std::string(route));
+    auto& observed = m_servers[server];
+    const auto it = observed.routes.find(route);
     observed.unanswered.push_back({ now, it == observed.routes.end() ? 0 : it->second.latency });
 }
 
-void CompletionEstimate::finished(std::string_view server, const CompletedCall& call, TimePoint now)
+void CompletionEstimate::finished(const std::string& server, const CompletedCall& call, TimePoint now)
 {
-    auto& observed = m_servers[std::string(server)];
+    auto& observed = m_servers[server];
     const auto it = std::ranges::find(observed.unanswered, now - call.latency, &UnansweredCall::sent);
     if (it != observed.unanswered.end()) {
         observed.unanswered.erase(it);
     }
     if (call.workTime > Duration(0)) {
-        auto& times = observed.routes[std::string(call.route)];
+        auto& times = timesOf(observed, call.route);
         times.work = seconds(call.workTime);
         times.workAt = now;
     }
     if (call.outcome == RunOutcome::Ok) {
         observed.lastResponse = now;
-        auto& times = observed.routes[std::string(call.route)];
+        auto& times = timesOf(observed, call.route);
         const auto sample = seconds(call.latency);
         times.latency = times.latency == 0 ? sample : times.latency + (sample - times.latency) * config::latencyWeight;
     }
 }
 
-std::optional<double> CompletionEstimate::expected(std::string_view server, std::string_view route, double load, TimePoint now) const
+CompletionEstimate::RouteTimes& CompletionEstimate::timesOf(Server& server, std::string_view route)
 {
-    const auto observed = m_servers.find(std::string(server));
+    const auto it = server.routes.find(route);
+    return it == server.routes.end() ? server.routes.emplace(route, RouteTimes {}).first->second : it->second;
+}
+
+std::optional<double> CompletionEstimate::expected(const std::string& server, std::string_view route, double load, TimePoint now) const
+{
+    const auto observed = m_servers.find(server);
     if (observed == m_servers.end()) {
         return std::nullopt;
     }
-    const auto it = observed->second.routes.find(std::string(route));
+    const auto it = observed->second.routes.find(route);
     if (it == observed->second.routes.end() || it->second.work <= 0 || now - it->second.workAt >= config::workTimeLifetime) {
         return std::nullopt;
     }
--- a/src/core/completion_estimate.h
+++ b/src/core/completion_estimate.h
@@ -4,6 +4,8 @@
 #include "core/types.h"
 
 #include <chrono>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,12 +26,12 @@
 /// from the calls of this daemon that are unanswered.
 class CompletionEstimate {
 public:
-    void started(std::string_view server, std::string_view route, TimePoint now);
-    void finished(std::string_view server, const CompletedCall& call, TimePoint now);
+    void started(const std::string& server, std::string_view route, TimePoint now);
+    void finished(const std::string& server, const CompletedCall& call, TimePoint now);
 
     /// \param load running and queued requests of the server relative to its concurrency limit, with the call.
     /// \returns the expected time until \p server completes a call of \p route, in seconds; empty if its work time is unknown.
-    std::optional<double> expected(std::string_view server, std::string_view route, double load, TimePoint now) const;
+    std::optional<double> expected(const std::string& server, std::string_view route, double load, TimePoint now) const;
 
     /// Removes the servers that are no longer in the fleet.
     void retain(const std::vector<std::string>& known);
@@ -48,11 +50,12 @@
     };
 
     struct Server {
-        std::unordered_map<std::string, RouteTimes> routes;
+        std::map<std::string, RouteTimes, std::less<>> routes; ///< Found without a copy of the name.
         std::vector<UnansweredCall> unanswered; ///< Oldest first.
         TimePoint lastResponse {};
     };
 
+    static RouteTimes& timesOf(Server& server, std::string_view route);
     static double stallOf(const Server& server, TimePoint now);
 
     std::unordered_map<std::string, Server> m_servers;
--- a/src/core/picker_strategy.cpp
+++ b/src/core/picker_strategy.cpp
@@ -1,4 +1,4 @@
-#include "config.h"
+#include "config_pick.h"
 #include "core/picker.h"
 
 #include <algorithm>
--- a/src/core/server_pace.cpp
+++ b/src/core/server_pace.cpp
@@ -1,6 +1,6 @@
 #include "core/server_pace.h"
 
-#include "config.h"
+#include "config_pick.h"
 
 #include <algorithm>
 
@@ -8,7 +8,7 @@
 
 void ServerPace::add(std::string_view route, Duration work, TimePoint now)
 {
-    auto it = m_routes.find(std::string(route));
+    auto it = m_routes.find(route);
     if (it == m_routes.end()) {
         if (m_routes.size() >= config::maxWorkTimeRoutes) {
             m_routes.erase(std::ranges::min_element(m_routes, {}, [](const auto& entry) { return entry.second.last; }));
@@ -24,7 +24,7 @@
 
 std::chrono::microseconds ServerPace::workTime(std::string_view route, TimePoint now) const
 {
-    const auto it = m_routes.find(std::string(route));
+    const auto it = m_routes.find(route);
     if (it == m_routes.end() || now - it->second.last >= config::workTimeSilence) {
         return std::chrono::microseconds(0);
     }
--- a/src/core/server_pace.h
+++ b/src/core/server_pace.h
@@ -3,9 +3,10 @@
 #include "core/types.h"
 
 #include <chrono>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 namespace pw {
 
@@ -28,7 +29,7 @@
         TimePoint last {};
     };
 
-    std::unordered_map<std::string, Average> m_routes;
+    std::map<std::string, Average, std::less<>> m_routes;
 };
 
 } // namespace pw
--- a/tests/unit/server_pace_test.cpp
+++ b/tests/unit/server_pace_test.cpp
@@ -1,5 +1,5 @@
 #include "adapters/codec_call.h"
-#include "config.h"
+#include "config_pick.h"
 #include "core/picker.h"
 #include "core/server_pace.h"
 
