--- a/src/app/metric_catalogue.h
+++ b/src/app/metric_catalogue.h
@@ -14,6 +14,7 @@
     OutlookLowestShare,
     BackendWait,
     BackendRun,
+    BackendWork,
     BackendRunning,
     BackendQueued,
     BackendLimit,
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -324,6 +324,20 @@
     }
 }
 
+/// \returns the work time of a run that ended with a complete response; empty with PickBy::Load. Errors are left out: a server
+/// that fails at once must not look fast.
+std::optional<Duration> ServerRole::recordPace(const PendingCall& work, const BackendResult& result, Duration nestedTime)
+{
+    const auto isWhole = result.refusal.reason == Reason::None && result.response.status < http_status::internalError;
+    if (m_settings.pickBy != PickBy::Completion || !isWhole || work.backendId != m_backendId) {
+        return std::nullopt;
+    }
+    const auto now = m_timers.now();
+    const auto workTime = std::max(now - work.startedAt - nestedTime, Duration(0));
+    m_pace.add(work.call.route, workTime, now);
+    return workTime;
+}
+
 ClosedContext ServerRole::closeContext(const PendingCall& work)
 {
     if (work.token.empty()) {
@@ -340,7 +354,7 @@
     auto now = m_timers.now();
     auto context = closeContext(work);
     m_demand.ended(work.call.route, now - work.startedAt, now);
-    m_runFinished.emit({ work.call.route, work.startedAt - work.arrived, now - work.startedAt });
+    m_runFinished.emit({ work.call.route, work.startedAt - work.arrived, now - work.startedAt, recordPace(work, result, context.nestedTime) });
     m_admission.finish(id, { outcomeOf(result.refusal), context.nestedTime }, now);
     reportRamp(now);
     if (result.statement) {
@@ -391,6 +405,7 @@
     m_idsByKey.erase(node.mapped().key);
     answer.id = node.mapped().call.id;
     answer.load = load();
+    answer.load.workTime = m_pace.workTime(node.mapped().call.route, m_timers.now());
     updateDemand();
     answer.demands = m_demand.demandsToReport(node.mapped().key.first, node.mapped().call.route, m_entry.service, m_timers.now());
     addPrices(node.mapped().key.first, answer);
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -8,6 +8,7 @@
 #include "core/call.h"
 #include "core/context_table.h"
 #include "core/server_demand.h"
+#include "core/server_pace.h"
 #include "core/slot_price_table.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
@@ -145,6 +146,7 @@
     void onStatement(const PendingCall& work, const BackendStatement& statement);
     void reportRate(TimePoint now);
     void reportRamp(TimePoint now);
+    std::optional<Duration> recordPace(const PendingCall& work, const BackendResult& result, Duration nestedTime);
     ClosedContext closeContext(const PendingCall& work);
     void refuse(std::uint64_t id, Refusal refusal);
     void answer(std::uint64_t id, Answer answer);
@@ -173,6 +175,7 @@
     WarmUpMonitor m_warmUp;
     ServerDemand m_demand;
     SlotPriceTable* m_prices; ///< Null with `admission.prices: chain`.
+    ServerPace m_pace; ///< Used with PickBy::Completion.
     int m_priceStep = 0; ///< Logarithmic step of the last reported price; zero while slots are not scarce.
     TimePoint m_priceReported {};
     std::optional<double> m_reportedRate; ///< Rate limit as last logged.
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "core/ledger_account.h"
+#include "core/pick_by.h"
 #include "ports/peer_network.h"
 
 #include <chrono>
@@ -85,6 +86,7 @@
     bool outlook = false; ///< Entry role: refuses requests that will most likely not be served, see RouteOutlook.
     PriceMode priceMode = PriceMode::Chain;
     double limitHeadroom = 0; ///< Fraction of the announced slots left unused, as some servers slow down when nearly full.
+    PickBy pickBy = PickBy::Load; ///< By what the entry role compares servers; the server role reports what is needed for that.
     RetryBudgetSettings retryBudget;
     RateTolerance rateTolerance;
     WarmUpTolerance warmUp;
--- a/src/app/settings_changes.cpp
+++ b/src/app/settings_changes.cpp
@@ -54,6 +54,7 @@
         SettingRow { "limit.start", &Settings::limitStart },
         SettingRow { "admission.prices", &Settings::priceMode },
         SettingRow { "limit.headroom", &Settings::limitHeadroom },
+        SettingRow { "pick.by", &Settings::pickBy },
         SettingRow { "log.level", &Settings::logLevel },
         SettingRow { "log.file", &Settings::logFile },
         SettingRow { "log.decisionSampling", &Settings::decisionSampling },
