Move the request to the backend connection instead of copying it

Cause: each run copied the method, target and headers of its request to the connection, which keeps them to tell later responses apart, and then destroyed the original. Now the request is moved once the connection has rendered it; the body is released as before.

--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -87,9 +87,9 @@
     return nullptr;
 }
 
-std::uint64_t BackendClient::start(const HttpRequest& request, Duration timeout, bool repeatable, Done done)
+std::uint64_t BackendClient::start(HttpRequest request, Duration timeout, bool repeatable, Done done)
 {
-    return startExchange(request, timeout, repeatable, false, std::move(done));
+    return startExchange(std::move(request), timeout, repeatable, false, std::move(done));
 }
 
 std::uint64_t BackendClient::probe(HttpRequest request, Duration timeout, Done done)
@@ -97,10 +97,10 @@
     if (countHeader(request.headers, "Host") == 0) {
         request.headers.insert(request.headers.begin(), { "Host", m_authority });
     }
-    return startExchange(request, timeout, true, true, std::move(done));
+    return startExchange(std::move(request), timeout, true, true, std::move(done));
 }
 
-std::uint64_t BackendClient::startExchange(const HttpRequest& request, Duration timeout, bool repeatable, bool isProbe, Done done)
+std::uint64_t BackendClient::startExchange(HttpRequest request, Duration timeout, bool repeatable, bool isProbe, Done done)
 {
     const auto id = ++m_lastId;
     if (m_running.empty() && !m_timedOut) {
@@ -115,7 +115,7 @@
     auto& connection = running->connection;
     if (!connection) {
         connection = std::make_unique<detail::BackendConnection>(*this, ++m_opened);
-        connection->start(id, request, isProbe);
+        connection->start(id, std::move(request), isProbe);
         connection->dial(m_address);
         running->connectTimeout = m_timers.after(std::min<Duration>(timeout, config::backendConnectTimeout), [this, id] {
             const auto it = m_running.find(id);
@@ -124,7 +124,7 @@
             }
         });
     } else {
-        connection->start(id, request, isProbe);
+        connection->start(id, std::move(request), isProbe);
     }
     m_running.emplace(id, std::move(running));
     return id;
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -52,7 +52,7 @@
     /// \param repeatable whether the request is safe to repeat. If not, idle connections that the server may already have
     ///     closed are not used.
     /// \returns a handle for cancel().
-    std::uint64_t start(const HttpRequest& request, Duration timeout, bool repeatable, Done done);
+    std::uint64_t start(HttpRequest request, Duration timeout, bool repeatable, Done done);
 
     /// Sends a health request. Like start(), but any answer is a complete response, and a connection that was opened before
     /// the last one was lost is not used. The handle is valid for cancel().
@@ -87,7 +87,7 @@
     using ConnectionPtr = std::unique_ptr<detail::BackendConnection>;
 
     ConnectionPtr acquireConnection(const HttpRequest& request, bool repeatable, bool isProbe);
-    std::uint64_t startExchange(const HttpRequest& request, Duration timeout, bool repeatable, bool isProbe, Done done);
+    std::uint64_t startExchange(HttpRequest request, Duration timeout, bool repeatable, bool isProbe, Done done);
     void finish(std::uint64_t id, AnswerKind meaning, HttpResponse answer, bool reusable);
     void fail(std::uint64_t id, const Refusal& refusal, std::string_view detail, bool sent);
     void onTimeout(std::uint64_t id, std::string_view detail);
--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -68,7 +68,7 @@
     }
 }
 
-void BackendConnection::start(std::uint64_t exchange, const HttpRequest& request, bool isProbe)
+void BackendConnection::start(std::uint64_t exchange, HttpRequest request, bool isProbe)
 {
     m_exchange = exchange;
     m_isProbe = isProbe;
@@ -76,8 +76,9 @@
     m_sawStrayResponse = false;
     m_interimResponses = 0;
     m_stream.write(render(request));
-    m_request = { request.method, request.target, request.headers, {} };
-    m_reader.begin(request.method == "HEAD");
+    m_request = std::move(request);
+    m_request.body = {};
+    m_reader.begin(m_request.method == "HEAD");
 }
 
 void BackendConnection::streamConnected()
--- a/src/adapters/backend_connection.h
+++ b/src/adapters/backend_connection.h
@@ -15,7 +15,7 @@
 
     /// Sends \p request as exchange \p exchange and reads the response.
     /// \param isProbe whether any answer of the server is a complete response.
-    void start(std::uint64_t exchange, const HttpRequest& request, bool isProbe);
+    void start(std::uint64_t exchange, HttpRequest request, bool isProbe);
 
     /// Abandons the current exchange, if any; its response is no longer reported.
     void abandon() { m_exchange = 0; }
