Test what the server role reports as work time without a lambda in the template

The case did not compile with the warnings of the build (a lambda in a data-driven case captured a type of the anonymous namespace).

--- a/tests/unit/server_role_test.cpp
+++ b/tests/unit/server_role_test.cpp
@@ -196,6 +196,49 @@
         true },
 };
 
+struct WorkTimeRow {
+    const char* name;
+    PickBy pickBy;
+    int status; ///< Of the first answer.
+    bool restarts; ///< The backend server is replaced after that.
+    std::chrono::microseconds expected; ///< Reported with the second answer, to a call that is refused.
+};
+
+std::ostream& operator<<(std::ostream& out, const WorkTimeRow& row)
+{
+    return out << row.name;
+}
+
+const std::vector<WorkTimeRow> workTimeRows {
+    { "by load", PickBy::Load, 200, false, 0us },
+    { "by completion", PickBy::Completion, 200, false, 40ms },
+    { "an error", PickBy::Completion, 500, false, 0us },
+    { "another start of the server", PickBy::Completion, 200, true, 0us },
+};
+
+/// \returns the work times reported for the route of an earlier call and for another route.
+std::pair<std::chrono::microseconds, std::chrono::microseconds> reportedWorkTimes(const WorkTimeRow& row)
+{
+    Fixture fixture({}, row.pickBy);
+    StubServer server(fixture.base.get());
+    fixture.address = server.address();
+    fixture.announce(5);
+    const auto first = fixture.run("a");
+    server.runUntil([&] { return server.requests == 1; });
+    fixture.timers.run(40ms);
+    server.reply(row.status);
+    server.runUntil([&] { return first->has_value(); });
+    BOOST_TEST_REQUIRE(first->has_value());
+    if (row.restarts) {
+        fixture.announce(6);
+    }
+    fixture.fleet.evacuate("d1");
+    const auto second = fixture.run("a");
+    const auto other = fixture.run("b");
+    BOOST_TEST_REQUIRE((second->has_value() && other->has_value()));
+    return { (*second)->load.workTime, (*other)->load.workTime };
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ServerRoles)
@@ -292,48 +335,12 @@
 }
 
 /// Guards against logging or counting what did not happen, and against a domain that stays closed after its evacuation.
-struct WorkTimeRow {
-    const char* name;
-    PickBy pickBy;
-    int status; ///< Of the first answer.
-    bool restarts; ///< The backend server is replaced after that.
-    std::chrono::microseconds expected; ///< Reported with the second answer, to a call that is refused.
-};
-
-std::ostream& operator<<(std::ostream& out, const WorkTimeRow& row)
-{
-    return out << row.name;
-}
-
-const std::vector<WorkTimeRow> workTimeRows {
-    { "by load", PickBy::Load, 200, false, 0us },
-    { "by completion", PickBy::Completion, 200, false, 40ms },
-    { "an error", PickBy::Completion, 500, false, 0us },
-    { "another start of the server", PickBy::Completion, 200, true, 0us },
-};
-
 /// Guards against a server that looks fast because it fails at once, and against work times of a replaced server.
-BOOST_DATA_TEST_CASE(answersReportTheWorkTimeOfTheirRoute, data::make(workTimeRows), row)
+BOOST_DATA_TEST_CASE(answersReportTheWorkTimeOfTheirRoute, boost::unit_test::data::make(workTimeRows), row)
 {
-    Fixture fixture({}, row.pickBy);
-    StubServer server(fixture.base.get());
-    fixture.address = server.address();
-    fixture.announce(5);
-    const auto first = fixture.run("a");
-    server.runUntil([&] { return server.requests == 1; });
-    fixture.timers.run(40ms);
-    server.reply(row.status);
-    server.runUntil([&] { return first->has_value(); });
-    BOOST_TEST_REQUIRE(first->has_value());
-    if (row.restarts) {
-        fixture.announce(6);
-    }
-    fixture.fleet.evacuate("d1");
-    const auto second = fixture.run("a");
-    const auto other = fixture.run("b");
-    BOOST_TEST_REQUIRE((second->has_value() && other->has_value()));
-    BOOST_TEST((*second)->load.workTime.count() == row.expected.count());
-    BOOST_TEST((*other)->load.workTime.count() == 0);
+    const auto [same, other] = reportedWorkTimes(row);
+    BOOST_TEST(same.count() == row.expected.count());
+    BOOST_TEST(other.count() == 0);
 }
 
 BOOST_AUTO_TEST_CASE(theEndOfAnEvacuationAdmitsCallsAgain)
