--- a/tests/unit/caller_endpoint_test.cpp
+++ b/tests/unit/caller_endpoint_test.cpp
@@ -80,7 +80,7 @@
 /// A caller endpoint on loopback, with a simulated clock and a simulated backend server that fails every request.
 struct Fixture {
     explicit Fixture(const CallerProtocol& protocol)
-        : endpoint({ loop, timers, log, fleet, rates, claims, dispatcher, protocol, settings, board, nullptr, 100 })
+        : endpoint({ loop, timers, log, fleet, rates, claims, dispatcher, protocol, settings, board, nullptr, nullptr, 100 })
     {
         settings.peerAddress = "entry";
         settings.outlook = true;
