Review, case 2: a smaller window of the server

Cause: how much of the request the kernel takes depends on its buffers; a small window leaves more of it in the daemon.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -23,7 +23,7 @@
 {
     const auto journal = std::make_shared<Record>(journalFile);
     // With a small window, a long body waits in the daemon until the server reads it.
-    Server server({ "i-7f3a91c2", "ledger", zone, ip, 16, { 16 * 1024, 1400 } }, [journal](Connection& connection, Message& message) {
+    Server server({ "i-7f3a91c2", "ledger", zone, ip, 16, { 4 * 1024, 1400 } }, [journal](Connection& connection, Message& message) {
         const auto id = message.header("pistachiowheel-request-id");
         if (message.target() == "/sales/small") {
             connection.readBody(message, 5);
