Reopen the log storage of a control member after its disk was full

What callers saw: after the disks of three of five control members had been full for seconds, one after the other, no change was acknowledged and no configuration could be read any more (CONFIG); requests with a key were refused, since no owner of the rates answered. With real processes all control daemons answer "no leader could be reached".

Cause: a failed write halts the Raft member, which is right, but nothing reopened the storage, and the process lives on, so nobody restarted it. A start on a full disk ended the process.

Evidence: Control/changesAreAcceptedAfterEachDiskWasFullInTurn runs real control daemons whose writes fail by a file size limit.

Why it works: the folder is read again as after a restart, every 500 ms while the failure is one that may pass. The record that failed is cut off, so that it does not come back; the vote in the folder counts; the vote is written again as a proof that the disk takes writes; the member goes on as a follower that does not vote for an election timeout. It refuses to go on if the folder has lost what it had committed. Seeded schedules now fill and free disks.

A member that has stopped answers operators at once with its reason, others with their role, term and the time since they heard a leader.

--- a/src/adapters/log_storage_file.cpp
+++ b/src/adapters/log_storage_file.cpp
@@ -5,17 +5,26 @@
 #include "adapters/synced_file.h"
 
 #include <algorithm>
-#include <cerrno>
+#include <array>
 #include <cstring>
 #include <fcntl.h>
 #include <sys/file.h>
+#include <tuple>
 #include <unistd.h>
+#include <utility>
 
 namespace pw {
 namespace {
 
     constexpr int fileMode = 0600;
 
+    /// \returns whether \p error may pass without an operator.
+    bool isTransient(int error)
+    {
+        constexpr std::array transientErrors { ENOSPC, EDQUOT, EFBIG, EIO, ENOMEM, EMFILE, ENFILE };
+        return std::ranges::find(transientErrors, error) != transientErrors.end();
+    }
+
     /// \returns the base record of a log that follows \p snapshot.
     Bytes baseRecord(const LogSnapshot& snapshot)
     {
@@ -70,22 +79,47 @@
 std::optional<StoredLog> LogStorageFile::open(Random& random)
 {
     StoredLog stored;
+    m_failed = false;
     std::error_code ec;
     std::filesystem::create_directories(m_folder, ec);
     if (ec) {
-        refuse(m_folder.string() + ": cannot be created: " + ec.message());
+        fail("", ec.value());
+        return std::nullopt;
+    }
+    if (m_lock < 0 ? !lockFolder() : !prepareReopen()) {
         return std::nullopt;
     }
-    if (!lockFolder()) {
+    const auto inUse = m_wasOpened || std::filesystem::exists(m_folder / "log", ec) || std::filesystem::exists(m_folder / "snapshot", ec);
+    if (!readVote(stored, inUse, random)) {
         return std::nullopt;
     }
-    const auto inUse = std::filesystem::exists(m_folder / "log", ec) || std::filesystem::exists(m_folder / "snapshot", ec);
-    if (!readVote(stored, inUse, random) || !readSnapshot(stored) || !readLog(stored)) {
+    if (m_wasOpened && !saveVote(stored.vote)) {
+        return std::nullopt; // Unchanged content, written to learn whether the disk takes writes again.
+    }
+    if (!readSnapshot(stored) || !readLog(stored)) {
         return std::nullopt;
     }
+    m_wasOpened = true;
     return stored;
 }
 
+/// Discards what a failed append() has left, and syncs the names of files that were replaced before a failure.
+bool LogStorageFile::prepareReopen()
+{
+    if (m_log >= 0) {
+        ::close(std::exchange(m_log, -1));
+    }
+    std::error_code ec;
+    const auto path = m_folder / "log";
+    if (m_syncedLogBytes && std::filesystem::file_size(path, ec) > *m_syncedLogBytes && !ec) {
+        std::filesystem::resize_file(path, *m_syncedLogBytes, ec);
+    }
+    if (ec) {
+        return fail("log", ec.value());
+    }
+    return detail::syncFolder(m_folder) || fail("");
+}
+
 bool LogStorageFile::lockFolder()
 {
     const auto path = m_folder / "lock";
@@ -94,6 +128,7 @@
         return fail("lock");
     }
     if (::flock(m_lock, LOCK_EX | LOCK_NB) != 0) {
+        ::close(std::exchange(m_lock, -1));
         return refuse(m_folder.string() + ": another process uses this data folder");
     }
     return true;
@@ -177,6 +212,7 @@
         const auto record = detail::toRecord(encodeEntries(entries));
         bytes.insert(bytes.end(), record.begin(), record.end());
     }
+    m_syncedLogBytes.reset();
     return detail::replaceFile(m_folder / "log", bytes) ? openLog(bytes.size()) : fail("log");
 }
 
@@ -189,6 +225,7 @@
     if (m_log < 0 || ::ftruncate(m_log, static_cast<off_t>(keptBytes)) != 0 || ::fsync(m_log) != 0) {
         return fail("log");
     }
+    m_syncedLogBytes = keptBytes;
     return true;
 }
 
@@ -205,7 +242,15 @@
     if (m_failed) {
         return false;
     }
-    return detail::writeSynced(m_log, detail::toRecord(encodeEntries(entries))) || fail("log");
+    const auto record = detail::toRecord(encodeEntries(entries));
+    if (!detail::writeSynced(m_log, record)) {
+        fail("log");
+        // Best effort: a process that is killed before open() is called again should not find the record either.
+        std::ignore = ::ftruncate(m_log, static_cast<off_t>(*m_syncedLogBytes));
+        return false;
+    }
+    *m_syncedLogBytes += record.size();
+    return true;
 }
 
 bool LogStorageFile::saveSnapshot(const LogSnapshot& snapshot, std::span<const LogEntry> remaining)
@@ -222,13 +267,16 @@
 bool LogStorageFile::refuse(std::string reason)
 {
     m_failed = true;
+    m_mayRecover = false;
     m_reason = std::move(reason);
     return false;
 }
 
-bool LogStorageFile::fail(const std::string& what)
+bool LogStorageFile::fail(const std::string& what, int error)
 {
-    return refuse((m_folder / what).string() + ": " + std::strerror(errno));
+    refuse((m_folder / what).string() + ": " + std::strerror(error));
+    m_mayRecover = isTransient(error);
+    return false;
 }
 
 } // namespace pw
--- a/src/adapters/synced_file.cpp
+++ b/src/adapters/synced_file.cpp
@@ -58,7 +58,13 @@
     const auto temporary = path.string() + ".new";
     {
         const OpenFile file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
-        if (file.get() < 0 || !writeSynced(file.get(), bytes)) {
+        if (file.get() < 0) {
+            return false;
+        }
+        if (!writeSynced(file.get(), bytes)) {
+            const auto code = errno;
+            ::unlink(temporary.c_str()); // Frees its space if the disk is full.
+            errno = code;
             return false;
         }
     }
--- a/src/app/control_log_impl.cpp
+++ b/src/app/control_log_impl.cpp
@@ -22,13 +22,39 @@
 } // namespace
 
 bool ControlLog::Impl::start(std::string& reason)
+{
+    if (openStorage()) {
+        return true;
+    }
+    reason = m_storageError;
+    if (!m_storage.mayRecover()) {
+        return false;
+    }
+    retryStart();
+    return true;
+}
+
+/// Opens the storage again after a while, until it succeeds.
+void ControlLog::Impl::retryStart()
+{
+    m_tick = m_timers.after(config::storageRetryInterval, [this] {
+        if (!openStorage()) {
+            retryStart();
+        }
+    });
+}
+
+/// Opens the storage and starts the Raft member with its contents. \returns false if the storage cannot be opened now.
+bool ControlLog::Impl::openStorage()
 {
     const auto stored = m_storage.open(m_random);
     if (!stored) {
-        reason = m_storageError = m_storage.lastReason();
-        PW_EVENT(m_events, Event::ControlStopped, { "reason", reason });
+        if (std::exchange(m_storageError, m_storage.lastReason()) != m_storage.lastReason()) {
+            PW_EVENT(m_events, Event::ControlStopped, { "reason", m_storageError });
+        }
         return false;
     }
+    m_storageError.clear();
     if (stored->tornBytes > 0) {
         PW_EVENT(m_events, Event::LogTailRepaired, { "bytes", stored->tornBytes });
     }
@@ -47,6 +73,25 @@
     return true;
 }
 
+/// Resumes a halted Raft member once its storage can be read and written again.
+void ControlLog::Impl::reopenStorage()
+{
+    const auto now = m_timers.now();
+    if (!m_raft->mayResume() || now < m_nextReopen) {
+        return;
+    }
+    m_nextReopen = now + config::storageRetryInterval;
+    const auto stored = m_storage.open(m_random);
+    if (!stored) {
+        return;
+    }
+    if (!m_raft->resume(*stored, now)) {
+        PW_EVENT(m_events, Event::ControlStopped, { "reason", m_raft->haltReason() });
+        return;
+    }
+    PW_EVENT(m_events, Event::ControlResumed, { "epoch", epoch() }, { "lastIndex", m_raft->lastIndex() }, { "applied", m_raft->appliedIndex() });
+}
+
 void ControlLog::Impl::listen()
 {
     m_network.onMessage(MessageKind::Raft, [this](const PeerAddress& from, std::span<const std::byte> bytes) {
@@ -83,6 +128,7 @@
 void ControlLog::Impl::tick()
 {
     m_tick = m_timers.after(config::raftTickInterval, [this] { tick(); });
+    reopenStorage();
     m_raft->tick(m_timers.now());
     if (m_join->poll()) {
         PW_EVENT(m_events, Event::ClusterFounded, { "cluster", m_raft->cluster() });
@@ -324,7 +370,7 @@
     for (auto& read : waiting) {
         if (confirmed && *confirmed >= read.startedAt) {
             read.done(&m_state.image().configuration());
-        } else if (now >= read.startedAt + config::readTimeout) {
+        } else if (m_raft->halted() || now >= read.startedAt + config::readTimeout) {
             read.done(nullptr);
         } else {
             m_reads.push_back(std::move(read));
--- a/src/app/control_log_impl.h
+++ b/src/app/control_log_impl.h
@@ -52,6 +52,9 @@
     };
 
     void listen();
+    bool openStorage();
+    void retryStart();
+    void reopenStorage();
     void tick();
     void processPending();
     void applyCommitted();
@@ -85,6 +88,7 @@
     std::string m_storageError; ///< Reason why the storage could not be opened.
 
     TimerId m_tick = 0;
+    TimePoint m_nextReopen {};
     ControlRole m_role = ControlRole::Empty;
     bool m_removed = false;
     bool m_leading = false;
--- a/src/app/operator_request_handler.cpp
+++ b/src/app/operator_request_handler.cpp
@@ -68,13 +68,12 @@
     const auto now = m_timers.now();
     std::vector<std::uint64_t> expired;
     for (auto& [token, request] : m_requests) {
-        if (now >= request.deadline) {
+        if (now >= request.deadline || (m_raft.halted() && !request.sent)) {
             expired.push_back(token);
         }
     }
     for (const auto token : expired) {
-        const auto sent = m_requests.at(token).sent;
-        complete(token, { sent ? ChangeOutcome::Unknown : ChangeOutcome::Unavailable, 0, 0, sent ? "the leader has not answered: ask again with the same change id" : "no leader could be reached" });
+        complete(token, resultWithoutAnswer(m_requests.at(token)));
     }
     const auto tokens = m_requests | std::views::keys;
     for (const auto token : std::vector(tokens.begin(), tokens.end())) {
@@ -86,6 +85,19 @@
     }
 }
 
+/// \returns the result of a request that no leader has answered.
+ChangeResult OperatorRequestHandler::resultWithoutAnswer(const Request& request) const
+{
+    if (request.sent) {
+        return { ChangeOutcome::Unknown, 0, 0, "the leader has not answered: ask again with the same change id" };
+    }
+    if (m_raft.halted()) {
+        return { ChangeOutcome::Unavailable, 0, 0, "this control member has stopped: " + m_raft.haltReason() };
+    }
+    const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - m_raft.lastLeaderContact());
+    return { ChangeOutcome::Unavailable, 0, 0, "no leader could be reached: this " + std::string(raftRoleName(m_raft.role())) + " in term " + std::to_string(m_raft.term()) + " heard one " + std::to_string(silence.count()) + " ms ago" };
+}
+
 void OperatorRequestHandler::attempt(std::uint64_t token, Request& request)
 {
     if (m_raft.leading(m_timers.now())) {
--- a/src/app/operator_request_handler.h
+++ b/src/app/operator_request_handler.h
@@ -64,6 +64,7 @@
     void execute(const Origin& origin, const Change& change);
     void execute(const Origin& origin, const RemoveMember& removal);
     void execute(const Origin& origin, const AwaitInForce& wait);
+    ChangeResult resultWithoutAnswer(const Request& request) const;
     bool isInProgress(const Origin& origin) const;
     void reply(const Origin& origin, const ChangeResult& result);
     void complete(std::uint64_t token, const ChangeResult& result);
--- a/src/config.h
+++ b/src/config.h
@@ -386,6 +386,8 @@
 inline constexpr std::uint64_t raftSnapshotEntries = 1024;
 /// Limit of read index replies that wait for their index to be applied.
 inline constexpr std::size_t raftMaxPendingReads = 32;
+/// Interval at which a control member tries to open its storage again after a failure.
+inline constexpr milliseconds storageRetryInterval { 500 };
 /// Limits of entries and bytes in one AppendRequest.
 inline constexpr std::size_t raftMaxAppendEntries = 64;
 inline constexpr std::size_t raftMaxAppendBytes = 1024 * 1024;
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -1,10 +1,23 @@
 #include "core/raft.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <utility>
 
 namespace pw {
+namespace {
+
+    constexpr std::array<std::string_view, static_cast<std::size_t>(RaftRole::Count)> roleNames {
+        "follower", "pre-candidate", "candidate", "leader"
+    };
+
+} // namespace
+
+std::string_view raftRoleName(RaftRole role)
+{
+    return roleNames.at(static_cast<std::size_t>(role));
+}
 
 Raft::Raft(const RaftOptions& options, LogStorage& storage, const StoredLog& stored, std::string name, PeerAddress address,
     std::uint64_t seed, TimePoint now)
@@ -27,6 +40,35 @@
     resetElectionTimer(now);
 }
 
+bool Raft::resume(const StoredLog& stored, TimePoint now)
+{
+    assert(m_halted);
+    RaftLog log(stored);
+    if (stored.vote.identity != identity() || log.lastIndex() < m_commit) {
+        m_lostState = true;
+        m_haltReason = "the data folder has lost what this member had stored";
+        return false;
+    }
+    m_vote = stored.vote;
+    m_log = std::move(log);
+    if (stored.snapshot.index > m_applied) {
+        m_applied = stored.snapshot.index;
+        m_commit = std::max(m_commit, m_applied);
+        m_snapshotPending = true;
+    }
+    m_halted = false;
+    m_haltReason.clear();
+    m_leadershipTransferPending = false;
+    m_votesGranted.clear();
+    m_notMemberReplies.clear();
+    m_progress.clear();
+    refreshMembers();
+    // As after a restart, leaders that this member has promised not to unseat are unknown.
+    m_lastLeaderContact = now;
+    resetElectionTimer(now);
+    return true;
+}
+
 void Raft::tick(TimePoint now)
 {
     if (m_halted) {
@@ -99,6 +141,7 @@
 void Raft::halt()
 {
     m_halted = true;
+    m_haltReason = m_storage.lastReason();
     m_role = RaftRole::Follower;
     m_leader = 0;
     m_outbox.clear(); // The messages may depend on state that was not persisted.
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -33,11 +33,14 @@
     Count
 };
 
+/// \returns the name of \p role in messages to operators.
+std::string_view raftRoleName(RaftRole role);
+
 /// One member of the replicated log: elections, replication, membership, snapshots.
 ///
 /// Performs no network I/O and reads no clock: callers drive it through tick(), receive() and propose(), send what
 /// takeMessages() returns and apply what takeCommitted() returns. State is persisted before any message that depends on
-/// it is returned. When the storage fails, the member halts and no longer sends or applies anything.
+/// it is returned. When the storage fails, the member halts and no longer sends or applies anything until resume().
 ///
 /// The leader holds a lease: leading() is true only while a quorum has acknowledged a message sent within the last
 /// RaftOptions::leaderLease. A voter that has received a message of a leader rejects vote requests for electionTimeout,
@@ -52,6 +55,11 @@
     /// Runs elections, heartbeats and membership changes; call it every config::raftTickInterval.
     void tick(TimePoint now);
 
+    /// Continues a halted member as a follower with the contents \p stored of its reopened storage, as after a restart of the
+    /// process; what it has applied stays applied. \returns false if the storage lost what this member had committed or
+    /// belongs to another identity; the member then stays halted for good.
+    bool resume(const StoredLog& stored, TimePoint now);
+
     /// Handles \p message, received from the member at \p from.
     void receive(const PeerAddress& from, const RaftMessage& message, TimePoint now);
 
@@ -111,7 +119,10 @@
     RaftRole role() const { return m_role; }
     bool halted() const { return m_halted; }
     bool removed() const { return m_removed; } ///< A quorum replied that this identity is no longer a member.
-    const std::string& haltReason() const { return m_storage.lastReason(); }
+    /// \returns whether the member has halted for a failure that may pass; reopen the storage and call resume().
+    bool mayResume() const { return m_halted && !m_lostState && m_storage.mayRecover(); }
+    const std::string& haltReason() const { return m_haltReason; }
+    TimePoint lastLeaderContact() const { return m_lastLeaderContact; }
     MemberId identity() const { return m_vote.identity; }
     std::uint64_t cluster() const { return m_vote.cluster; }
     std::uint64_t term() const { return m_vote.term; }
@@ -212,6 +223,8 @@
     RaftRole m_role = RaftRole::Follower;
     MemberId m_leader = 0;
     bool m_halted = false;
+    bool m_lostState = false; ///< The storage no longer holds what this member had committed.
+    std::string m_haltReason;
     bool m_removed = false;
     TimePoint m_lastLeaderContact; ///< Starts at construction, because leaders contacted before a restart are unknown.
     TimePoint m_electionDeadline;
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -61,6 +61,7 @@
         { 502, "validity-renewed", Level::Info, false },
         { 503, "control-role-changed", Level::Info, false },
         { 504, "control-stopped", Level::Error, false },
+        { 517, "control-resumed", Level::Info, false },
         { 505, "control-members-changed", Level::Info, false },
         { 506, "control-member-removed", Level::Error, false },
         { 507, "log-tail-repaired", Level::Warning, false },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -76,6 +76,7 @@
     ValidityRenewed,
     ControlRoleChanged,
     ControlStopped,
+    ControlResumed,
     ControlMembersChanged,
     ControlMemberRemoved,
     LogTailRepaired,
--- a/src/ports/log_storage.h
+++ b/src/ports/log_storage.h
@@ -59,13 +59,15 @@
 };
 
 /// Port: the data folder of one control member. Each write returns only after it has been synced to disk.
-/// After a failed write the storage rejects all further writes, because the contents of the disk are unknown.
+/// After a failed write the storage rejects all further writes until open() has read the folder again, because the contents of
+/// the disk are unknown.
 class LogStorage {
 public:
     virtual ~LogStorage() = default;
 
-    /// Locks the folder for this process and reads it; an empty folder is given a new identity.
-    /// \returns nothing when the folder is in use, damaged or unreadable; see lastReason().
+    /// Locks the folder for this process and reads it; an empty folder is given a new identity. May be called again after a
+    /// failure: discards what a failed append() has left, and succeeds only if the disk takes writes again.
+    /// \returns nothing when the folder is in use, damaged, unreadable or not writable; see lastReason().
     virtual std::optional<StoredLog> open(Random& random) = 0;
 
     /// Replaces the vote record.
@@ -77,6 +79,9 @@
     /// Stores \p snapshot and replaces all entries with \p remaining, which come after it.
     virtual bool saveSnapshot(const LogSnapshot& snapshot, std::span<const LogEntry> remaining) = 0;
 
+    /// \returns whether the last failure may pass on its own, as that of a full disk does.
+    virtual bool mayRecover() const = 0;
+
     /// \returns the reason why the last call failed.
     virtual const std::string& lastReason() const = 0;
 };
--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -6,6 +6,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <filesystem>
+#include <memory>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace pw::test;
@@ -30,6 +33,30 @@
     return "name=tides;path=/tides;rate=100;workspace=anglesey;key=" + mesh.key.key;
 }
 
+constexpr pid_t ownProcess = 0;
+
+/// Makes all writes of a process to files fail, as on a full disk.
+class FullDisk {
+public:
+    explicit FullDisk(pid_t process)
+        : m_process(process)
+    {
+        limitFiles(0);
+    }
+    ~FullDisk() { limitFiles(RLIM_INFINITY); }
+    FullDisk(const FullDisk&) = delete;
+    FullDisk& operator=(const FullDisk&) = delete;
+
+private:
+    void limitFiles(rlim_t bytes) const
+    {
+        const rlimit limit { bytes, RLIM_INFINITY };
+        BOOST_TEST(prlimit(m_process, RLIMIT_FSIZE, &limit, nullptr) == 0);
+    }
+
+    pid_t m_process;
+};
+
 /// Waits for a leader other than \p before. \returns null when there is none within electionBound.
 Daemon* awaitNewLeader(Fleet& fleet, const Daemon* before)
 {
@@ -165,4 +192,43 @@
     BOOST_TEST(mesh.fleet.get(mesh.entry, "/tides?marker=withdrawn", key.key).status == 401);
 }
 
+/// Guards against control daemons that answer "no leader could be reached" for good after their disks were full in turn.
+BOOST_AUTO_TEST_CASE(changesAreAcceptedAfterEachDiskWasFullInTurn)
+{
+    Mesh mesh;
+    auto rate = 70;
+    for (auto& it : mesh.fleet.controls()) {
+        {
+            const FullDisk full(it.process().id());
+            mesh.fleet.configure(configurationWithRate(++rate));
+        }
+        const auto version = mesh.fleet.operators().version();
+        BOOST_TEST(eventually(electionBound, [&] { return mesh.fleet.operators().roleAt(it.spec().operators) != "stopped"; }), mesh.fleet.operators().roleAt(it.spec().operators));
+        mesh.fleet.configure(configurationWithRate(++rate));
+        BOOST_TEST(mesh.fleet.operators().version() == version + 1);
+        mesh.fleet.waitForRoute(mesh.entry, "/tides?marker=" + it.spec().name, mesh.key.key);
+    }
+}
+
+/// Guards against a control daemon that ends, or stays without a log, when it starts while its disk is full.
+BOOST_AUTO_TEST_CASE(aDaemonThatStartsOnAFullDiskTakesPartOnceThereIsRoom)
+{
+    Mesh mesh;
+    auto& daemon = mesh.fleet.controls().back();
+    const auto role = [&] { return mesh.fleet.operators().roleAt(daemon.spec().operators); };
+    daemon.crash();
+    std::filesystem::remove_all(daemon.dataFolder());
+    {
+        auto inherited = std::make_unique<FullDisk>(ownProcess);
+        daemon.start();
+        inherited.reset();
+        const FullDisk full(daemon.process().id());
+        std::this_thread::sleep_for(milliseconds(2000));
+        BOOST_TEST(role() == "stopped");
+        BOOST_TEST(daemon.process().running());
+    }
+    BOOST_TEST(eventually(electionBound, [&] { return role() == "follower"; }), role());
+    mesh.fleet.configure(configurationWithRate(80));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/support/operator_cli.cpp
+++ b/tests/process/support/operator_cli.cpp
@@ -79,6 +79,12 @@
     return run({ "key", "withdraw", keyId, "--wait" });
 }
 
+std::string OperatorCli::roleAt(const std::string& member) const
+{
+    const auto json = jsonOf(runAt(member, { "status", "--timeout", "1" }));
+    return json.IsMap() ? json["control"]["role"].as<std::string>("") : std::string();
+}
+
 std::string OperatorCli::leader() const
 {
     for (const auto& it : m_memberAddresses) {
--- a/tests/process/support/operator_cli.h
+++ b/tests/process/support/operator_cli.h
@@ -38,6 +38,8 @@
     IssuedKey issueKey(const std::string& workspace) const;
     /// Withdraws a key and waits until that is in force on all daemons.
     Ran withdrawKey(const std::string& keyId) const;
+    /// \returns the role in the replicated log that the control daemon at the operator address \p member reports.
+    std::string roleAt(const std::string& member) const;
     /// \returns the name of the leader, empty when no member reports to be it.
     std::string leader() const;
     /// \returns the latest configuration version that any member shows, zero before the first one.
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -314,4 +314,68 @@
     BOOST_TEST(fleet.leader()->log->history().size() == pw::config::maxConfigurationHistory);
 }
 
+/// Guards against a cluster without a quorum after more than half of the disks were full, one after the other.
+BOOST_AUTO_TEST_CASE(disksThatWereFullInTurnLeaveAQuorum)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        ControlFleet fleet(5, 3, seed, 2);
+        BOOST_REQUIRE(fleet.form());
+        std::uint64_t version = 0;
+        for (auto* it : fleet.controls()) {
+            it->disk.full = true;
+            const auto id = it->settings.name;
+            pw::ChangeResult result;
+            BOOST_TEST(fleet.timers.runUntil([&] {
+                result = fleet.configure(fleet.follower(), id, version, "while the disk of " + id + " is full");
+                return result.outcome == ChangeOutcome::Accepted;
+            },
+                           4s),
+                result.reason);
+            version = result.version;
+            it->disk.full = false;
+            fleet.timers.run(4s);
+            BOOST_TEST(pw::controlRoleName(it->log->status().role) != "stopped");
+        }
+        BOOST_TEST(fleet.allValid());
+        BOOST_TEST((fleet.configure(fleet.follower(), "last", version, "last").outcome == ChangeOutcome::Accepted));
+    }
+}
+
+/// Guards against a member without a log, and operators left to wait at it, after a start on a full disk.
+BOOST_AUTO_TEST_CASE(memberThatStartsOnAFullDiskJoinsOnceThereIsRoom)
+{
+    ControlFleet fleet(3, 1, 9);
+    BOOST_REQUIRE(fleet.form());
+    auto& replaced = fleet.follower();
+    fleet.crash(replaced);
+    replaced.disk.wipe();
+    replaced.disk.full = true;
+    fleet.start(replaced);
+    fleet.timers.run(2s);
+    const auto refused = fleet.submit(replaced, issueKey(1), 100ms);
+    BOOST_TEST((refused.outcome == ChangeOutcome::Unavailable));
+    BOOST_TEST(refused.reason == "No space left on device");
+    replaced.disk.full = false;
+    BOOST_TEST(fleet.timers.runUntil([&] { return fleet.leader() && fleet.isComplete() && replaced.log->status().role == pw::ControlRole::Follower; }, 10s));
+    BOOST_TEST((fleet.submit(replaced, issueKey(1)).outcome == ChangeOutcome::Accepted));
+}
+
+/// Guards against operators that wait for the whole time limit at a member that has stopped.
+BOOST_AUTO_TEST_CASE(stoppedMemberAnswersAtOnceWithItsReason)
+{
+    ControlFleet fleet(3, 1, 10);
+    BOOST_REQUIRE(fleet.form());
+    auto& full = fleet.follower();
+    full.disk.full = true;
+    BOOST_TEST((fleet.configure(*fleet.leader(), "c1", 0, "one").outcome == ChangeOutcome::Accepted));
+    BOOST_REQUIRE(fleet.timers.runUntil([&] { return full.log->status().role == pw::ControlRole::Stopped; }, 1s));
+    const auto refused = fleet.submit(full, issueKey(1), 100ms);
+    BOOST_TEST((refused.outcome == ChangeOutcome::Unavailable));
+    BOOST_TEST(refused.reason.find("No space left on device") != std::string::npos, refused.reason);
+    std::optional<bool> isKnown;
+    full.log->readLatest([&isKnown](const auto* record) { isKnown = record != nullptr; });
+    fleet.timers.run(100ms);
+    BOOST_TEST((isKnown == false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/log_storage_file_test.cpp
+++ b/tests/unit/log_storage_file_test.cpp
@@ -3,8 +3,12 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <sys/resource.h>
+
+#include <csignal>
 #include <fstream>
 #include <ranges>
+#include <tuple>
 
 namespace {
 
@@ -94,6 +98,59 @@
     { "vote", 0, 8, false, 0 },
 };
 
+/// Makes writes of this process beyond \p bytes of a file fail, as on a full disk.
+class FileSizeLimit {
+public:
+    explicit FileSizeLimit(rlim_t bytes)
+    {
+        std::signal(SIGXFSZ, SIG_IGN);
+        getrlimit(RLIMIT_FSIZE, &m_before);
+        const rlimit limit { bytes, m_before.rlim_max };
+        setrlimit(RLIMIT_FSIZE, &limit);
+    }
+    ~FileSizeLimit() { setrlimit(RLIMIT_FSIZE, &m_before); }
+    FileSizeLimit(const FileSizeLimit&) = delete;
+    FileSizeLimit& operator=(const FileSizeLimit&) = delete;
+
+private:
+    rlimit m_before {};
+};
+
+/// A write that fails because a file may not grow beyond a size.
+struct RefusedWrite {
+    const char* name;
+    std::uintmax_t room; ///< Bytes that still fit behind the log, so that an append stops halfway.
+    bool (*write)(pw::LogStorageFile& storage, const pw::VoteRecord& vote);
+};
+
+std::ostream& operator<<(std::ostream& stream, const RefusedWrite& write)
+{
+    return stream << write.name << " with room for " << write.room << " bytes";
+}
+
+bool appendMore(pw::LogStorageFile& storage, const pw::VoteRecord&)
+{
+    return storage.append(entriesOf(11, 13, 2));
+}
+
+bool voteAgain(pw::LogStorageFile& storage, const pw::VoteRecord& vote)
+{
+    return storage.saveVote({ vote.identity, 5, 3, 8 });
+}
+
+bool compactAll(pw::LogStorageFile& storage, const pw::VoteRecord&)
+{
+    return storage.saveSnapshot({ 10, 1, {}, "state" }, {});
+}
+
+const RefusedWrite refusedWrites[] {
+    { "append", 0, appendMore },
+    { "append", 100, appendMore },
+    { "append", 2000, appendMore },
+    { "vote", 0, voteAgain },
+    { "snapshot", 0, compactAll },
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(LogStorageFile)
@@ -220,4 +277,64 @@
     BOOST_TEST(!storage.append(entriesOf(1, 1, 1)));
 }
 
+/// Guards against a folder that can't be written any more, or an entry that was reported as failed, after the disk was full.
+BOOST_DATA_TEST_CASE(reopensWithWhatWasStoredOnceThereIsRoom, data::make(refusedWrites))
+{
+    const Folder folder;
+    fill(folder);
+    pw::Random random(1);
+    pw::LogStorageFile storage(folder.path);
+    const auto before = storage.open(random);
+    BOOST_REQUIRE(before);
+    bool written = true;
+    bool opened = true;
+    {
+        const auto isAppend = sample.write == appendMore;
+        const FileSizeLimit limit(isAppend ? fs::file_size(folder.path / "log") + sample.room : 0);
+        written = sample.write(storage, before->vote);
+        const FileSizeLimit full(0);
+        opened = storage.open(random).has_value();
+    }
+    BOOST_TEST(!written);
+    BOOST_TEST(!opened);
+    BOOST_TEST(storage.mayRecover());
+    const auto after = storage.open(random);
+    BOOST_REQUIRE_MESSAGE(after, storage.lastReason());
+    BOOST_TEST((after->vote == before->vote));
+    BOOST_TEST((after->entries == before->entries));
+    BOOST_TEST(sample.write(storage, before->vote));
+    BOOST_TEST(!fs::exists(folder.path / "vote.new"));
+}
+
+/// Guards against an entry that was reported as failed and is back after the process was killed.
+BOOST_AUTO_TEST_CASE(failedAppendLeavesNothingForTheNextProcess)
+{
+    const Folder folder;
+    fill(folder);
+    {
+        pw::Random random(1);
+        pw::LogStorageFile storage(folder.path);
+        BOOST_REQUIRE(storage.open(random));
+        const FileSizeLimit limit(fs::file_size(folder.path / "log") + 100);
+        std::ignore = storage.append(entriesOf(11, 13, 2));
+    }
+    const auto stored = folder.open();
+    BOOST_REQUIRE(stored);
+    BOOST_TEST((stored->entries == entriesOf(1, 10, 1)));
+    BOOST_TEST(stored->tornBytes == 0U);
+}
+
+/// Guards against a new identity for a member whose files were removed while it was running.
+BOOST_AUTO_TEST_CASE(reopenRefusesAFolderThatWasEmptied)
+{
+    const Folder folder;
+    pw::Random random(1);
+    pw::LogStorageFile storage(folder.path);
+    BOOST_REQUIRE(storage.open(random));
+    fs::remove(folder.path / "vote");
+    BOOST_TEST(!storage.open(random).has_value());
+    BOOST_TEST(!storage.mayRecover());
+    BOOST_TEST(!fs::exists(folder.path / "vote"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/raft_schedule_test.cpp
+++ b/tests/unit/raft_schedule_test.cpp
@@ -39,10 +39,10 @@
     void applyRandomAction()
     {
         using Action = void (Schedule::*)();
-        static constexpr std::array<Action, 16> actions { &Schedule::propose, &Schedule::propose, &Schedule::propose,
+        static constexpr std::array<Action, 18> actions { &Schedule::propose, &Schedule::propose, &Schedule::propose,
             &Schedule::propose, &Schedule::crash, &Schedule::crashInWrite, &Schedule::restart, &Schedule::restart,
             &Schedule::isolate, &Schedule::cutOneWay, &Schedule::heal, &Schedule::heal, &Schedule::stall,
-            &Schedule::compact, &Schedule::wipe, &Schedule::transferLeadership };
+            &Schedule::compact, &Schedule::wipe, &Schedule::transferLeadership, &Schedule::fillDisk, &Schedule::freeDisks };
         (this->*actions[m_random() % actions.size()])();
     }
 
@@ -69,6 +69,20 @@
         node.disk.keepsCrashingWrite = m_random() % 2 == 0;
     }
 
+    void fillDisk()
+    {
+        auto& disk = randomNode().disk;
+        disk.full = true;
+        disk.keepsFailedWrite = m_random() % 2 == 0;
+    }
+
+    void freeDisks()
+    {
+        for (const auto& it : m_cluster.nodes) {
+            it->disk.full = false;
+        }
+    }
+
     void restart()
     {
         const auto it = std::ranges::find_if(m_cluster.nodes, [](const auto& node) { return !node->raft; });
@@ -111,6 +125,7 @@
     {
         m_cluster.network.healAll();
         m_cluster.network.faults = {};
+        freeDisks();
         for (auto& it : m_cluster.nodes) {
             it->disk.writesUntilCrash = -1;
         }
--- a/tests/unit/raft_test.cpp
+++ b/tests/unit/raft_test.cpp
@@ -1,9 +1,11 @@
 #include "support/raft_cluster.h"
 
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace {
 
+namespace data = boost::unit_test::data;
 using namespace std::chrono_literals;
 using pw::test::RaftCluster;
 
@@ -12,6 +14,46 @@
     BOOST_TEST(cluster.violations.empty(), cluster.firstViolation() << " (" << cluster.violations.size() << " in all)");
 }
 
+/// A write that fails at a member with a full disk.
+struct FailedWrite {
+    const char* name;
+    bool atLeader;
+    bool takesEffect; ///< The write replaces the file although it is reported as failed.
+    void (*provoke)(RaftCluster& cluster, RaftCluster::Node& full);
+};
+
+std::ostream& operator<<(std::ostream& stream, const FailedWrite& write)
+{
+    return stream << write.name << (write.atLeader ? " at the leader" : " at a follower") << (write.takesEffect ? ", in effect" : "");
+}
+
+void provokeAppend(RaftCluster& cluster, RaftCluster::Node&)
+{
+    cluster.propose("proposed");
+}
+
+void provokeVote(RaftCluster& cluster, RaftCluster::Node& full)
+{
+    cluster.crash(cluster.other(full));
+    cluster.crash(cluster.leader() && cluster.leader() != &full ? *cluster.leader() : cluster.other(full));
+}
+
+void provokeSnapshot(RaftCluster& cluster, RaftCluster::Node& full)
+{
+    cluster.compact(full);
+}
+
+const FailedWrite failedWrites[] {
+    { "append", true, false, provokeAppend },
+    { "append", false, false, provokeAppend },
+    { "vote", false, false, provokeVote },
+    { "vote", false, true, provokeVote },
+    { "snapshot", true, false, provokeSnapshot },
+    { "snapshot", true, true, provokeSnapshot },
+    { "snapshot", false, false, provokeSnapshot },
+    { "snapshot", false, true, provokeSnapshot },
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RaftMembers)
@@ -250,4 +292,55 @@
     checkInvariants(cluster);
 }
 
+/// Guards against a member that stays halted after its disk has room again.
+BOOST_DATA_TEST_CASE(memberTakesPartAgainAfterAFailedWrite, data::make(failedWrites))
+{
+    RaftCluster cluster(5, 9);
+    BOOST_REQUIRE(cluster.form());
+    cluster.propose("before");
+    cluster.run(200ms);
+    auto& full = sample.atLeader ? *cluster.leader() : cluster.other(*cluster.leader());
+    full.disk.full = true;
+    full.disk.keepsFailedWrite = sample.takesEffect;
+    sample.provoke(cluster, full);
+    BOOST_TEST(cluster.runUntil([&full] { return full.raft->halted(); }, 5s));
+    cluster.run(1s);
+    full.disk.full = false;
+    for (const auto& it : cluster.nodes) {
+        if (!it->raft) {
+            cluster.start(*it);
+        }
+    }
+    BOOST_TEST(cluster.runUntil([&] { return cluster.allAreCurrentVoters(); }, 5s));
+    cluster.propose("after");
+    cluster.run(500ms);
+    BOOST_TEST(cluster.accepted.contains("before"));
+    BOOST_TEST(cluster.accepted.contains("after"));
+    // The other members commit an entry that a follower has not stored.
+    const auto othersStored = sample.provoke == provokeAppend && !sample.atLeader;
+    BOOST_TEST(cluster.accepted.contains("proposed") == othersStored);
+    BOOST_TEST(full.raft->appliedIndex() == cluster.leader()->raft->lastIndex());
+    checkInvariants(cluster);
+}
+
+/// Guards against a member that continues on a data folder which lost entries that it has acknowledged.
+BOOST_AUTO_TEST_CASE(memberDoesNotResumeWithoutItsCommittedEntries)
+{
+    RaftCluster cluster(3, 10);
+    BOOST_REQUIRE(cluster.form());
+    cluster.propose("kept");
+    cluster.run(200ms);
+    auto& full = cluster.other(*cluster.leader());
+    const auto before = full.disk.durable;
+    full.disk.full = true;
+    cluster.propose("also kept");
+    BOOST_REQUIRE(cluster.runUntil([&full] { return full.raft->halted(); }, 1s));
+    auto shorter = before;
+    shorter.entries.pop_back();
+    BOOST_TEST(full.raft->mayResume());
+    BOOST_TEST(!full.raft->resume(shorter, cluster.localNow(full)));
+    BOOST_TEST(!full.raft->mayResume());
+    BOOST_TEST(full.raft->halted());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/support/fake_log_storage.h
+++ b/tests/unit/support/fake_log_storage.h
@@ -18,6 +18,7 @@
     int writesUntilCrash = -1; ///< Number of writes before the one that crashes; negative for none.
     bool keepsCrashingWrite = false; ///< Whether the write that crashes is durable.
     bool full = false; ///< All writes fail.
+    bool keepsFailedWrite = false; ///< Whether a vote or snapshot whose write fails replaces the one before all the same.
     std::size_t lostWrites = 0; ///< Number of acknowledged writes that a crash loses, as on a disk that does not honor syncs.
 
     void crash()
@@ -49,6 +50,11 @@
 
     std::optional<StoredLog> open(Random& random) override
     {
+        if (m_disk.full && (m_wasOpened || m_disk.durable.vote.identity == 0)) {
+            m_reason = "No space left on device";
+            return std::nullopt;
+        }
+        m_wasOpened = true;
         m_disk.crash();
         if (m_disk.durable.vote.identity == 0) {
             m_disk.durable.vote.identity = std::max<std::uint64_t>(random(), 1);
@@ -59,7 +65,7 @@
 
     bool saveVote(const VoteRecord& vote) override
     {
-        return write([&](StoredLog& log) { log.vote = vote; });
+        return write([&](StoredLog& log) { log.vote = vote; }, m_disk.keepsFailedWrite);
     }
 
     bool append(std::span<const LogEntry> entries) override
@@ -67,7 +73,8 @@
         return write([&](StoredLog& log) {
             log.entries.resize(entries.front().index - log.snapshot.index - 1);
             log.entries.insert(log.entries.end(), entries.begin(), entries.end());
-        });
+        },
+            false);
     }
 
     bool saveSnapshot(const LogSnapshot& snapshot, std::span<const LogEntry> remaining) override
@@ -75,17 +82,23 @@
         return write([&](StoredLog& log) {
             log.snapshot = snapshot;
             log.entries.assign(remaining.begin(), remaining.end());
-        });
+        },
+            m_disk.keepsFailedWrite);
     }
 
+    bool mayRecover() const override { return true; }
     const std::string& lastReason() const override { return m_reason; }
 
 private:
     template <typename Change>
-    bool write(Change&& change)
+    bool write(Change&& change, bool survivesFailure)
     {
         if (m_disk.full) {
             m_reason = "No space left on device";
+            if (survivesFailure) {
+                change(m_disk.written);
+                m_disk.sync();
+            }
             return false;
         }
         const auto crashes = m_disk.writesUntilCrash == 0;
@@ -102,6 +115,7 @@
     }
 
     FakeDisk& m_disk;
+    bool m_wasOpened = false;
     std::string m_reason;
 };
 
--- a/tests/unit/support/raft_cluster.h
+++ b/tests/unit/support/raft_cluster.h
@@ -180,6 +180,7 @@
     {
         const auto now = localNow(node);
         if (m_steps % 20 == 0) {
+            reopenStorage(node);
             node.raft->tick(now);
         }
         for (const auto& [from, message] : std::exchange(node.inbox, {})) {
@@ -194,6 +195,16 @@
         }
     }
 
+    void reopenStorage(Node& node)
+    {
+        if (!node.raft->mayResume()) {
+            return;
+        }
+        if (const auto stored = node.storage->open(random)) {
+            expect(node.raft->resume(*stored, localNow(node)), "the disk lost committed entries at " + node.name);
+        }
+    }
+
     void requestJoin(const Node& node)
     {
         if (auto* leaderNode = leader(); leaderNode && leaderNode != &node) {
--- a/tools/pistachiowheeld/main.cpp
+++ b/tools/pistachiowheeld/main.cpp
@@ -184,6 +184,7 @@
 int run(const std::string& file, pw::Settings& settings, pw::Secrets secrets)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN); // A write beyond the file size limit then fails as on a full disk.
     pw::detail::BasePtr base(event_base_new());
     pw::TimersLibevent timers(base.get());
     pw::EasyloggingEventLog log({ levelNamed(settings.logLevel), settings.logFile, settings.decisionSampling, pw::LogOutput::maxFileBytes, settings.logToStdout }, &timers);
