Keep the error of a failed write until the stream's end is reported

Cause: the operating system reports the error of a connection once. send() took ECONNRESET and dropped it, the next recv() returned 0, and the end of the connection counted as the orderly end of the answer.

Evidence: HttpEnds/anAnswerWithoutALengthThatIsResetDuringTheRequestIsNot- Complete failed before for a reset at once and after 0.2 s, and passes now; the orderly end before a reset stays complete. A connection that failed with unsent bytes was taken for clean and used for the next request, which was lost: HttpEnds/aConnectionThatIsResetDuringTheRequestIsNotUsedAgain failed before as well.

Why it works: a stream whose write has failed ends with a reset, unless the error was EPIPE, which follows only an orderly end of the peer, and is not used again.

--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -139,7 +139,7 @@
     }
     readKeepAlive(answer);
     // Unsent bytes of this request or unread bytes after the response must not mix with the next exchange.
-    const auto clean = m_stream.input().empty() && m_stream.backlog() == 0 && !m_sawStrayResponse;
+    const auto clean = m_stream.input().empty() && m_stream.backlog() == 0 && !m_stream.writeFailed() && !m_sawStrayResponse;
     const auto reusable = keepsAlive && clean && m_client.m_protocol.identifiesRequest(m_request, answer);
     m_isNew = false;
     if (meaning == AnswerKind::NotRun || meaning == AnswerKind::WrongServer) {
@@ -195,7 +195,7 @@
         return false;
     }
     const auto idle = now - m_idleSince;
-    return m_stream.input().empty() && idle < maxIdle() && (repeatable || idle < config::maxIdleForNonIdempotent);
+    return m_stream.input().empty() && !m_stream.writeFailed() && idle < maxIdle() && (repeatable || idle < config::maxIdleForNonIdempotent);
 }
 
 Duration BackendConnection::maxIdle() const
--- a/src/adapters/tcp_stream.cpp
+++ b/src/adapters/tcp_stream.cpp
@@ -219,7 +219,7 @@
         m_input.append(buf.data(), static_cast<std::size_t>(n));
         m_user.streamReadable();
     } else if (n == 0) {
-        end(StreamEnd::EndOfStream);
+        end(m_reset ? StreamEnd::Reset : StreamEnd::EndOfStream);
     } else if (!isTransient(errno)) {
         end(StreamEnd::Reset);
     }
@@ -231,8 +231,7 @@
         const auto n = send(m_fd, m_output.data() + m_sent, backlog(), MSG_NOSIGNAL);
         if (n < 0) {
             if (!isTransient(errno)) {
-                // The next read reports how the connection ended.
-                m_sent = m_output.size();
+                onWriteFailed(errno);
             }
             break;
         }
@@ -248,6 +247,16 @@
     watch();
 }
 
+/// Discards the unsent bytes. What the peer sent before is still read, then end() reports how the connection ended.
+void TcpStream::onWriteFailed(int error)
+{
+    m_sent = m_output.size();
+    m_writeFailed = true;
+    // The error is reported only once, so that a read returns the end of the stream after it. EPIPE means that the peer had
+    // closed its side orderly before the reset.
+    m_reset = m_reset || error != EPIPE;
+}
+
 void TcpStream::end(StreamEnd end)
 {
     if (std::exchange(m_ended, true)) {
--- a/src/adapters/tcp_stream.h
+++ b/src/adapters/tcp_stream.h
@@ -87,6 +87,9 @@
     /// \returns the number of queued bytes not yet passed to the operating system.
     std::size_t backlog() const { return m_output.size() - m_sent; }
 
+    /// \returns whether bytes could not be sent because the connection has failed; they no longer count as backlog.
+    bool writeFailed() const { return m_writeFailed; }
+
     /// Pauses or resumes receiving; TCP flow control then holds back the peer.
     void pauseReading(bool pause);
 
@@ -104,6 +107,7 @@
     void finishConnect();
     void receive();
     void flush();
+    void onWriteFailed(int error);
     void end(StreamEnd end);
 
     StreamLoop& m_loop;
@@ -113,6 +117,8 @@
     bool m_ended = false;
     bool m_paused = false;
     bool m_finishing = false;
+    bool m_writeFailed = false;
+    bool m_reset = false; ///< A write has taken the error that a read would report.
     bool m_dirty = false;
     short m_watched = 0;
     detail::EventPtr m_event;
--- a/tests/process/http_end_test.cpp
+++ b/tests/process/http_end_test.cpp
@@ -22,6 +22,7 @@
 
 namespace {
 
+constexpr std::size_t unsentBytes = 64 * 1024 * 1024; ///< More than the buffers of a connection hold.
 constexpr milliseconds loopTime { 300 };
 constexpr milliseconds answerBound { 3000 };
 constexpr milliseconds exchangeTimeout { 1000 };
@@ -103,10 +104,12 @@
     {
     }
 
-    pw::BackendResult ask(const std::string& name)
+    pw::BackendResult ask(const std::string& name) { return ask(named(name)); }
+
+    pw::BackendResult ask(pw::HttpRequest request)
     {
         std::optional<pw::BackendResult> result;
-        client.start(named(name), exchangeTimeout, true, [&result](pw::BackendResult it) { result = std::move(it); });
+        client.start(std::move(request), exchangeTimeout, true, [&result](pw::BackendResult it) { result = std::move(it); });
         loop.runUntil([&result] { return result.has_value(); });
         BOOST_REQUIRE(result.has_value());
         return std::move(*result);
@@ -222,6 +225,57 @@
     }
 }
 
+struct EarlyEndRow {
+    const char* name;
+    bool finishes; ///< The server closes its sending side before the connection is reset.
+    milliseconds silence; ///< Between the end of the answer and the reset.
+    bool isComplete;
+};
+
+/// Guards against an answer without a length that a reset cuts off while a part of the request is unsent, and that looks whole.
+BOOST_AUTO_TEST_CASE(anAnswerWithoutALengthThatIsResetDuringTheRequestIsNotComplete)
+{
+    const std::vector<EarlyEndRow> rows { { "reset at once", false, milliseconds(0), false }, { "reset later", false, milliseconds(200), false },
+        { "closed, then reset", true, milliseconds(200), true } };
+    for (const auto& row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            const RawServer server(freeAddress(), [&row](const RawConnection& connection, std::size_t) {
+                (void)connection.send("HTTP/1.1 200 OK\r\nX-Name: a\r\nConnection: close\r\n\r\na part of the answer");
+                if (row.finishes) {
+                    connection.finishSending();
+                } else {
+                    connection.resetOnClose();
+                }
+                std::this_thread::sleep_for(row.silence);
+            });
+            Client client(server);
+            auto request = named("a");
+            request.body = std::string(unsentBytes, 'a');
+            const auto result = client.ask(std::move(request));
+            BOOST_TEST((result.refusal.verdict == (row.isComplete ? pw::Verdict::Ran : pw::Verdict::MayHaveRun)));
+            BOOST_TEST((result.refusal.reason == (row.isComplete ? pw::Reason::None : pw::Reason::BackendFailed)));
+        }
+    }
+}
+
+/// Guards against reuse of a connection that failed while a part of the request was unsent.
+BOOST_AUTO_TEST_CASE(aConnectionThatIsResetDuringTheRequestIsNotUsedAgain)
+{
+    const RawServer server(freeAddress(), [](const RawConnection& connection, std::size_t number) {
+        if (number > 0) {
+            (void)connection.readAnswer(answerBound);
+        }
+        (void)connection.send(answerTo(number == 0 ? "a" : "b", 200, "whole"));
+        connection.resetOnClose();
+    });
+    Client client(server);
+    auto request = named("a");
+    request.body = std::string(unsentBytes, 'a');
+    (void)client.ask(std::move(request));
+    BOOST_TEST((client.ask("b").refusal.verdict == pw::Verdict::Ran));
+}
+
 BOOST_AUTO_TEST_CASE(aLateSecondCopyIsNotTheAnswerToTheNextRequest)
 {
     const RawServer server(freeAddress(), [](const RawConnection& connection, std::size_t) {
--- a/tests/process/support/raw_http.cpp
+++ b/tests/process/support/raw_http.cpp
@@ -61,6 +61,11 @@
     setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
 }
 
+void RawConnection::finishSending() const
+{
+    ::shutdown(m_fd, SHUT_WR);
+}
+
 bool RawConnection::send(const std::string& text) const
 {
     std::size_t sent = 0;
--- a/tests/process/support/raw_http.h
+++ b/tests/process/support/raw_http.h
@@ -22,6 +22,9 @@
     /// Lets the destructor reset the connection instead of closing it.
     void resetOnClose() const;
 
+    /// Closes the sending side.
+    void finishSending() const;
+
     /// Reads until the other side closes, \p bound at the longest.
     /// \param closed receives whether it closed.
     std::string readAll(milliseconds bound, bool& closed) const;
