Remember the leave of a backend server that the daemon does not know yet

What callers saw: requests went to a server until it exited, seconds after a daemon had acknowledged its deregistration; one that runs as the server exits is lost (DRAIN).

Cause: a leave notice for another start than the one in use was dropped and acknowledged all the same. A daemon that has just restarted knows no start, so that a late heartbeat then brought the server into use.

Evidence: ServerRoles/leaveOfAnUnknownServerIsRemembered failed before in five of eight rows (late, very late, of an earlier start, without a start time, while another server is in use), leaveOfAnUnknownServerIsKnownToALater- Process in both checks. A later start of the server was taken before and is now.

Why it works: the notice is remembered by instance and start time for as long as the view keeps servers that left, and announcements of that start are ignored. It is also published, so that a further process of the daemon, which knows nothing of it, cannot list that start again.

--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -64,7 +64,8 @@
     /// fleet has had time to learn of it, and finishes running calls. A later start of the backend server is accepted.
     void onServerLeaving();
 
-    /// Same, for the start of the backend server identified by \p instance. Ignored unless it is the current start.
+    /// Same, for the start of the backend server identified by \p instance. If it is not the current start, it is remembered, so
+    /// that a late announcement does not take it into service.
     /// \param started start time in ms since the epoch; zero if unknown.
     void onServerLeaving(const std::string& instance, std::uint64_t started);
 
@@ -158,6 +159,8 @@
     std::uint32_t usableSlots(std::uint32_t slots) const;
     bool announcesReturn(const Announcement& announcement) const;
     bool isOutdated(const Announcement& announcement) const;
+    bool hasLeft(const Announcement& announcement) const;
+    void recordDeparture(const std::string& instance, std::uint64_t started);
     void onServerStarted(const Announcement& announcement);
     void startLeaving();
     void refuseQueued(Reason reason);
@@ -213,6 +216,14 @@
     ContextTable m_contexts;
     ServerEntry m_entry;
     Announcement m_lastAnnouncement;
+    /// A start of a backend server that has left without being the current one.
+    struct Departure {
+        std::string instance;
+        std::uint64_t started = 0; ///< Zero if unknown.
+        TimePoint expiresAt {};
+    };
+
+    std::deque<Departure> m_departures; ///< Oldest first.
     bool m_announced = false;
     std::uint64_t m_backendId = 0; ///< Identifies the current start of the backend server; zero if unknown.
     bool m_serverLeft = false; ///< The current start has announced that it is leaving.
--- a/src/app/server_role_registration.cpp
+++ b/src/app/server_role_registration.cpp
@@ -12,10 +12,15 @@
 namespace {
 
     /// \returns a hash that identifies one start of a backend server, or zero when it gives no instance and start time.
+    std::uint64_t backendIdOf(const std::string& instance, std::uint64_t started)
+    {
+        const auto isIdentified = !instance.empty() || started != 0;
+        return isIdentified ? rendezvousWeight(instance, std::to_string(started)) : 0;
+    }
+
     std::uint64_t backendIdOf(const Announcement& announcement)
     {
-        const auto isIdentified = !announcement.instance.empty() || announcement.started != 0;
-        return isIdentified ? rendezvousWeight(announcement.instance, std::to_string(announcement.started)) : 0;
+        return backendIdOf(announcement.instance, announcement.started);
     }
 
 } // namespace
@@ -30,7 +35,7 @@
         reason = "more than " + std::to_string(config::maxAnnouncedSlots) + " slots";
         return false;
     }
-    if (isOutdated(announcement)) {
+    if (isOutdated(announcement) || hasLeft(announcement)) {
         return true;
     }
     if (!m_client.setAddress(announcement.address)) {
@@ -150,6 +155,36 @@
 {
     if (instance == m_lastAnnouncement.instance && (started == 0 || started == m_lastAnnouncement.started)) {
         onServerLeaving();
+    } else {
+        recordDeparture(instance, started);
+    }
+}
+
+/// \returns whether the announced start, or a later one, left before it was announced here.
+bool ServerRole::hasLeft(const Announcement& announcement) const
+{
+    return std::ranges::any_of(m_departures, [&](const Departure& it) {
+        const auto coversStart = it.started == 0 || announcement.started <= it.started;
+        return it.instance == announcement.instance && coversStart && m_timers.now() < it.expiresAt;
+    });
+}
+
+void ServerRole::recordDeparture(const std::string& instance, std::uint64_t started)
+{
+    // Without its start time, a late announcement cannot be told from a later start of the server for long.
+    const auto retention = started == 0 ? m_settings.announcementLease : config::viewTombstoneRetention;
+    m_departures.push_back({ instance, started, m_timers.now() + retention });
+    if (m_departures.size() > config::maxDepartures) {
+        m_departures.pop_front();
+    }
+    PW_EVENT(m_log, Event::BackendLeft, { "service", "" }, { "instance", instance }, { "pending", 0 });
+    if (m_entry.service.empty()) {
+        // The view remembers it for a later process of this daemon.
+        ++m_entry.sequence;
+        auto departed = m_entry;
+        departed.leaving = true;
+        departed.backendIncarnation = backendIdOf(instance, started);
+        m_directory.publish(departed);
     }
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -505,6 +505,8 @@
 inline constexpr milliseconds viewMemberGrace { 6000 };
 /// Retention time of a lapsed server, so that its removal reaches every daemon.
 inline constexpr milliseconds viewTombstoneRetention { 60000 };
+/// Number of leave notices about unknown starts of backend servers that a daemon remembers.
+inline constexpr std::size_t maxDepartures = 16;
 /// Minimum time between two full views sent to one daemon.
 inline constexpr milliseconds minFullViewInterval { 3000 };
 /// The same for a daemon that has no view yet: longer than a reply takes, shorter than viewReportInterval.
--- a/tests/unit/server_role_test.cpp
+++ b/tests/unit/server_role_test.cpp
@@ -2,6 +2,7 @@
 #include "app/native_protocol.h"
 #include "app/server_role.h"
 #include "config.h"
+#include "core/membership_view.h"
 #include "support/fake_network.h"
 #include "support/fleet_fakes.h"
 
@@ -196,6 +197,32 @@
         true },
 };
 
+/// A leave notice about a start of a server that is not the one in use, and an announcement after it.
+struct UnknownLeaveRow {
+    const char* name;
+    bool knowsAnother; ///< Another server is in use when the notice comes.
+    std::uint64_t left; ///< Start time in the notice; zero: unknown.
+    Duration pause; ///< Between the notice and the announcement.
+    std::uint64_t announced; ///< Start time in the announcement.
+    bool isTaken; ///< The announced server is taken into service.
+};
+
+std::ostream& operator<<(std::ostream& out, const UnknownLeaveRow& row)
+{
+    return out << row.name;
+}
+
+const std::vector<UnknownLeaveRow> unknownLeaveRows {
+    { "the announcement is late", false, 5, 1s, 5, false },
+    { "the announcement is very late", false, 5, 30s, 5, false },
+    { "the announcement is of an earlier start", false, 5, 1s, 4, false },
+    { "the server has started again", false, 5, 1s, 6, true },
+    { "the notice names no start, the announcement is late", false, 0, 1s, 5, false },
+    { "the notice names no start, the server goes on announcing itself", false, 0, 5s, 5, true },
+    { "another server is in use, the announcement is late", true, 5, 1s, 5, false },
+    { "another server is in use, the server has started again", true, 5, 1s, 6, true },
+};
+
 struct WorkTimeRow {
     const char* name;
     PickBy pickBy;
@@ -297,6 +324,44 @@
     BOOST_TEST((answer->refusal.verdict == Verdict::NotRun));
 }
 
+/// Guards against a restarted daemon that acknowledges the leave of a server it does not know yet, and then takes a late
+/// announcement of that server for a new one.
+BOOST_DATA_TEST_CASE(leaveOfAnUnknownServerIsRemembered, boost::unit_test::data::make(unknownLeaveRows), row)
+{
+    Fixture fixture;
+    if (row.knowsAnother) {
+        auto other = fixture.announcement(3);
+        other.instance = "i-0";
+        std::string reason;
+        BOOST_REQUIRE(fixture.role.announce(other, reason));
+    }
+    fixture.role.onServerLeaving("i-1", row.left);
+    fixture.timers.run(row.pause);
+    const auto published = fixture.directory.last.sequence;
+    fixture.announce(row.announced);
+    const auto& entry = fixture.directory.last;
+    BOOST_TEST((entry.sequence > published) == row.isTaken);
+    BOOST_TEST((!entry.leaving && !entry.service.empty()) == (row.isTaken || row.knowsAnother));
+}
+
+/// Guards against a leave that is forgotten when the daemon that has acknowledged it restarts once more.
+BOOST_AUTO_TEST_CASE(leaveOfAnUnknownServerIsKnownToALaterProcess)
+{
+    Fixture fixture;
+    fixture.role.onServerLeaving("i-1", 5);
+    const auto departed = fixture.directory.last;
+    BOOST_TEST(departed.leaving);
+    Fixture later;
+    later.announce(5);
+    auto returned = later.directory.last;
+    returned.incarnation = departed.incarnation + 1;
+    MembershipView view("c1", {}, { 3s, 3s, 60s }, later.timers.now());
+    view.report("d", { 1, departed, departed.incarnation, departed.sequence }, later.timers.now());
+    view.report("d", { 2, returned, returned.incarnation, returned.sequence }, later.timers.now());
+    BOOST_REQUIRE(view.find("d"));
+    BOOST_TEST(view.find("d")->entry.leaving);
+}
+
 /// A call that carries a rate limit which the server has stated to its sender.
 struct AdoptRow {
     const char* name;
