Count the sending of an answer as progress of its connection

Cause: the time limits of a connection count from its last progress, which was set when an answer was queued and when bytes arrived, never when bytes were sent.

Why it works: while bytes wait to be sent, the idle timeout counts from the last byte taken; the linger time begins when all are sent. A caller that reads nothing is still dropped.

--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -193,14 +193,24 @@
     return m_stream.backlog() > 0 || (!m_closing && (m_reader.begun() || !m_stream.input().empty()));
 }
 
+/// A caller that reads an answer makes progress, however slowly.
+void HttpConnection::noteSendProgress(TimePoint now)
+{
+    if (std::exchange(m_bytesSent, m_stream.bytesSent()) != m_stream.bytesSent()) {
+        m_lastProgress = now;
+    }
+}
+
 void HttpConnection::check(TimePoint now)
 {
     const auto& limits = m_server.m_limits;
     if (m_stream.backlog() == 0) {
         updateReading();
     }
+    noteSendProgress(now);
     if (m_closing && m_slots.empty()) {
-        if (now - m_lastProgress >= config::lingerTimeout) {
+        const auto isSending = m_stream.backlog() > 0;
+        if (now - m_lastProgress >= (isSending ? limits.idleTimeout : config::lingerTimeout)) {
             drop();
         }
         return;
--- a/src/adapters/http_connection.h
+++ b/src/adapters/http_connection.h
@@ -47,6 +47,7 @@
     void sendResponses();
     void beginClose();
     void updateReading();
+    void noteSendProgress(TimePoint now);
     std::string render(const HttpResponse& response, bool bodiless, bool closes) const;
 
     HttpServer& m_server;
@@ -55,6 +56,7 @@
     std::deque<Slot> m_slots;
     std::uint64_t m_firstSlot = 0; ///< Number of m_slots.front().
     TimePoint m_lastProgress;
+    std::uint64_t m_bytesSent = 0; ///< Bytes sent when m_lastProgress was last updated for them.
     std::optional<TimePoint> m_requestBegan;
     bool m_reading = false;
     bool m_closing = false; ///< No further requests are read.
--- a/src/adapters/tcp_stream.cpp
+++ b/src/adapters/tcp_stream.cpp
@@ -236,6 +236,7 @@
             break;
         }
         m_sent += static_cast<std::size_t>(n);
+        m_bytesSent += static_cast<std::uint64_t>(n);
     }
     if (backlog() == 0) {
         releaseSpare(m_output);
--- a/src/adapters/tcp_stream.h
+++ b/src/adapters/tcp_stream.h
@@ -90,6 +90,9 @@
     /// \returns whether bytes could not be sent because the connection has failed; they no longer count as backlog.
     bool writeFailed() const { return m_writeFailed; }
 
+    /// \returns the total number of bytes passed to the operating system.
+    std::uint64_t bytesSent() const { return m_bytesSent; }
+
     /// Pauses or resumes receiving; TCP flow control then holds back the peer.
     void pauseReading(bool pause);
 
@@ -126,6 +129,7 @@
     std::size_t m_consumed = 0;
     std::string m_output;
     std::size_t m_sent = 0;
+    std::uint64_t m_bytesSent = 0;
 };
 
 } // namespace pw
--- a/tests/process/http_end_test.cpp
+++ b/tests/process/http_end_test.cpp
@@ -380,6 +380,68 @@
     BOOST_TEST(taken > answerBytes);
 }
 
+struct SlowReaderRow {
+    const char* name;
+    const char* connection; ///< Connection header of the request.
+    bool leaves; ///< The server leaves while the answer is being read.
+};
+
+/// Guards against an answer that is cut off while its caller is still reading it without a pause.
+BOOST_AUTO_TEST_CASE(anAnswerThatIsReadSlowlyIsNotCutOff)
+{
+    constexpr std::size_t answerBytes = 48 * 1024 * 1024;
+    constexpr std::size_t bytesPerSecond = answerBytes / 4;
+    const std::vector<SlowReaderRow> rows { { "last answer of a leaving server", "keep-alive", true },
+        { "last answer of a connection", "close", false }, { "answer on a kept connection", "keep-alive", false } };
+    for (const auto& row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Loop loop;
+            pw::HttpServer server(loop.streams, loop.timers,
+                [&](const std::shared_ptr<pw::HttpExchange>& exchange) { exchange->reply({ 200, {}, std::string(answerBytes, 'a') }); });
+            server.setLimits({ { pw::config::maxHeaderBytes, pw::config::maxBodyBytes }, exchangeTimeout, exchangeTimeout });
+            const auto address = freeAddress();
+            std::string reason;
+            BOOST_REQUIRE(server.init(address, reason));
+            const RawConnection connection(address);
+            (void)connection.send(std::string("GET / HTTP/1.1\r\nHost: x\r\nConnection: ") + row.connection + "\r\n\r\n");
+            std::atomic<std::size_t> taken = 0;
+            std::atomic<bool> ended = false;
+            std::thread reader([&] {
+                taken = connection.readPaced(bytesPerSecond, exchangeTimeout);
+                ended = true;
+            });
+            if (row.leaves) {
+                loop.run(loopTime);
+                server.leave();
+            }
+            for (int n = 0; n < 100 && !ended; ++n) {
+                loop.run(milliseconds(100));
+            }
+            reader.join();
+            BOOST_TEST(taken > answerBytes);
+        }
+    }
+}
+
+/// Guards against a connection that is kept for good for a caller that has stopped reading.
+BOOST_AUTO_TEST_CASE(anAnswerThatIsNoLongerReadIsCutOffAfterTheIdleTimeout)
+{
+    Loop loop;
+    pw::HttpServer server(loop.streams, loop.timers,
+        [](const std::shared_ptr<pw::HttpExchange>& exchange) { exchange->reply({ 200, {}, std::string(unsentBytes, 'a') }); });
+    server.setLimits({ { pw::config::maxHeaderBytes, pw::config::maxBodyBytes }, exchangeTimeout, exchangeTimeout });
+    const auto address = freeAddress();
+    std::string reason;
+    BOOST_REQUIRE(server.init(address, reason));
+    const RawConnection connection(address);
+    (void)connection.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    loop.run(loopTime);
+    BOOST_TEST(server.unfinished() == 1U);
+    loop.runUntil([&server] { return server.unfinished() == 0; });
+    BOOST_TEST(server.unfinished() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(aCallerThatAlwaysHasARequestOnItsWayDoesNotKeepItsConnectionThroughAStop)
 {
     Loop loop;
--- a/tests/process/support/raw_http.cpp
+++ b/tests/process/support/raw_http.cpp
@@ -13,6 +13,8 @@
 #include <array>
 #include <cstdlib>
 #include <stdexcept>
+#include <thread>
+#include <vector>
 
 namespace pw::test {
 namespace {
@@ -100,6 +102,22 @@
     return text;
 }
 
+std::size_t RawConnection::readPaced(std::size_t bytesPerSecond, milliseconds bound) const
+{
+    constexpr milliseconds pause { 10 };
+    std::vector<char> buffer(bytesPerSecond * static_cast<std::size_t>(pause.count()) / 1000);
+    std::size_t total = 0;
+    while (waitReadable(std::chrono::steady_clock::now() + bound)) {
+        const auto n = recv(m_fd, buffer.data(), buffer.size(), 0);
+        if (n <= 0) {
+            break;
+        }
+        total += static_cast<std::size_t>(n);
+        std::this_thread::sleep_for(pause);
+    }
+    return total;
+}
+
 std::string RawConnection::readAnswer(milliseconds bound) const
 {
     const auto end = std::chrono::steady_clock::now() + bound;
--- a/tests/process/support/raw_http.h
+++ b/tests/process/support/raw_http.h
@@ -29,6 +29,9 @@
     /// \param closed receives whether it closed.
     std::string readAll(milliseconds bound, bool& closed) const;
 
+    /// Reads about \p bytesPerSecond until the other side closes or sends nothing for \p bound. \returns the number of bytes read.
+    std::size_t readPaced(std::size_t bytesPerSecond, milliseconds bound) const;
+
     /// Reads the head of one answer and the body that its Content-Length names.
     std::string readAnswer(milliseconds bound) const;
 
