Bound the memory for incomplete answers of the local backend server

What callers saw (a report of other operators): a faulty server sent bytes without end, its caller kept them and ran out of memory, and the requests of other clients ended with it (LOST).

Why it works: above 32 MiB only the oldest of the large answers is read on; flow control holds back the others, small answers go on. The oldest ends by completion, size limit or deadline.

--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ranges>
 #include <utility>
 
 namespace pw {
@@ -191,6 +192,28 @@
     m_timedOut = false;
 }
 
+/// Notes that the incomplete response on \p connection has \p bytes.
+void BackendClient::onBuffered(detail::BackendConnection& connection, std::size_t bytes)
+{
+    m_bufferedBytes += bytes;
+    m_bufferedBytes -= std::exchange(connection.m_bufferedBytes, bytes);
+    limitReading();
+}
+
+/// Keeps the memory for incomplete responses bounded. Small ones are read on, and the oldest large one, which ends by its
+/// completion, size limit or deadline.
+void BackendClient::limitReading()
+{
+    const auto limits = m_bufferedBytes > config::maxBufferedAnswerBytes;
+    if (!std::exchange(m_limitsReading, limits) && !limits) {
+        return;
+    }
+    const auto isLarge = [](const auto& it) { return !it.second->isBroken && it.second->connection->m_bufferedBytes >= config::smallAnswerBytes; };
+    auto oldest = m_lastId;
+    std::ranges::for_each(m_running | std::views::filter(isLarge), [&oldest](const auto& it) { oldest = std::min(oldest, it.first); });
+    std::ranges::for_each(m_running, [&](const auto& it) { it.second->connection->pauseReading(limits && isLarge(it) && it.first != oldest); });
+}
+
 bool BackendClient::isSilent() const
 {
     return m_timers.now() - m_silentSince >= config::backendSilence;
@@ -297,7 +320,9 @@
         m_protocol.strip(answer);
         result.response = std::move(answer);
     }
+    onBuffered(*running.connection, 0);
     if (reusable) {
+        running.connection->pauseReading(false);
         running.connection->setIdleSince(m_timers.now());
         m_idle.push_back(std::move(running.connection));
         closeUnused();
@@ -366,6 +391,7 @@
 
 void BackendClient::release(ConnectionPtr connection)
 {
+    onBuffered(*connection, 0);
     connection->abandon();
     m_released.push_back(std::move(connection));
     if (!m_releaseTimer) {
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -102,6 +102,8 @@
     bool hasOpenConnection(const detail::BackendConnection* except) const;
     void onTimeout(std::uint64_t id, std::string_view detail);
     void onHeard();
+    void onBuffered(detail::BackendConnection& connection, std::size_t bytes);
+    void limitReading();
     bool isSilent() const;
     void onConnectionEnded(const detail::BackendConnection* ended);
     void reportLost();
@@ -132,6 +134,8 @@
     std::unique_ptr<detail::CrashCheck> m_crashCheck; ///< Set while it is decided whether the backend server has crashed.
     std::unique_ptr<detail::CrashCheck> m_endedCrashCheck;
     TimerId m_crashTimer = 0;
+    std::size_t m_bufferedBytes = 0; ///< Bodies of the responses that are incomplete.
+    bool m_limitsReading = false; ///< Some responses are not read at present.
     bool m_closeUnused = false;
     TimerId m_unusedTimer = 0;
     TimerId m_releaseTimer = 0;
--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -107,6 +107,7 @@
             return;
         }
         if (!m_reader.complete()) {
+            m_client.onBuffered(*this, m_reader.bodyBytes());
             return;
         }
         const auto keepsAlive = m_reader.keepsAlive();
--- a/src/adapters/backend_connection.h
+++ b/src/adapters/backend_connection.h
@@ -24,6 +24,9 @@
     void streamReadable() override;
     void streamEnded(StreamEnd end) override;
 
+    /// Pauses or resumes reading the response.
+    void pauseReading(bool pause) { m_stream.pauseReading(pause); }
+
     /// \returns whether \p request may be sent on this connection at \p now, given the server's keep-alive timeout, the
     ///     idle time and the previous request.
     bool usable(const HttpRequest& request, TimePoint now, bool repeatable) const;
@@ -55,6 +58,9 @@
     bool m_sent = false;
     bool m_sawStrayResponse = false; ///< A response to another request arrived during the current exchange.
     std::size_t m_strayResponses = 0;
+    friend class pw::BackendClient;
+
+    std::size_t m_bufferedBytes = 0; ///< Share of BackendClient::m_bufferedBytes.
     std::size_t m_interimResponses = 0; ///< Interim (1xx) responses to the current exchange.
     TimePoint m_idleSince {};
     std::optional<Duration> m_keepAlive; ///< Idle timeout announced in the Keep-Alive header.
--- a/src/adapters/http_reader.cpp
+++ b/src/adapters/http_reader.cpp
@@ -304,6 +304,11 @@
     return m_parser->take(bytes);
 }
 
+std::size_t HttpResponseReader::bodyBytes() const
+{
+    return m_parser->message().body.size();
+}
+
 void HttpResponseReader::takeEnd()
 {
     m_parser->takeEnd();
--- a/src/adapters/http_reader.h
+++ b/src/adapters/http_reader.h
@@ -71,6 +71,8 @@
 
     /// Parses \p bytes. \returns how many were consumed.
     std::size_t take(std::string_view bytes);
+    /// \returns the size of the body read so far.
+    std::size_t bodyBytes() const;
     /// Handles an orderly end of the stream, which delimits responses without a length.
     void takeEnd();
 
--- a/src/config.h
+++ b/src/config.h
@@ -79,6 +79,10 @@
 inline constexpr milliseconds deadlineGrace { 20 };
 /// Maximum answer body of a backend server, in bytes. An answer has to fit into one frame between daemons.
 inline constexpr std::size_t maxAnswerBytes = 3 * 1024 * 1024;
+/// Bytes of all incomplete answers of the local backend server above which of the large ones only the oldest is read on.
+inline constexpr std::size_t maxBufferedAnswerBytes = 32 * 1024 * 1024;
+/// Size below which an incomplete answer is read on in any case.
+inline constexpr std::size_t smallAnswerBytes = 64 * 1024;
 /// Idle time after which a connection to a backend server that announces no keep-alive timeout is not reused.
 inline constexpr milliseconds backendIdleTimeout { 4000 };
 /// Safety margin subtracted from a backend server's keep-alive timeout, so that it does not close the connection while a
--- a/tests/process/endless_input_test.cpp
+++ b/tests/process/endless_input_test.cpp
@@ -1,3 +1,4 @@
+#include "config.h"
 #include "support/fleet.h"
 #include "support/http_names.h"
 #include "support/raw_server.h"
@@ -8,6 +9,7 @@
 #include <fstream>
 #include <memory>
 #include <mutex>
+#include <ranges>
 #include <set>
 #include <sstream>
 #include <vector>
@@ -33,6 +35,10 @@
 constexpr milliseconds slowPause { 20 };
 constexpr std::size_t mostGrowthBytes = 8 * 1024 * 1024;
 constexpr std::size_t pieceBytes = 64 * 1024;
+constexpr std::size_t heldBytes = pw::config::maxAnswerBytes - 64 * 1024; ///< Of a body that does not end.
+constexpr std::size_t heldAnswers = 80;
+constexpr std::size_t slotsAtStart = 8; ///< Slots of a new server of which one is used at first.
+constexpr std::size_t smallestMemoryBytes = 160 * 1024 * 1024; ///< Of the machines that a daemon has to run on.
 constexpr std::size_t floodBytes = 256 * 1024 * 1024;
 
 /// What a backend server sends without end behind a beginning.
@@ -91,14 +97,15 @@
     return result;
 }
 
-std::size_t memoryOf(const Process& process)
+/// \returns the field \p name of the status of \p process, in bytes.
+std::size_t memoryOf(const Process& process, const std::string& name = "VmRSS:")
 {
     std::ifstream file("/proc/" + std::to_string(process.id()) + "/status");
     std::string line;
     while (std::getline(file, line)) {
-        if (line.starts_with("VmRSS:")) {
+        if (line.starts_with(name)) {
             std::size_t kilobytes = 0;
-            std::istringstream(line.substr(6)) >> kilobytes;
+            std::istringstream(line.substr(name.size())) >> kilobytes;
             return kilobytes * 1024;
         }
     }
@@ -111,7 +118,7 @@
         : daemon(fleet.addServerDaemon())
         , server(freeAddress(daemon.spec().ip), [this](const RawConnection& connection, std::size_t) { serve(connection); })
     {
-        server.announceTo(daemon.spec().backend, "tides");
+        server.announceTo(daemon.spec().backend, "tides", heldAnswers * slotsAtStart);
         fleet.addServer("orders", {}, "d1");
         fleet.configure(configuration);
         fleet.waitForRoute(daemon, "/notices?marker=ready");
@@ -129,6 +136,11 @@
         }
         if (name.starts_with("fast-")) {
             flood(connection, shapes.at(std::stoul(name.substr(5))));
+        } else if (name.starts_with("held-")) {
+            (void)connection.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(heldBytes, 'a'));
+            while (!server.stopping() && connection.send("a")) {
+                std::this_thread::sleep_for(slowPause);
+            }
         } else if (name.starts_with("slow-")) {
             drip(connection, shapes.at(std::stoul(name.substr(5))));
         } else {
@@ -207,6 +219,26 @@
     BOOST_TEST(mesh.daemon.process().running());
 }
 
+/// Guards against a faulty server that exhausts the memory of its daemon with answers that are each within their limit.
+BOOST_AUTO_TEST_CASE(manyAnswersWithoutEndTogetherStayWithinTheMemory)
+{
+    Endless mesh;
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (std::size_t n = 0; n < heldAnswers; ++n) {
+        connections.push_back(std::make_unique<RawConnection>(mesh.daemon.spec().caller));
+        (void)connections.back()->send(get("/tides?marker=held-" + std::to_string(n)));
+    }
+    for (std::size_t n = 0; n < heldAnswers; ++n) {
+        BOOST_TEST(statusIn(connections[n]->readAnswer(endBound)) >= 500, "held-" << n);
+    }
+    BOOST_TEST(memoryOf(mesh.daemon.process(), "VmHWM:") <= smallestMemoryBytes);
+    const auto held = [&mesh](std::size_t n) { return mesh.hasSeen("held-" + std::to_string(n)); };
+    const auto begun = static_cast<std::size_t>(std::ranges::count_if(std::views::iota(std::size_t { 0 }, heldAnswers), held));
+    BOOST_TEST(begun * heldBytes > pw::config::maxBufferedAnswerBytes); // Otherwise nothing was tested.
+    BOOST_TEST(mesh.fleet.get(mesh.daemon, "/notices?marker=beside").status == 200);
+    BOOST_TEST(mesh.fleet.get(mesh.daemon, "/tides?marker=afterwards").status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(aSlowAnswerWithoutEndEndsAtItsDeadline)
 {
     Endless mesh;
--- a/tests/process/support/raw_server.cpp
+++ b/tests/process/support/raw_server.cpp
@@ -60,11 +60,11 @@
     close(m_listener);
 }
 
-void RawServer::announceTo(const std::string& daemon, const std::string& service)
+void RawServer::announceTo(const std::string& daemon, const std::string& service, std::size_t slots)
 {
     support::HttpRequest request;
     request.method = "POST";
-    request.target = std::string(support::http::announcePath) + "?service=" + service + "&address=" + m_address + "&slots=40&connections=330";
+    request.target = std::string(support::http::announcePath) + "?service=" + service + "&address=" + m_address + "&slots=" + std::to_string(slots) + "&connections=330";
     m_announcing = std::thread([this, daemon = support::parseAddress(daemon).value(), request] {
         while (!m_stopping) {
             (void)support::fetch(daemon, request, announceTimeout);
--- a/tests/process/support/raw_server.h
+++ b/tests/process/support/raw_server.h
@@ -22,7 +22,7 @@
     RawServer& operator=(const RawServer&) = delete;
 
     /// Announces the server to the daemon whose backend-side address is \p daemon, again and again.
-    void announceTo(const std::string& daemon, const std::string& service);
+    void announceTo(const std::string& daemon, const std::string& service, std::size_t slots = 40);
 
     const std::string& address() const { return m_address; }
     /// \returns whether scripts should end.
