--- a/src/app/control_log.h
+++ b/src/app/control_log.h
@@ -65,7 +65,8 @@
     ControlLog(const ControlLog&) = delete;
     ControlLog& operator=(const ControlLog&) = delete;
 
-    /// Opens the storage and starts the log member. \returns false with \p reason when the storage cannot be opened.
+    /// Opens the storage and starts the log member; tries again later if the storage cannot be opened for a reason that may pass.
+    /// \returns false with \p reason when it cannot be opened for another one.
     bool start(std::string& reason);
 
     /// Creates a new cluster with this member only; the other members named in the settings then join it.
--- a/src/app/control_log_impl.cpp
+++ b/src/app/control_log_impl.cpp
@@ -83,6 +83,9 @@
     m_nextReopen = now + config::storageRetryInterval;
     const auto stored = m_storage.open(m_random);
     if (!stored) {
+        if (!m_storage.mayRecover()) {
+            PW_EVENT(m_events, Event::ControlStopped, { "reason", m_storage.lastReason() });
+        }
         return;
     }
     if (!m_raft->resume(*stored, now)) {
