Simplify the accounting of incomplete answers

No behaviour changes. The connection's share is set through an accessor in place of a friend in the middle of its members. Two checks could never hold: a connection that was not read cannot complete its response, so it need not be resumed before it becomes idle; one that failed to write does not become idle, so it need not be asked when it is taken from the idle ones.

OperatorCli asked for a member's status in two places; one function does now.

The process suites HttpEnds, EndlessInput, BackendFailures and Control, the formatter and the linter on the changed files pass.

--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -195,8 +195,8 @@
 /// Notes that the incomplete response on \p connection has \p bytes.
 void BackendClient::onBuffered(detail::BackendConnection& connection, std::size_t bytes)
 {
-    m_bufferedBytes += bytes;
-    m_bufferedBytes -= std::exchange(connection.m_bufferedBytes, bytes);
+    m_bufferedBytes = m_bufferedBytes - connection.bufferedBytes() + bytes;
+    connection.setBufferedBytes(bytes);
     limitReading();
 }
 
@@ -208,7 +208,7 @@
     if (!std::exchange(m_limitsReading, limits) && !limits) {
         return;
     }
-    const auto isLarge = [](const auto& it) { return !it.second->isBroken && it.second->connection->m_bufferedBytes >= config::smallAnswerBytes; };
+    const auto isLarge = [](const auto& it) { return !it.second->isBroken && it.second->connection->bufferedBytes() >= config::smallAnswerBytes; };
     auto oldest = m_lastId;
     std::ranges::for_each(m_running | std::views::filter(isLarge), [&oldest](const auto& it) { oldest = std::min(oldest, it.first); });
     std::ranges::for_each(m_running, [&](const auto& it) { it.second->connection->pauseReading(limits && isLarge(it) && it.first != oldest); });
@@ -322,7 +322,6 @@
     }
     onBuffered(*running.connection, 0);
     if (reusable) {
-        running.connection->pauseReading(false);
         running.connection->setIdleSince(m_timers.now());
         m_idle.push_back(std::move(running.connection));
         closeUnused();
--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -196,7 +196,7 @@
         return false;
     }
     const auto idle = now - m_idleSince;
-    return m_stream.input().empty() && !m_stream.writeFailed() && idle < maxIdle() && (repeatable || idle < config::maxIdleForNonIdempotent);
+    return m_stream.input().empty() && idle < maxIdle() && (repeatable || idle < config::maxIdleForNonIdempotent);
 }
 
 Duration BackendConnection::maxIdle() const
--- a/src/adapters/backend_connection.h
+++ b/src/adapters/backend_connection.h
@@ -24,6 +24,10 @@
     void streamReadable() override;
     void streamEnded(StreamEnd end) override;
 
+    /// \returns the share of this connection in the bytes that its client counts as buffered.
+    std::size_t bufferedBytes() const { return m_bufferedBytes; }
+    void setBufferedBytes(std::size_t bytes) { m_bufferedBytes = bytes; }
+
     /// Pauses or resumes reading the response.
     void pauseReading(bool pause) { m_stream.pauseReading(pause); }
 
@@ -58,9 +62,7 @@
     bool m_sent = false;
     bool m_sawStrayResponse = false; ///< A response to another request arrived during the current exchange.
     std::size_t m_strayResponses = 0;
-    friend class pw::BackendClient;
-
-    std::size_t m_bufferedBytes = 0; ///< Share of BackendClient::m_bufferedBytes.
+    std::size_t m_bufferedBytes = 0;
     std::size_t m_interimResponses = 0; ///< Interim (1xx) responses to the current exchange.
     TimePoint m_idleSince {};
     std::optional<Duration> m_keepAlive; ///< Idle timeout announced in the Keep-Alive header.
--- a/tests/process/support/operator_cli.cpp
+++ b/tests/process/support/operator_cli.cpp
@@ -24,6 +24,17 @@
         }
     }
 
+    YAML::Node statusOf(const OperatorCli& operators, const std::string& member)
+    {
+        return jsonOf(operators.runAt(member, { "status", "--timeout", "1" }));
+    }
+
+    /// \returns the role in the replicated log in the output \p status, empty when there is none.
+    std::string roleIn(const YAML::Node& status)
+    {
+        return status.IsMap() ? status["control"]["role"].as<std::string>("") : std::string();
+    }
+
 } // namespace
 
 OperatorCli::OperatorCli(const Folder& folder, const FleetFiles& files)
@@ -81,15 +92,14 @@
 
 std::string OperatorCli::roleAt(const std::string& member) const
 {
-    const auto json = jsonOf(runAt(member, { "status", "--timeout", "1" }));
-    return json.IsMap() ? json["control"]["role"].as<std::string>("") : std::string();
+    return roleIn(statusOf(*this, member));
 }
 
 std::string OperatorCli::leader() const
 {
     for (const auto& it : m_memberAddresses) {
-        const auto json = jsonOf(runAt(it, { "status", "--timeout", "1" }));
-        if (json.IsMap() && json["control"]["role"].as<std::string>("") == "leader") {
+        const auto json = statusOf(*this, it);
+        if (roleIn(json) == "leader") {
             return json["daemon"]["name"].as<std::string>("");
         }
     }
