Close a connection to the backend server at the end of its exchange

What callers saw: a daemon froze while it connected to the server beside it.

Cause: an exchange that times out while its connection is being opened ends as "not run", and the dispatcher sends the request elsewhere. Its connection was only destroyed one iteration of the event loop later and still held the request. After SIGCONT the loop runs timers before sockets; the connection had opened during the freeze, so the next step was to write the request.

Why it works: only the exchange that owns a connection can send on it. What ends the exchange closes the socket and drops the unsent bytes in the same step, whatever the loop handles next. This covers time-outs, cancellations, planned stops and lost links alike.

--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -82,6 +82,12 @@
     m_reader.begin(m_request.method == "HEAD");
 }
 
+void BackendConnection::abandon()
+{
+    m_exchange = 0;
+    m_stream.close();
+}
+
 void BackendConnection::streamConnected()
 {
     m_sent = m_exchange != 0;
--- a/src/adapters/backend_connection.h
+++ b/src/adapters/backend_connection.h
@@ -17,8 +17,9 @@
     /// \param isProbe whether any answer of the server is a complete response.
     void start(std::uint64_t exchange, HttpRequest request, bool isProbe);
 
-    /// Abandons the current exchange, if any; its response is no longer reported.
-    void abandon() { m_exchange = 0; }
+    /// Abandons the current exchange, if any, and closes the connection: what has not been sent by now is never sent, whatever the
+    /// order in which timers and sockets are handled. The response is no longer reported.
+    void abandon();
 
     void streamConnected() override;
     void streamReadable() override;
--- a/src/adapters/tcp_stream.cpp
+++ b/src/adapters/tcp_stream.cpp
@@ -88,12 +88,20 @@
 
 TcpStream::~TcpStream()
 {
-    if (m_dirty) {
+    close();
+}
+
+void TcpStream::close()
+{
+    if (std::exchange(m_dirty, false)) {
         m_loop.removeStream(this);
     }
     m_event.reset();
+    m_watched = 0;
+    m_ended = true;
+    m_connected = false;
     if (m_fd >= 0) {
-        close(m_fd);
+        ::close(std::exchange(m_fd, -1));
     }
 }
 
--- a/src/adapters/tcp_stream.h
+++ b/src/adapters/tcp_stream.h
@@ -99,6 +99,9 @@
     /// Sends the queued bytes and then closes the sending side.
     void finishWriting();
 
+    /// Closes the connection without sending the queued bytes. Afterwards nothing is sent or reported any more.
+    void close();
+
     bool connected() const { return m_connected; }
 
 private:
--- a/tests/unit/support/fake_network.h
+++ b/tests/unit/support/fake_network.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <utility>
+#include <vector>
 
 /// Simulated clock and network with seeded randomness, for any number of daemons in one process.
 namespace pw::test {
@@ -43,6 +44,21 @@
         m_now = end;
     }
 
+    /// Runs the timers that have expired. Those that they start wait for the next call, like in an event loop.
+    void runExpired()
+    {
+        std::vector<TimerId> expired;
+        for (auto it = m_due.begin(); it != m_due.end() && it->first.first <= m_now; ++it) {
+            expired.push_back(it->first.second);
+        }
+        for (const auto id : expired) {
+            const auto it = std::ranges::find(m_due, id, [](const auto& entry) { return entry.first.second; });
+            if (it != m_due.end()) {
+                m_due.extract(it).mapped()();
+            }
+        }
+    }
+
     /// Advances the clock without running timers, as a suspended VM does before it has run its timers.
     void suspend(Duration time) { m_now += time; }
 
