Send what waits for a link on the first one that is open

What callers saw: nothing untrue. But a call that waited for a new link while the old one was heard again stayed behind, and went out whenever a link to that daemon was dialled next, with its first deadline: an order given up long ago could still be carried out. Calls beyond the backlog of a new link were dropped without a word and waited for their deadlines.

Cause: messages waited for the link that was dialled; a link that recovered did not look at them, and dialFailed() left them when another link was open. opened() ignored that send() refuses messages above the backlog.

Evidence, two ends of a link in one process, before this change: messagesThatWaitForALinkAreSentOnOneThatRecovers gets 3 of 4 messages; messagesThatANewLinkDoesNotTakeAreReportedAsUnsent gets 16 of 24, none of the other 8 reported. Both pass now, with BackendFailures and the unit tests of Dispatchers and SilencePlays.

Why it works: messages wait only while no link is open. Whichever opens first, also by recovery, takes them in order; what it does not take is reported as unsent, which is true, so the dispatcher fails over at once.

--- a/src/adapters/peer_network_libevent.cpp
+++ b/src/adapters/peer_network_libevent.cpp
@@ -153,8 +153,24 @@
         peer.dialling = nullptr;
     }
     peer.open.push_back(link);
-    auto waiting = std::exchange(peer.waiting, {});
-    std::ranges::for_each(waiting, [&](const Waiting& it) { link->send(it.kind, it.message); });
+    sendWaiting(*link, peer);
+}
+
+/// Sends what has waited for a link, so that messages wait only while none is open.
+void PeerNetworkLibevent::sendWaiting(PeerLink& link, Peer& peer)
+{
+    const auto waiting = std::exchange(peer.waiting, {});
+    const auto firstUnsent = std::ranges::find_if_not(waiting, [&link](const Waiting& it) { return link.send(it.kind, it.message); });
+    reportUnsent(link.peer(), { firstUnsent, waiting.end() });
+}
+
+void PeerNetworkLibevent::reportUnsent(const PeerAddress& peer, const std::vector<Waiting>& messages)
+{
+    std::ranges::for_each(messages, [&](const Waiting& it) {
+        if (auto& handler = m_unsentHandlers.at(static_cast<std::size_t>(it.kind))) {
+            handler(peer, it.message);
+        }
+    });
 }
 
 void PeerNetworkLibevent::closed(PeerLink* link)
@@ -194,6 +210,8 @@
     if (open.empty()) {
         // Handlers may change the peer table.
         m_silent.emit(PeerAddress(link->peer()));
+    } else {
+        sendWaiting(*open.back(), it->second);
     }
 }
 
@@ -208,11 +226,7 @@
     if (!hasUnresponsive) {
         m_peers.erase(peer);
     }
-    std::ranges::for_each(waiting, [&](const Waiting& it) {
-        if (auto& handler = m_unsentHandlers.at(static_cast<std::size_t>(it.kind))) {
-            handler(peer, it.message);
-        }
-    });
+    reportUnsent(peer, waiting);
     if (!hasUnresponsive) {
         reportLost(peer);
     }
--- a/src/adapters/peer_network_libevent.h
+++ b/src/adapters/peer_network_libevent.h
@@ -48,7 +48,7 @@
     struct Peer {
         std::vector<PeerLink*> open;
         std::vector<PeerLink*> unresponsive; ///< Unresponsive links: nothing is sent on them, but received frames are handled.
-        std::vector<Waiting> waiting; ///< Messages queued until the dialled link is open.
+        std::vector<Waiting> waiting; ///< Messages queued until a link is open; empty while one is.
         PeerLink* dialling = nullptr;
     };
 
@@ -59,6 +59,8 @@
     void closed(PeerLink* link);
     void unresponsiveChanged(PeerLink* link);
     void received(PeerLink* link, MessageKind kind, std::span<const std::byte> message);
+    void sendWaiting(PeerLink& link, Peer& peer);
+    void reportUnsent(const PeerAddress& peer, const std::vector<Waiting>& messages);
     void dialFailed(const PeerAddress& peer);
     void sendToSelf(MessageKind kind, const Bytes& message);
     void deliverToSelf();
--- a/src/ports/peer_network.h
+++ b/src/ports/peer_network.h
@@ -69,7 +69,7 @@
     virtual void onPeerUnresponsive(const LostHandler& /*handler*/) { }
 
     /// Sets the handler for messages of \p kind that send() accepted but that never left this process, because no link
-    /// could be opened.
+    /// could be opened or the one that was could not take all that had waited for it.
     virtual void onUnsent(MessageKind, const UnsentHandler&) { }
 
     /// Sends a probe to \p peer if there was no recent contact; opens a link if there is none.
