Check a waiting call again when its turn comes

What callers saw: a server fell silent under load and its address went to a server of another service.

Cause: service, leaving, evacuation and quarantine are compared when a call arrives. Nobody looked at the calls that wait for a slot when one of these changed, nor at a call when its turn came, and the request then named the new start of the server, whose own check could not help.

BackendClients: a request whose connection is being opened when another start becomes known was sent to it (2 rows), and a connection to an earlier start was reused.

Why it works: the same check that admits a call decides again at the moment of sending, so that no change can fall between them. Another service, or announcements that lapse, refuse all that wait at once as not run. Connections belong to one start of the server: earlier ones finish what they carry and are closed, unsent requests are taken back.

"No server of the service" and 421 have not run either, and another daemon can help, so the dispatcher now tries elsewhere instead of refusing (Retries, two rows that failed before).

--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -104,10 +104,23 @@
     }
     m_authority = address;
     m_address = parsed;
-    closeIdle();
+    onServerStarted();
     return true;
 }
 
+void BackendClient::onServerStarted()
+{
+    m_openedAtStart = m_opened;
+    closeIdle();
+    for (const auto& [id, running] : m_running) {
+        if (!running->connection->sent()) {
+            running->connection->abandon();
+            m_timers.cancel(running->connectTimeout);
+            running->connectTimeout = m_timers.after(Duration::zero(), [this, id = id] { fail(id, notStarted, "the server was replaced", false); });
+        }
+    }
+}
+
 void BackendClient::closeIdle()
 {
     std::ranges::for_each(std::exchange(m_idle, {}), [this](auto& it) { release(std::move(it)); });
@@ -321,7 +334,7 @@
         result.response = std::move(answer);
     }
     onBuffered(*running.connection, 0);
-    if (reusable) {
+    if (reusable && running.connection->number() > m_openedAtStart) {
         running.connection->setIdleSince(m_timers.now());
         m_idle.push_back(std::move(running.connection));
         closeUnused();
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -45,7 +45,7 @@
     BackendClient(const BackendClient&) = delete;
     BackendClient& operator=(const BackendClient&) = delete;
 
-    /// Sets the address of the backend server and closes idle connections to any other address.
+    /// Sets the address of the backend server. Another address means another server, see onServerStarted().
     /// \returns false when \p address is not "ip:port".
     bool setAddress(const std::string& address);
 
@@ -75,8 +75,9 @@
     /// Cancels a running request and closes its connection.
     void cancel(std::uint64_t id);
 
-    /// Closes idle connections.
-    void closeIdle();
+    /// Handles another start of the backend server. What was sent to an earlier one completes, but its connections are not reused,
+    /// and exchanges that still wait for a connection end as not run.
+    void onServerStarted();
 
     /// \returns the number of open connections, including idle ones.
     std::size_t connectionCount() const { return m_running.size() + m_idle.size(); }
@@ -107,6 +108,7 @@
     bool isSilent() const;
     void onConnectionEnded(const detail::BackendConnection* ended);
     void reportLost();
+    void closeIdle();
     bool closeIdleConnection(detail::BackendConnection* connection);
     void closeUnused();
     void release(ConnectionPtr connection);
@@ -120,6 +122,7 @@
     std::uint64_t m_opened = 0;
     std::function<void()> m_connectionLost;
     std::uint64_t m_openedAtLoss = 0; ///< Connections opened when the last one was lost.
+    std::uint64_t m_openedAtStart = 0; ///< Connections opened when the current start of the backend server became known.
     TimePoint m_respondedAt {}; ///< Last bytes of a response.
     TimePoint m_silentSince {}; ///< Last response, or start of the first request that was not answered after it.
     bool m_timedOut = false; ///< A request has timed out since the last response.
--- a/src/app/server_role.cpp
+++ b/src/app/server_role.cpp
@@ -161,10 +161,7 @@
     PendingCall work;
     work.key = { from, call.id };
     work.arrived = m_timers.now();
-    if (m_entry.leaving && !m_admissionStopped && work.arrived >= m_stopAdmittingAt) {
-        // After a suspension of the VM, calls are read before the timers run.
-        stopAdmitting();
-    }
+    stopAdmittingIfDue();
     work.deadline = work.arrived + call.timeLeft;
     work.call = std::move(call);
     work.done = std::move(done);
@@ -257,9 +254,20 @@
     return std::to_string(m_entry.incarnation) + "-" + std::to_string(id);
 }
 
-void ServerRole::startRun(std::uint64_t id)
+/// Starts a call whose turn has come, unless something that it was checked for on arrival has changed while it waited.
+/// \returns whether it was started; otherwise its slot is free again.
+bool ServerRole::startRun(std::uint64_t id)
 {
     auto& work = m_calls.at(id);
+    if (const auto refusal = immediateRefusal(work.call)) {
+        m_admission.cancel(id, m_timers.now());
+        refuse(id, *refusal);
+        return false;
+    }
+    if (!m_isolated.contains(id) && waitForIsolation(id)) {
+        m_admission.cancel(id, m_timers.now());
+        return false;
+    }
     work.running = true;
     work.startedAt = m_timers.now();
     work.backendId = m_backendId;
@@ -269,6 +277,7 @@
     }
     work.exchange = m_client.start(requestFor(id, work), timeLeft(work), work.call.idempotent,
         [this, id](BackendResult result) { onRunFinished(id, std::move(result)); });
+    return true;
 }
 
 void ServerRole::onStatement(const PendingCall& work, const BackendStatement& statement)
@@ -468,18 +477,27 @@
     std::ranges::for_each(orphans, [&](std::uint64_t callId) { cancel(peer, callId); });
 }
 
-void ServerRole::processQueue()
+/// Starts the queued calls whose turn has come and refuses those that were shed. \returns whether a slot is free again because a
+/// call was not started.
+bool ServerRole::pollQueue()
 {
-    auto ready = m_admission.poll(m_timers.now());
+    const auto ready = m_admission.poll(m_timers.now());
     reportRamp(m_timers.now());
     const auto limited = !m_admission.warmUp().hasToken(m_timers.now());
-    std::ranges::for_each(ready.start, [this](std::uint64_t id) { startRun(id); });
+    const auto started = std::ranges::count_if(ready.start, [this](std::uint64_t id) { return startRun(id); });
     std::ranges::for_each(ready.shed, [&](const ShedRequest& it) {
         if (limited) {
             recordHeldBack(WarmUpOutcome::Refused);
         }
         refuse(it.id, it.refusal);
     });
+    return started < std::ranges::ssize(ready.start);
+}
+
+void ServerRole::processQueue()
+{
+    stopAdmittingIfDue();
+    while (pollQueue()) { }
     m_timers.cancel(std::exchange(m_wakeTimer, 0));
     if (auto wake = m_admission.nextWake()) {
         m_wakeTimer = m_timers.after(*wake - m_timers.now(), [this] {
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -168,7 +168,8 @@
     void onEvacuationBegan();
     void onEvacuationEnded();
     void admit(std::uint64_t id);
-    void startRun(std::uint64_t id);
+    bool startRun(std::uint64_t id);
+    bool pollQueue();
     HttpRequest requestFor(std::uint64_t id, const PendingCall& work) const;
     Duration timeLeft(const PendingCall& work) const;
     std::string exchangeId(std::uint64_t id) const;
@@ -190,6 +191,7 @@
     void addPrices(const PeerAddress& receiver, Answer& answer);
     void reportPrice(TimePoint now);
     void stopAdmitting();
+    void stopAdmittingIfDue();
     /// \returns how long a leaving server still accepts new calls.
     Duration leaveGrace() const { return m_settings.drainTimeout / 2; }
 
--- a/src/app/server_role_registration.cpp
+++ b/src/app/server_role_registration.cpp
@@ -43,9 +43,10 @@
         return false;
     }
     const auto isFirst = m_entry.service.empty();
+    const auto isOtherService = !isFirst && m_entry.service != announcement.service;
     auto changed = !m_announced || m_entry.service != announcement.service || m_entry.slots != announcement.slots
         || m_entry.connections != announcement.connections;
-    const auto isNewStart = announcement.started != m_lastAnnouncement.started || announcement.instance != m_lastAnnouncement.instance;
+    const auto isNewStart = isOtherService || announcement.started != m_lastAnnouncement.started || announcement.instance != m_lastAnnouncement.instance;
     const auto isReturn = !isNewStart && announcesReturn(announcement);
     if (isNewStart || isReturn) {
         onServerStarted(announcement);
@@ -75,6 +76,9 @@
         reportRamp(m_timers.now());
         PW_EVENT(m_log, Event::BackendAnnounced, { "service", m_entry.service }, { "address", announcement.address }, { "slots", m_entry.slots });
         publish();
+        if (isOtherService) {
+            refuseQueued(Reason::NoBackendServer);
+        }
         processQueue();
     }
     return true;
@@ -104,7 +108,7 @@
 /// Resets the state kept for the previous start of the backend server.
 void ServerRole::onServerStarted(const Announcement& announcement)
 {
-    m_client.closeIdle();
+    m_client.onServerStarted();
     m_admission.rate().reset();
     m_pace.reset();
     m_serverLeft = false;
@@ -140,6 +144,8 @@
     m_entry.leaving = true;
     publish();
     m_entry.leaving = false;
+    refuseQueued(Reason::NoBackendServer);
+    processQueue();
 }
 
 void ServerRole::onServerLeaving()
@@ -253,6 +259,14 @@
     m_leaveTimer = m_timers.after(leaveGrace(), [this] { stopAdmitting(); });
 }
 
+/// After a suspension of the VM, calls and answers are read before the timers run.
+void ServerRole::stopAdmittingIfDue()
+{
+    if (m_entry.leaving && !m_admissionStopped && m_timers.now() >= m_stopAdmittingAt) {
+        stopAdmitting();
+    }
+}
+
 void ServerRole::stopAdmitting()
 {
     m_admissionStopped = true;
--- a/src/core/retry.cpp
+++ b/src/core/retry.cpp
@@ -10,10 +10,12 @@
 
     constexpr std::array retryableReasons {
         Reason::Overloaded,
+        Reason::NoBackendServer,
         Reason::Leaving,
         Reason::Unreachable,
         Reason::BackendFailed,
         Reason::BackendRefused,
+        Reason::WrongServer,
         Reason::BackendCrashed,
         Reason::Evacuated,
     };
--- a/tests/unit/backend_client_test.cpp
+++ b/tests/unit/backend_client_test.cpp
@@ -43,17 +43,28 @@
         }
     }
 
+    /// Answers the last request.
+    void reply()
+    {
+        const auto id = singleHeader(held->request().headers, exchangeIdHeader).value();
+        std::exchange(held, nullptr)->reply({ 200, { { exchangeIdHeader, std::string(id) } }, "ok" });
+    }
+
     detail::BasePtr base { event_base_new() };
     StreamLoop loop { base.get() };
     FakeTimers timers;
     FakeTimers serverTimers;
     NativeBackendProtocol protocol;
     int lastExchange = 0;
+    bool answers = true; ///< Otherwise the server holds its requests.
+    std::shared_ptr<HttpExchange> held;
     int received = 0; ///< Requests that have reached the server.
     std::unique_ptr<HttpServer> server = std::make_unique<HttpServer>(loop, serverTimers, [this](const std::shared_ptr<HttpExchange>& exchange) {
         ++received;
-        const auto id = singleHeader(exchange->request().headers, exchangeIdHeader).value();
-        exchange->reply({ 200, { { exchangeIdHeader, std::string(id) } }, "ok" });
+        held = exchange;
+        if (answers) {
+            reply();
+        }
     });
     std::string address = freeAddress();
     std::string reason;
@@ -65,8 +76,8 @@
 struct EndBeforeSendRow {
     const char* name;
     Duration timeout; ///< Of the response.
-    Duration suspended; ///< For how long the loop does not run.
-    bool isCancelled;
+    void (*end)(Fixture& it, std::uint64_t exchange);
+    bool isReported;
 };
 
 std::ostream& operator<<(std::ostream& out, const EndBeforeSendRow& row)
@@ -74,11 +85,31 @@
     return out << row.name;
 }
 
+/// Handles the timers that have expired while the loop did not run.
+template <Duration::rep milliseconds>
+void wakeAfter(Fixture& it, std::uint64_t)
+{
+    it.timers.suspend(std::chrono::milliseconds(milliseconds));
+    it.timers.runExpired();
+}
+
 const std::vector<EndBeforeSendRow> endBeforeSendRows {
-    { "connection timed out", 5s, config::backendConnectTimeout, false },
-    { "response timed out", 100ms, 100ms, false },
-    { "both timed out", 5s, 6s, false },
-    { "cancelled", 5s, 0s, true },
+    { "connection timed out", 5s, wakeAfter<config::backendConnectTimeout.count()>, true },
+    { "response timed out", 100ms, wakeAfter<100>, true },
+    { "both timed out", 5s, wakeAfter<6000>, true },
+    { "cancelled", 5s, [](Fixture& it, std::uint64_t exchange) { it.client.cancel(exchange); }, false },
+    { "another server is at the address", 5s,
+        [](Fixture& it, std::uint64_t) {
+            it.client.onServerStarted();
+            it.timers.runExpired();
+        },
+        true },
+    { "the server is at another address", 5s,
+        [](Fixture& it, std::uint64_t) {
+            BOOST_REQUIRE(it.client.setAddress(freeAddress()));
+            it.timers.runExpired();
+        },
+        true },
 };
 
 } // namespace
@@ -91,12 +122,9 @@
     Fixture fixture;
     // The operating system opens the connection at once; the client does not see that until the loop runs.
     const auto exchange = fixture.start(row.timeout);
-    fixture.timers.suspend(row.suspended);
-    if (row.isCancelled) {
-        fixture.client.cancel(exchange);
-    } else {
-        fixture.timers.runExpired();
-        BOOST_REQUIRE(fixture.result.has_value());
+    row.end(fixture, exchange);
+    BOOST_REQUIRE(fixture.result.has_value() == row.isReported);
+    if (fixture.result) {
         BOOST_TEST((fixture.result->refusal.verdict == Verdict::NotRun));
         BOOST_TEST(!fixture.result->sent);
     }
@@ -118,4 +146,22 @@
     BOOST_TEST(fixture.received == 1);
 }
 
+/// Guards against a request for one start of the server that goes out on a connection to an earlier one.
+BOOST_AUTO_TEST_CASE(aConnectionToAnEarlierStartCompletesItsExchangeAndIsNotReused)
+{
+    Fixture fixture;
+    fixture.answers = false;
+    fixture.start(5s);
+    fixture.settle();
+    BOOST_REQUIRE(fixture.received == 1);
+    fixture.client.onServerStarted();
+    fixture.reply();
+    fixture.settle();
+    BOOST_REQUIRE(fixture.result.has_value());
+    BOOST_TEST((fixture.result->refusal.verdict == Verdict::Ran));
+    BOOST_TEST(fixture.client.connectionCount() == 0U);
+    fixture.start(5s, true);
+    BOOST_TEST(fixture.client.connectionsOpened() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/retry_test.cpp
+++ b/tests/unit/retry_test.cpp
@@ -37,6 +37,8 @@
     Row { "may have run, idempotent", question(Verdict::MayHaveRun, Reason::BackendFailed, true), true },
     Row { "shed by one server", question(Verdict::NotRun, Reason::Overloaded, false), true },
     Row { "leaving", question(Verdict::NotRun, Reason::Leaving, false), true },
+    Row { "no server of the service", question(Verdict::NotRun, Reason::NoBackendServer, false), true },
+    Row { "another server at the address", question(Verdict::NotRun, Reason::WrongServer, false), true },
     Row { "evacuated", question(Verdict::NotRun, Reason::Evacuated, false), true },
     Row { "saturated deeper", question(Verdict::NotRun, Reason::DownstreamOverloaded, true), false },
     Row { "over its rate", question(Verdict::NotRun, Reason::RateExceeded, true), false },
