Record a leave in the replicated log before it is acknowledged

Cause: the leave was known to the daemon beside the server and to the view of the control members, both in memory. docs/design/membership.md relied on one of them to survive.

Why it works: the leave of an identified start is a change of the replicated log (RecordDeparture), on as many disks as a configuration needs, and the acknowledgement waits for its commit; without one the server gets an error after 800 ms, and no new work all the same. Every daemon holds the last 1,024 departed starts. A daemon that has just started uses its server only once its state includes all that was acknowledged before its start, or after 5 s if control is out of reach, when a heartbeat is younger than the process.

The submitting of changes moved out of Quarantine into ChangeSubmitter, which both use. The native interface takes `instance` and `started`, optional.

--- a/src/adapters/codec_control_parts.cpp
+++ b/src/adapters/codec_control_parts.cpp
@@ -73,6 +73,7 @@
         {
             writeList(builder.initSuspects(static_cast<unsigned>(records.size())), records, writeSuspect);
         }
+        void operator()(const DepartureRecord& record) { builder.setDeparture(record.start); }
     };
 
     /// Writes one alternative of a change.
@@ -122,6 +123,7 @@
             };
             writeList(builder.initClearSuspects(static_cast<unsigned>(change.suspects.size())), change.suspects, write);
         }
+        void operator()(const RecordDeparture& change) { builder.setRecordDeparture(change.start); }
     };
 
 } // namespace
@@ -240,6 +242,8 @@
         return { reader.getIndex(), readEvacuation(reader.getEvacuation()) };
     case proto::FleetDelta::SUSPECTS:
         return { reader.getIndex(), readList(reader.getSuspects(), readSuspect) };
+    case proto::FleetDelta::DEPARTURE:
+        return { reader.getIndex(), DepartureRecord { reader.getDeparture() } };
     }
     require(false, "unknown kind of delta");
     return {};
@@ -258,13 +262,16 @@
     if (!image.suspects().empty()) {
         writeList(builder.initSuspects(static_cast<unsigned>(image.suspects().size())), image.suspects() | std::views::values, writeSuspect);
     }
+    if (!image.departures().empty()) {
+        writeNumbers(builder.initDepartures(static_cast<unsigned>(image.departures().size())), image.departures());
+    }
 }
 
 FleetImage readImage(proto::FleetImage::Reader reader)
 {
     return { reader.getIndex(), readConfiguration(reader.getConfiguration()), readList(reader.getKeys(), readKey),
         readList(reader.getMembers(), readMember), readList(reader.getEvacuations(), readEvacuation),
-        readList(reader.getSuspects(), readSuspect) };
+        readList(reader.getSuspects(), readSuspect), readNumbers(reader.getDepartures()) };
 }
 
 void writeResult(proto::ChangeResult::Builder builder, const ChangeResult& result)
@@ -315,6 +322,8 @@
     }
     case proto::Change::CLEAR_SUSPECTS:
         return { id, ClearSuspects { readList(reader.getClearSuspects(), readSuspectRevision) } };
+    case proto::Change::RECORD_DEPARTURE:
+        return { id, RecordDeparture { reader.getRecordDeparture() } };
     }
     require(false, "unknown kind of change");
     return {};
--- a/src/app/backend_endpoint.cpp
+++ b/src/app/backend_endpoint.cpp
@@ -54,7 +54,7 @@
     if (request.method == "POST" && pathOf(request.target) == announcePath) {
         announce(*exchange);
     } else if (request.method == "POST" && pathOf(request.target) == leavePath) {
-        leave(*exchange);
+        leave(exchange);
     } else {
         onNestedCall(exchange);
     }
@@ -68,6 +68,8 @@
     announcement.address = query.text("address");
     announcement.slots = countOf(query, "slots");
     announcement.connections = countOf(query, "connections");
+    announcement.instance = query.text("instance");
+    announcement.started = query.number("started").value_or(0);
     std::string reason;
     if (m_server.announce(announcement, reason)) {
         exchange.reply({ 204, {}, {} });
@@ -76,10 +78,19 @@
     }
 }
 
-void BackendEndpoint::leave(HttpExchange& exchange)
+void BackendEndpoint::leave(const std::shared_ptr<HttpExchange>& exchange)
 {
-    m_server.onServerLeaving();
-    exchange.reply({ 204, {}, {} });
+    HttpQuery query(exchange->request().target);
+    const auto instance = query.text("instance");
+    const auto started = query.number("started").value_or(0);
+    if (instance.empty() && started == 0) {
+        m_server.onServerLeaving();
+    } else {
+        m_server.onServerLeaving(instance, started);
+    }
+    m_server.confirmLeave(instance, started, [exchange](bool recorded) {
+        exchange->reply(recorded ? HttpResponse { 204, {}, {} } : HttpResponse { 503, {}, "the leave could not be recorded yet\n" });
+    });
 }
 
 void BackendEndpoint::onNestedCall(const std::shared_ptr<HttpExchange>& exchange)
--- a/src/app/backend_endpoint.h
+++ b/src/app/backend_endpoint.h
@@ -36,7 +36,7 @@
 
     void onRequest(const std::shared_ptr<HttpExchange>& exchange);
     void announce(HttpExchange& exchange);
-    void leave(HttpExchange& exchange);
+    void leave(const std::shared_ptr<HttpExchange>& exchange);
     void onNestedCall(const std::shared_ptr<HttpExchange>& exchange);
     DispatchRequest requestFor(const HttpRequest& request, const Route& route, const NestedGrant& grant);
     void dispatch(const NestedCallPtr& nested, DispatchRequest request);
--- a/src/app/control_log_impl.cpp
+++ b/src/app/control_log_impl.cpp
@@ -115,9 +115,9 @@
             processPending();
         }
     });
-    m_network.onMessage(MessageKind::SuspectChange, [this](const PeerAddress& from, std::span<const std::byte> bytes) {
+    m_network.onMessage(MessageKind::DaemonChange, [this](const PeerAddress& from, std::span<const std::byte> bytes) {
         if (auto ask = decodeOperatorAsk(bytes)) {
-            submitSuspectChange(from, std::move(*ask));
+            submitDaemonChange(from, std::move(*ask));
         }
     });
     m_network.onMessage(MessageKind::OperatorForwardReply, [this](const PeerAddress&, std::span<const std::byte> bytes) {
@@ -310,23 +310,23 @@
     processPending();
 }
 
-/// Submits a daemon's change of the suspects; it may make no other change.
-void ControlLog::Impl::submitSuspectChange(const PeerAddress& from, OperatorForwardRequest request)
+/// Submits a daemon's change of the suspects or departures; it may make no other change.
+void ControlLog::Impl::submitDaemonChange(const PeerAddress& from, OperatorForwardRequest request)
 {
     const auto* change = std::get_if<Change>(&request.operation);
-    const auto isSuspectChange = change
+    const auto isAllowed = change
         && (std::holds_alternative<ReportCrash>(change->operation) || std::holds_alternative<ClearSuspects>(change->operation)
-            || std::holds_alternative<ClaimTrial>(change->operation));
-    if (!isSuspectChange) {
+            || std::holds_alternative<ClaimTrial>(change->operation) || std::holds_alternative<RecordDeparture>(change->operation));
+    if (!isAllowed) {
         return;
     }
     const std::pair origin(from, request.token);
-    if (!m_suspectChanges.insert(origin).second) {
+    if (!m_daemonChanges.insert(origin).second) {
         return; // Sent again while it is in progress.
     }
     submit(std::move(request.operation), [this, from, origin, token = request.token](const ChangeResult& result) {
-        m_suspectChanges.erase(origin);
-        m_network.send(from, MessageKind::SuspectChangeReply, encodeOperatorReply({ token, result }));
+        m_daemonChanges.erase(origin);
+        m_network.send(from, MessageKind::DaemonChangeReply, encodeOperatorReply({ token, result }));
     });
 }
 
--- a/src/app/control_log_impl.h
+++ b/src/app/control_log_impl.h
@@ -62,7 +62,7 @@
     void loadSnapshot();
     void applyEntry(const LogEntry& entry);
     ChangeResult applyChange(const LogEntry& entry);
-    void submitSuspectChange(const PeerAddress& from, OperatorForwardRequest request);
+    void submitDaemonChange(const PeerAddress& from, OperatorForwardRequest request);
     OperatorRequestHandler::Done prepareOrder(const std::string& changeId, SetEvacuation& order, OperatorRequestHandler::Done done);
     void compactIfDue();
     void sendMessages();
@@ -96,7 +96,7 @@
     TimePoint m_transferDeadline {};
     std::vector<std::function<void()>> m_transferHandlers;
     std::map<std::string, std::uint64_t> m_acknowledgedOrders; ///< Revisions by failure domain, of orders answered here; may be ahead of m_state.
-    std::set<std::pair<PeerAddress, std::uint64_t>> m_suspectChanges; ///< Sender and token of those in progress.
+    std::set<std::pair<PeerAddress, std::uint64_t>> m_daemonChanges; ///< Sender and token of those in progress.
     std::vector<PendingRead> m_reads; ///< Oldest first.
     std::vector<std::function<void(bool)>> m_changed;
 };
--- a/src/app/control_session.cpp
+++ b/src/app/control_session.cpp
@@ -71,6 +71,8 @@
     std::vector<MemberLocation> members() const;
     void onChanged(std::function<void()> handler) { m_changed.push_back(std::move(handler)); }
     void onSuspectsChanged(std::function<void()> handler) { m_suspectsChanged.push_back(std::move(handler)); }
+    bool isCaughtUp() const { return m_validAsOf >= m_startedAt; }
+    void onDeparturesChanged(std::function<void()> handler) { m_departuresChanged.push_back(std::move(handler)); }
     void onMembers(std::function<void(const std::vector<MemberLocation>&)> handler) { m_membersChanged.push_back(std::move(handler)); }
 
 private:
@@ -89,6 +91,7 @@
     void publishMembers();
     void publishEvacuations();
     void publishSuspects();
+    void publishDepartures();
     void reselectMember();
     void logValidityChange();
 
@@ -118,6 +121,9 @@
     std::vector<std::function<void()>> m_changed;
     SuspectMap m_suspects; ///< As last passed to the handlers.
     std::vector<std::function<void()>> m_suspectsChanged;
+    std::vector<std::uint64_t> m_departures; ///< As last passed to the handlers.
+    bool m_wasCaughtUp = false; ///< As last passed to the handlers.
+    std::vector<std::function<void()>> m_departuresChanged;
     std::vector<MemberLocation> m_knownMembers; ///< As last passed to the handlers.
     std::vector<std::function<void(const std::vector<MemberLocation>&)>> m_membersChanged;
 };
@@ -237,6 +243,7 @@
     publishMembers();
     publishEvacuations();
     publishSuspects();
+    publishDepartures();
     publish();
     logValidityChange();
     if (changed || (missed && m_image.index() == before && reply.sentAt == Duration::zero())) {
@@ -312,7 +319,7 @@
     }
     m_validAsOf = std::max(m_validAsOf, sentAt - *reply.age);
     // An earlier process of this daemon cannot have applied changes accepted after this one started.
-    m_servesConfiguration = m_servesConfiguration || m_validAsOf >= m_startedAt;
+    m_servesConfiguration = m_servesConfiguration || isCaughtUp();
 }
 
 /// A daemon configured to continue without control members uses any configuration it has received, as it cannot wait for
@@ -356,6 +363,17 @@
     }
 }
 
+void ControlSession::Impl::publishDepartures()
+{
+    const auto changed = m_departures != m_image.departures();
+    if (changed) {
+        m_departures = m_image.departures();
+    }
+    if (std::exchange(m_wasCaughtUp, isCaughtUp()) != m_wasCaughtUp || changed) {
+        std::ranges::for_each(m_departuresChanged, [](const auto& handler) { handler(); });
+    }
+}
+
 /// Selects the preferred one of the members known now.
 void ControlSession::Impl::reselectMember()
 {
@@ -473,6 +491,22 @@
     m_impl->onSuspectsChanged(std::move(handler));
 }
 
+bool ControlSession::holdsEarlierDepartures() const
+{
+    return m_impl->isCaughtUp();
+}
+
+bool ControlSession::hasDeparted(std::uint64_t start) const
+{
+    const auto& departures = m_impl->image().departures();
+    return std::ranges::find(departures, start) != departures.end();
+}
+
+void ControlSession::onDeparturesChanged(std::function<void()> handler)
+{
+    m_impl->onDeparturesChanged(std::move(handler));
+}
+
 std::vector<MemberLocation> ControlSession::controlMembers() const
 {
     return m_impl->members();
--- a/src/app/control_session.h
+++ b/src/app/control_session.h
@@ -2,13 +2,15 @@
 
 #include "app/control_log.h"
 #include "core/member_selector.h"
+#include "ports/control_attachment.h"
+#include "ports/departure_registry.h"
 #include "ports/suspect_registry.h"
 
 namespace pw {
 
 /// A daemon's session with one control member: receives the replicated state and renews the validity lease.
 /// A daemon with the control role uses its own address, to which the network delivers locally.
-class ControlSession final : public FleetView, public SuspectRegistry {
+class ControlSession final : public FleetView, public SuspectRegistry, public DepartureRegistry, public ControlAttachment {
 public:
     /// \p network, \p timers and \p events must outlive this object.
     ControlSession(const Settings& settings, PeerNetwork& network, Timers& timers, std::uint64_t seed, EventLog& events,
@@ -37,12 +39,15 @@
     /// \returns the log index up to which this daemon has applied the state.
     std::uint64_t appliedIndex() const;
 
-    /// \returns the control member that this daemon is attached to.
     const PeerAddress& controlMember() const override;
 
     const SuspectMap& suspects() const override;
     void onSuspectsChanged(std::function<void()> handler) override;
 
+    bool holdsEarlierDepartures() const override;
+    bool hasDeparted(std::uint64_t start) const override;
+    void onDeparturesChanged(std::function<void()> handler) override;
+
     /// \returns all control members, from the replicated state or, before it has been received, from the settings.
     std::vector<MemberLocation> controlMembers() const;
 
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -3,6 +3,7 @@
 #include "adapters/crypto.h"
 #include "adapters/log_storage_file.h"
 #include "app/caller_endpoint.h"
+#include "app/change_submitter.h"
 #include "app/connection_limiter.h"
 #include "app/control_services.h"
 #include "app/control_session.h"
@@ -11,6 +12,7 @@
 #include "app/daemon_metrics.h"
 #include "app/daemon_reporter.h"
 #include "app/daemon_view.h"
+#include "app/departure_log.h"
 #include "app/interface.h"
 #include "app/operator_control.h"
 #include "app/quarantine.h"
@@ -58,6 +60,7 @@
 {
     m_session = std::make_unique<ControlSession>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log, m_interface->deploymentParser());
     m_view = std::make_unique<DaemonView>(m_settings, m_network, m_timers, crypto::randomNumber(), m_log);
+    m_changes = std::make_unique<ChangeSubmitter>(m_settings, *m_session, m_network, m_timers);
 }
 
 bool Daemon::makeControl(std::string& reason)
@@ -85,7 +88,7 @@
     if (!m_settings.quarantine.enabled || !(m_settings.server || m_settings.entry)) {
         return;
     }
-    m_quarantine = std::make_unique<Quarantine>(m_settings, *m_session, *m_view, m_network, m_timers, m_log);
+    m_quarantine = std::make_unique<Quarantine>(m_settings, *m_session, *m_view, *m_changes, m_timers, m_log);
     m_metrics->addQuarantineGauges(*m_quarantine);
 }
 
@@ -93,6 +96,8 @@
 {
     if (m_settings.server) {
         m_server = std::make_unique<ServerRole>(m_loop, m_settings, m_network, m_timers, m_log, *m_view, *m_session, m_interface->backendProtocol(), m_demandBoard, m_slotPrices.get());
+        m_departures = std::make_unique<DepartureLog>(*m_session, *m_changes, m_timers, m_log);
+        m_server->setDepartureLog(*m_departures);
     }
     if (!m_settings.server && !m_settings.entry) {
         return;
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -17,6 +17,7 @@
 
 class CallTransport;
 class CallerEndpoint;
+class ChangeSubmitter;
 class ConnectionLimiter;
 class ControlServices;
 class ControlSession;
@@ -25,6 +26,7 @@
 class DaemonMetrics;
 class DaemonReporter;
 class DaemonView;
+class DepartureLog;
 class Dispatcher;
 class DaemonEndpoint;
 class Interface;
@@ -90,6 +92,8 @@
     PeerNetworkLibevent m_network;
     std::unique_ptr<ControlSession> m_session;
     std::unique_ptr<DaemonView> m_view;
+    std::unique_ptr<ChangeSubmitter> m_changes;
+    std::unique_ptr<DepartureLog> m_departures;
     std::unique_ptr<Quarantine> m_quarantine; ///< Null with `quarantine.mode: off`.
     std::unique_ptr<ControlServices> m_control;
     std::unique_ptr<DaemonGrants> m_grants;
--- a/src/app/daemon_metrics.cpp
+++ b/src/app/daemon_metrics.cpp
@@ -13,7 +13,7 @@
     /// Indexed by MessageKind.
     constexpr std::array<const char*, static_cast<std::size_t>(MessageKind::Count)> kindNames {
         "call", "answer", "cancel", "raft", "session-ask", "session-reply", "grant-ask", "grant-reply", "claim-ask", "claim-reply",
-        "claim-fetch", "claim-fetched", "server-report", "view-delta", "operator-ask", "operator-reply", "suspect-change", "suspect-change-reply"
+        "claim-fetch", "claim-fetched", "server-report", "view-delta", "operator-ask", "operator-reply", "daemon-change", "daemon-change-reply"
     };
 
     std::string outcomeOf(const Refusal& refusal)
--- a/src/app/quarantine.cpp
+++ b/src/app/quarantine.cpp
@@ -1,7 +1,5 @@
 #include "app/quarantine.h"
 
-#include "adapters/codec_control.h"
-#include "adapters/crypto.h"
 #include "adapters/request_digest.h"
 #include "config.h"
 #include "core/member_selector.h"
@@ -18,24 +16,17 @@
     /// Time after a crash in which suspects of the service do not run.
     constexpr Duration settleTime = std::chrono::milliseconds(100);
 
-    std::string changeId(const Settings& settings, std::uint64_t token)
-    {
-        return "suspects-" + settings.name + "-" + std::to_string(token);
-    }
-
 } // namespace
 
-Quarantine::Quarantine(const Settings& settings, SuspectRegistry& registry, const ServerDirectory& directory, PeerNetwork& network, Timers& timers,
+Quarantine::Quarantine(const Settings& settings, SuspectRegistry& registry, const ServerDirectory& directory, ChangeSubmitter& changes, Timers& timers,
     EventLog& log)
     : m_settings(settings)
     , m_registry(registry)
     , m_directory(directory)
-    , m_network(network)
+    , m_changes(changes)
     , m_timers(timers)
     , m_log(log)
-    , m_lastToken(crypto::randomNumber())
 {
-    network.onMessage(MessageKind::SuspectChangeReply, [this](const PeerAddress&, std::span<const std::byte> message) { onReply(message); });
     registry.onSuspectsChanged([this] { onSuspectsChanged(); });
     onSuspectsChanged();
 }
@@ -43,7 +34,6 @@
 Quarantine::~Quarantine()
 {
     m_timers.cancel(m_flushTimer);
-    m_timers.cancel(m_retryTimer);
 }
 
 const SuspectRecord* Quarantine::find(RequestDigest digest) const
@@ -159,7 +149,7 @@
         done(false);
         return;
     }
-    submit(ClaimTrial { digest, record->revision, record->trials }, config::trialClaimTimeout, std::move(done));
+    m_changes.submit(ClaimTrial { digest, record->revision, record->trials }, config::trialClaimTimeout, std::move(done));
 }
 
 void Quarantine::serverCrashed(ReportCrash report)
@@ -185,7 +175,7 @@
         report.running.resize(config::maxSuspectsPerCrash);
     }
     const auto server = report.server;
-    submit(std::move(report), config::suspectChangeTimeout, [this, server](bool) { onCrashConfirmed(server); });
+    m_changes.submit(std::move(report), config::suspectChangeTimeout, [this, server](bool) { onCrashConfirmed(server); });
 }
 
 /// The replicated records tell of the crash from now on.
@@ -231,7 +221,7 @@
 void Quarantine::flush()
 {
     m_flushTimer = 0;
-    submit(ClearSuspects { std::exchange(m_toClear, {}) }, config::suspectChangeTimeout, {});
+    m_changes.submit(ClearSuspects { std::exchange(m_toClear, {}) }, config::suspectChangeTimeout, {});
 }
 
 void Quarantine::forgetOldCrashes()
@@ -276,60 +266,4 @@
     m_crashedServers.erase(0);
 }
 
-void Quarantine::submit(decltype(Change::operation) operation, Duration timeout, std::function<void(bool accepted)> done)
-{
-    const auto token = ++m_lastToken;
-    m_submitted[token] = { { changeId(m_settings, token), std::move(operation) }, m_timers.now() + timeout, std::move(done) };
-    send(token);
-    scheduleRetry();
-}
-
-void Quarantine::send(std::uint64_t token)
-{
-    if (const auto& member = m_registry.controlMember(); !member.empty()) {
-        m_network.send(member, MessageKind::SuspectChange, encodeOperatorAsk({ token, m_submitted.at(token).change }));
-    }
-}
-
-void Quarantine::scheduleRetry()
-{
-    if (!m_retryTimer && !m_submitted.empty()) {
-        m_retryTimer = m_timers.after(config::changeRetryInterval, [this] {
-            m_retryTimer = 0;
-            retry();
-        });
-    }
-}
-
-/// Sends the unconfirmed changes again, perhaps to another control member, and gives up those that have taken too long.
-void Quarantine::retry()
-{
-    std::vector<std::uint64_t> expired;
-    for (const auto& [token, submitted] : m_submitted) {
-        if (m_timers.now() >= submitted.giveUpAt) {
-            expired.push_back(token);
-        } else {
-            send(token);
-        }
-    }
-    std::ranges::for_each(expired, [this](std::uint64_t token) { finish(token, false); });
-    scheduleRetry();
-}
-
-void Quarantine::finish(std::uint64_t token, bool accepted)
-{
-    auto node = m_submitted.extract(token);
-    if (!node.empty() && node.mapped().done) {
-        node.mapped().done(accepted);
-    }
-}
-
-void Quarantine::onReply(std::span<const std::byte> message)
-{
-    const auto reply = decodeOperatorReply(message);
-    if (reply && reply->result.outcome != ChangeOutcome::Unknown && reply->result.outcome != ChangeOutcome::Unavailable) {
-        finish(reply->token, reply->result.outcome == ChangeOutcome::Accepted);
-    }
-}
-
 } // namespace pw
--- a/src/app/quarantine.h
+++ b/src/app/quarantine.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "app/change_submitter.h"
 #include "app/settings.h"
 #include "core/call.h"
-#include "core/change.h"
 #include "core/quarantine_policy.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
@@ -24,7 +24,7 @@
 class Quarantine {
 public:
     /// Everything must outlive this object.
-    Quarantine(const Settings& settings, SuspectRegistry& registry, const ServerDirectory& directory, PeerNetwork& network, Timers& timers,
+    Quarantine(const Settings& settings, SuspectRegistry& registry, const ServerDirectory& directory, ChangeSubmitter& changes, Timers& timers,
         EventLog& log);
     ~Quarantine();
     Quarantine(const Quarantine&) = delete;
@@ -99,18 +99,12 @@
     void onCrashConfirmed(std::uint64_t server);
     void forgetOldCrashes();
     void clear(const SuspectRecord& record);
-    void submit(decltype(Change::operation) operation, Duration timeout, std::function<void(bool accepted)> done);
     void flush();
-    void send(std::uint64_t token);
-    void scheduleRetry();
-    void retry();
-    void finish(std::uint64_t token, bool accepted);
-    void onReply(std::span<const std::byte> message);
 
     const Settings& m_settings;
     SuspectRegistry& m_registry;
     const ServerDirectory& m_directory;
-    PeerNetwork& m_network;
+    ChangeSubmitter& m_changes;
     Timers& m_timers;
     EventLog& m_log;
     std::unordered_map<RequestDigest, Learned> m_learned;
@@ -119,17 +113,7 @@
     std::set<std::uint64_t> m_crashedServers; ///< Of the records.
     std::unordered_map<std::string, TimePoint> m_lastCrash; ///< By service: when this daemon last learned of a crash.
     std::vector<SuspectRevision> m_toClear;
-
-    /// A change that control has not confirmed.
-    struct Submitted {
-        Change change;
-        TimePoint giveUpAt {};
-        std::function<void(bool accepted)> done; ///< May be empty.
-    };
-    std::map<std::uint64_t, Submitted> m_submitted; ///< By token.
-    std::uint64_t m_lastToken;
     TimerId m_flushTimer = 0;
-    TimerId m_retryTimer = 0;
 };
 
 } // namespace pw
--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/backend_client.h"
+#include "app/departure_log.h"
 #include "app/quarantine.h"
 #include "app/request_record.h"
 #include "app/settings.h"
@@ -69,6 +70,10 @@
     /// \param started start time in ms since the epoch; zero if unknown.
     void onServerLeaving(const std::string& instance, std::uint64_t started);
 
+    /// Confirms a leave that was announced or passed to onServerLeaving(). \p done is called once, possibly at once: with true
+    /// when no restart can bring that start of the backend server back into use, with false if that cannot be said in time.
+    void confirmLeave(const std::string& instance, std::uint64_t started, DepartureLog::Done done);
+
     /// Takes the backend server out of service. Unlike a leaving backend server, this is final.
     void leave();
 
@@ -92,6 +97,9 @@
     /// Applies the services of the configuration in force.
     void setServices(std::vector<Service> services) { m_warmUp.setServices(std::move(services)); }
 
+    /// Sets where leaves are recorded; must outlive this object. Without it, they are known to this process and its control member only.
+    void setDepartureLog(DepartureLog& log);
+
     /// Sets by what suspect requests are isolated; must outlive this object. Without it, requests are not identified.
     void setQuarantine(Quarantine& quarantine);
 
@@ -160,6 +168,8 @@
     bool announcesReturn(const Announcement& announcement) const;
     bool isOutdated(const Announcement& announcement) const;
     bool hasLeft(const Announcement& announcement) const;
+    bool mustWait(const Announcement& announcement) const;
+    void onDeparturesChanged();
     void recordDeparture(const std::string& instance, std::uint64_t started);
     void onServerStarted(const Announcement& announcement);
     void startLeaving();
@@ -226,6 +236,8 @@
     };
 
     std::deque<Departure> m_departures; ///< Oldest first.
+    DepartureLog* m_departureLog = nullptr; ///< Null unless leaves are recorded in the replicated state.
+    std::optional<Announcement> m_heldAnnouncement; ///< The last one that came before it was known whether its sender has left.
     bool m_announced = false;
     std::uint64_t m_backendId = 0; ///< Identifies the current start of the backend server; zero if unknown.
     bool m_serverLeft = false; ///< The current start has announced that it is leaving.
--- a/src/app/server_role_registration.cpp
+++ b/src/app/server_role_registration.cpp
@@ -38,6 +38,10 @@
     if (isOutdated(announcement) || hasLeft(announcement)) {
         return true;
     }
+    if (mustWait(announcement)) {
+        m_heldAnnouncement = announcement;
+        return true;
+    }
     if (!m_client.setAddress(announcement.address)) {
         reason = "not an ip:port address: " + announcement.address;
         return false;
@@ -148,9 +152,47 @@
     processQueue();
 }
 
+void ServerRole::setDepartureLog(DepartureLog& log)
+{
+    m_departureLog = &log;
+    log.onChanged([this] { onDeparturesChanged(); });
+}
+
+/// \returns whether \p announcement may be older than a leave that an earlier process of this daemon has confirmed.
+bool ServerRole::mustWait(const Announcement& announcement) const
+{
+    return m_departureLog && !announcement.leaving && backendIdOf(announcement) != 0 && !m_departureLog->canTrustAnnouncements();
+}
+
+void ServerRole::onDeparturesChanged()
+{
+    if (m_heldAnnouncement && m_departureLog->canTrustAnnouncements()) {
+        std::string reason;
+        announce(*std::exchange(m_heldAnnouncement, std::nullopt), reason);
+    }
+    // A leave that an earlier process did not confirm may have been recorded all the same.
+    if (m_announced && !m_serverLeft && m_backendId != 0 && m_departureLog->hasDeparted(m_backendId)) {
+        onServerLeaving();
+    }
+}
+
+void ServerRole::confirmLeave(const std::string& instance, std::uint64_t started, DepartureLog::Done done)
+{
+    const auto isCurrent = instance == m_lastAnnouncement.instance && (started == 0 || started == m_lastAnnouncement.started);
+    const auto start = isCurrent ? m_backendId : backendIdOf(instance, started);
+    if (m_departureLog && start != 0) {
+        m_departureLog->record(start, std::move(done));
+    } else {
+        done(true);
+    }
+}
+
 void ServerRole::onServerLeaving()
 {
     const auto isFirstNotice = !std::exchange(m_serverLeft, true);
+    if (isFirstNotice && m_departureLog && m_backendId != 0) {
+        m_departureLog->record(m_backendId, {});
+    }
     if (m_entry.leaving && isFirstNotice) {
         publish();
     }
@@ -169,6 +211,10 @@
 /// \returns whether the announced start, or a later one, left before it was announced here.
 bool ServerRole::hasLeft(const Announcement& announcement) const
 {
+    const auto start = backendIdOf(announcement);
+    if (m_departureLog && start != 0 && start != m_backendId && m_departureLog->hasDeparted(start)) {
+        return true;
+    }
     return std::ranges::any_of(m_departures, [&](const Departure& it) {
         const auto coversStart = it.started == 0 || announcement.started <= it.started;
         return it.instance == announcement.instance && coversStart && m_timers.now() < it.expiresAt;
--- a/src/config.h
+++ b/src/config.h
@@ -509,6 +509,13 @@
 inline constexpr milliseconds viewMemberGrace { 6000 };
 /// Retention time of a lapsed server, so that its removal reaches every daemon.
 inline constexpr milliseconds viewTombstoneRetention { 60000 };
+/// Departures of backend servers in the replicated state. An announcement is late by seconds; as many servers leave in an hour of
+/// a large fleet at most.
+inline constexpr std::size_t maxRecordedDepartures = 1024;
+/// Time for which a daemon submits a departure again.
+inline constexpr milliseconds departureTimeout { 30000 };
+/// Time after which a leave that is not recorded is answered with an error. Platforms wait for the answer for 1 s.
+inline constexpr milliseconds leaveConfirmTimeout { 800 };
 /// Number of leave notices about unknown starts of backend servers that a daemon remembers.
 inline constexpr std::size_t maxDepartures = 16;
 /// Minimum time between two full views sent to one daemon.
--- a/src/core/change.h
+++ b/src/core/change.h
@@ -38,10 +38,15 @@
                                                ///< would change the state conflicts if another one was accepted since. Unset: no check.
 };
 
-/// A change of the replicated state, submitted by an operator or, for suspects, by a daemon.
+/// A start of a backend server has left.
+struct RecordDeparture {
+    std::uint64_t start = 0; ///< ServerEntry::backendIncarnation of the backend server.
+};
+
+/// A change of the replicated state, submitted by an operator or, for suspects and departures, by a daemon.
 struct Change {
     std::string id; ///< Idempotency key chosen by the submitter; a change re-sent with the same id gets the stored answer.
-    std::variant<SubmitConfiguration, IssueKey, WithdrawKey, SetEvacuation, ReportCrash, ClearSuspects, ClaimTrial> operation;
+    std::variant<SubmitConfiguration, IssueKey, WithdrawKey, SetEvacuation, ReportCrash, ClearSuspects, ClaimTrial, RecordDeparture> operation;
 };
 
 /// Outcome of a change.
--- a/src/core/fleet_image.cpp
+++ b/src/core/fleet_image.cpp
@@ -1,5 +1,7 @@
 #include "core/fleet_image.h"
 
+#include "config.h"
+
 #include <algorithm>
 
 namespace pw {
@@ -13,6 +15,7 @@
         std::vector<ControlMemberRecord>& members;
         std::map<std::string, EvacuationRecord>& evacuations;
         SuspectMap& suspects;
+        std::vector<std::uint64_t>& departures;
 
         void operator()(const ConfigurationRecord& record) const { configuration = record; }
 
@@ -31,18 +34,30 @@
         void operator()(const EvacuationRecord& record) const { evacuations[record.failureDomain] = record; }
 
         void operator()(const std::vector<SuspectRecord>& records) const { detail::applyRecords(suspects, records); }
+
+        void operator()(const DepartureRecord& record) const
+        {
+            if (std::ranges::find(departures, record.start) != departures.end()) {
+                return;
+            }
+            departures.push_back(record.start);
+            if (departures.size() > config::maxRecordedDepartures) {
+                departures.erase(departures.begin());
+            }
+        }
     };
 
 } // namespace
 
 FleetImage::FleetImage(std::uint64_t index, ConfigurationRecord configuration, const std::vector<KeyRecord>& keys,
     std::vector<ControlMemberRecord> members, const std::vector<EvacuationRecord>& evacuations,
-    const std::vector<SuspectRecord>& suspects)
+    const std::vector<SuspectRecord>& suspects, std::vector<std::uint64_t> departures)
     : m_index(index)
     , m_configuration(std::move(configuration))
     , m_members(std::move(members))
+    , m_departures(std::move(departures))
 {
-    const Applier applier { m_configuration, m_keys, m_keyIds, m_members, m_evacuations, m_suspects };
+    const Applier applier { m_configuration, m_keys, m_keyIds, m_members, m_evacuations, m_suspects, m_departures };
     std::ranges::for_each(keys, applier);
     std::ranges::for_each(evacuations, applier);
     applier(suspects);
@@ -53,7 +68,7 @@
     if (delta.index <= m_index) {
         return;
     }
-    std::visit(Applier { m_configuration, m_keys, m_keyIds, m_members, m_evacuations, m_suspects }, delta.change);
+    std::visit(Applier { m_configuration, m_keys, m_keyIds, m_members, m_evacuations, m_suspects, m_departures }, delta.change);
     m_index = delta.index;
 }
 
--- a/src/core/fleet_image.h
+++ b/src/core/fleet_image.h
@@ -54,10 +54,17 @@
     bool operator==(const EvacuationRecord&) const = default;
 };
 
+/// A start of a backend server that has left.
+struct DepartureRecord {
+    std::uint64_t start = 0; ///< ServerEntry::backendIncarnation of the backend server.
+
+    bool operator==(const DepartureRecord&) const = default;
+};
+
 /// One change of the replicated state, as sent to daemons.
 struct FleetDelta {
     std::uint64_t index = 0; ///< Index of the log entry.
-    std::variant<ConfigurationRecord, KeyRecord, std::vector<ControlMemberRecord>, EvacuationRecord, std::vector<SuspectRecord>> change;
+    std::variant<ConfigurationRecord, KeyRecord, std::vector<ControlMemberRecord>, EvacuationRecord, std::vector<SuspectRecord>, DepartureRecord> change;
 };
 
 /// The part of the replicated state that every daemon holds, as of one log index.
@@ -66,7 +73,7 @@
     FleetImage() = default;
     FleetImage(std::uint64_t index, ConfigurationRecord configuration, const std::vector<KeyRecord>& keys,
         std::vector<ControlMemberRecord> members, const std::vector<EvacuationRecord>& evacuations = {},
-        const std::vector<SuspectRecord>& suspects = {});
+        const std::vector<SuspectRecord>& suspects = {}, std::vector<std::uint64_t> departures = {});
 
     /// Applies \p delta unless its index is at or below index().
     void apply(const FleetDelta& delta);
@@ -84,6 +91,9 @@
 
     const SuspectMap& suspects() const { return m_suspects; }
 
+    /// \returns the starts of backend servers that have left, oldest first; the last config::maxRecordedDepartures.
+    const std::vector<std::uint64_t>& departures() const { return m_departures; }
+
     /// \returns whether \p failureDomain is evacuated.
     bool isEvacuated(const std::string& failureDomain) const;
 
@@ -103,6 +113,7 @@
     std::vector<ControlMemberRecord> m_members;
     std::map<std::string, EvacuationRecord> m_evacuations; ///< By failure domain.
     SuspectMap m_suspects;
+    std::vector<std::uint64_t> m_departures;
 };
 
 } // namespace pw
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -69,6 +69,12 @@
             crc.process_bytes(&change.trials, sizeof change.trials);
         }
 
+        void operator()(const RecordDeparture& change)
+        {
+            add("departure");
+            crc.process_bytes(&change.start, sizeof change.start);
+        }
+
         void operator()(const ClearSuspects& change)
         {
             add("clear suspects");
@@ -87,12 +93,12 @@
     }
 
     /// \returns whether a re-sent change is to be applied anew. A conflict of an evacuation depends on the base revision that
-    /// the receiving member filled in, so a stored one would refuse the order at members with a later state too. Clearing suspects
-    /// and a trial that conflicts have no effect when applied again, and must not evict the answers to operators.
+    /// the receiving member filled in, so a stored one would refuse the order at members with a later state too. Clearing suspects,
+    /// a departure and a trial that conflicts have no effect when applied again, and must not evict the answers to operators.
     bool mayBeRepeated(const Change& change, const ChangeResult& result)
     {
         const auto isConflict = result.outcome == ChangeOutcome::Conflict;
-        return std::holds_alternative<ClearSuspects>(change.operation)
+        return std::holds_alternative<ClearSuspects>(change.operation) || std::holds_alternative<RecordDeparture>(change.operation)
             || (isConflict && (std::holds_alternative<SetEvacuation>(change.operation) || std::holds_alternative<ClaimTrial>(change.operation)));
     }
 
@@ -268,6 +274,14 @@
     return accept({ index, std::move(records) });
 }
 
+ApplyResult FleetState::execute(std::uint64_t index, const std::string&, const RecordDeparture& change)
+{
+    if (change.start == 0) {
+        return invalid("the start of the backend server has no identity");
+    }
+    return accept({ index, DepartureRecord { change.start } });
+}
+
 ApplyResult FleetState::invalid(std::string reason) const
 {
     return { { ChangeOutcome::Invalid, m_image.configuration().version, 0, std::move(reason) }, {} };
--- a/src/core/fleet_state.h
+++ b/src/core/fleet_state.h
@@ -61,6 +61,7 @@
     ApplyResult execute(std::uint64_t index, const std::string& changeId, const ReportCrash& change);
     ApplyResult execute(std::uint64_t index, const std::string& changeId, const ClearSuspects& change);
     ApplyResult execute(std::uint64_t index, const std::string& changeId, const ClaimTrial& change);
+    ApplyResult execute(std::uint64_t index, const std::string& changeId, const RecordDeparture& change);
     ApplyResult invalid(std::string reason) const;
     ApplyResult accept(FleetDelta delta);
 
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -56,6 +56,8 @@
         { 418, "call-given-up", Level::Warning, false },
         { 410, "backend-crashed", Level::Warning, false },
         { 411, "suspect-isolated", Level::Info, true },
+        { 412, "departure-recorded", Level::Info, false },
+        { 413, "departure-unconfirmed", Level::Warning, false },
         { 500, "configuration-applied", Level::Info, false },
         { 501, "validity-lapsed", Level::Warning, false },
         { 502, "validity-renewed", Level::Info, false },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -71,6 +71,8 @@
     CallGivenUp,
     BackendCrashed,
     SuspectIsolated,
+    DepartureRecorded,
+    DepartureUnconfirmed,
     ConfigurationApplied,
     ValidityLapsed,
     ValidityRenewed,
--- a/src/ports/peer_network.h
+++ b/src/ports/peer_network.h
@@ -28,8 +28,8 @@
     ViewDelta, ///< Control member to daemon: changes of the membership view.
     OperatorForwardRequest, ///< Control member to leader: forwarded request of an operator.
     OperatorForwardReply, ///< Leader to control member: result of the request.
-    SuspectChange, ///< Daemon to control member: a change of the suspect requests.
-    SuspectChangeReply, ///< Control member to daemon: result of the change.
+    DaemonChange, ///< Daemon to control member: a change of the suspect requests, or a departure of a backend server.
+    DaemonChangeReply, ///< Control member to daemon: result of the change.
     Count
 };
 
--- a/src/proto/control.capnp
+++ b/src/proto/control.capnp
@@ -183,6 +183,7 @@
     members @3 :List(ControlMember);
     evacuation @4 :Evacuation;
     suspects @5 :List(Suspect);
+    departure @6 :UInt64;
   }
 }
 
@@ -193,6 +194,7 @@
   members @3 :List(ControlMember);
   evacuations @4 :List(Evacuation);
   suspects @5 :List(Suspect);
+  departures @6 :List(UInt64);
 }
 
 struct ChangeResult {
@@ -230,6 +232,7 @@
     reportCrash @5 :CrashReport;
     clearSuspects @6 :List(SuspectRevision);
     claimTrial @7 :TrialClaim;
+    recordDeparture @8 :UInt64;
   }
 }
 
--- a/src/proto/control.capnp.h
+++ b/src/proto/control.capnp.h
@@ -442,10 +442,11 @@
     MEMBERS,
     EVACUATION,
     SUSPECTS,
+    DEPARTURE,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a52d78928376529b, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a52d78928376529b, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -460,7 +461,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5b76885112def84, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d5b76885112def84, 1, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -541,10 +542,11 @@
     REPORT_CRASH,
     CLEAR_SUSPECTS,
     CLAIM_TRIAL,
+    RECORD_DEPARTURE,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(92bced7afaf34853, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(92bced7afaf34853, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3058,6 +3060,9 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::pw::proto::Suspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline bool isDeparture() const;
+  inline  ::uint64_t getDeparture() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3130,6 +3135,10 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::pw::proto::Suspect,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pw::proto::Suspect,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline bool isDeparture();
+  inline  ::uint64_t getDeparture();
+  inline void setDeparture( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3190,6 +3199,9 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::pw::proto::Suspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline bool hasDepartures() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getDepartures() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3256,6 +3268,14 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::pw::proto::Suspect,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pw::proto::Suspect,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline bool hasDepartures();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getDepartures();
+  inline void setDepartures( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDepartures(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initDepartures(unsigned int size);
+  inline void adoptDepartures(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownDepartures();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3718,6 +3738,9 @@
   inline bool hasClaimTrial() const;
   inline  ::pw::proto::TrialClaim::Reader getClaimTrial() const;
 
+  inline bool isRecordDeparture() const;
+  inline  ::uint64_t getRecordDeparture() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3810,6 +3833,10 @@
   inline void adoptClaimTrial(::capnp::Orphan< ::pw::proto::TrialClaim>&& value);
   inline ::capnp::Orphan< ::pw::proto::TrialClaim> disownClaimTrial();
 
+  inline bool isRecordDeparture();
+  inline  ::uint64_t getRecordDeparture();
+  inline void setRecordDeparture( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6871,6 +6898,32 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetDelta::Reader::isDeparture() const {
+  return which() == FleetDelta::DEPARTURE;
+}
+inline bool FleetDelta::Builder::isDeparture() {
+  return which() == FleetDelta::DEPARTURE;
+}
+inline  ::uint64_t FleetDelta::Reader::getDeparture() const {
+  KJ_IREQUIRE((which() == FleetDelta::DEPARTURE),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetDelta::Builder::getDeparture() {
+  KJ_IREQUIRE((which() == FleetDelta::DEPARTURE),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FleetDelta::Builder::setDeparture( ::uint64_t value) {
+  _builder.setDataField<FleetDelta::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, FleetDelta::DEPARTURE);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FleetImage::Reader::getIndex() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7060,6 +7113,44 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool FleetImage::Reader::hasDepartures() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetImage::Builder::hasDepartures() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FleetImage::Reader::getDepartures() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetImage::Builder::getDepartures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FleetImage::Builder::setDepartures( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void FleetImage::Builder::setDepartures(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetImage::Builder::initDepartures(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void FleetImage::Builder::adoptDepartures(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FleetImage::Builder::disownDepartures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t ChangeResult::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7813,6 +7904,32 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Change::Reader::isRecordDeparture() const {
+  return which() == Change::RECORD_DEPARTURE;
+}
+inline bool Change::Builder::isRecordDeparture() {
+  return which() == Change::RECORD_DEPARTURE;
+}
+inline  ::uint64_t Change::Reader::getRecordDeparture() const {
+  KJ_IREQUIRE((which() == Change::RECORD_DEPARTURE),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Change::Builder::getRecordDeparture() {
+  KJ_IREQUIRE((which() == Change::RECORD_DEPARTURE),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Change::Builder::setRecordDeparture( ::uint64_t value) {
+  _builder.setDataField<Change::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Change::RECORD_DEPARTURE);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t SessionAsk::Reader::getCluster() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/support/quarantine_fleet.h
+++ b/tests/unit/support/quarantine_fleet.h
@@ -71,6 +71,7 @@
     {
         auto& daemon = m_daemons.at(m_servers.at(n).daemon);
         daemon.quarantine.reset();
+        daemon.changes.reset();
         fleet.crash(*daemon.vm);
         fleet.start(*daemon.vm);
         startDaemon(daemon);
@@ -96,6 +97,7 @@
 private:
     struct DaemonState {
         ControlFleet::Vm* vm;
+        std::unique_ptr<ChangeSubmitter> changes;
         std::unique_ptr<Quarantine> quarantine;
     };
 
@@ -135,7 +137,8 @@
 
     void startDaemon(DaemonState& daemon)
     {
-        daemon.quarantine = std::make_unique<Quarantine>(m_settings, *daemon.vm->session, m_directory, *daemon.vm->peer, fleet.timers, m_log);
+        daemon.changes = std::make_unique<ChangeSubmitter>(m_settings, *daemon.vm->session, *daemon.vm->peer, fleet.timers);
+        daemon.quarantine = std::make_unique<Quarantine>(m_settings, *daemon.vm->session, m_directory, *daemon.changes, fleet.timers, m_log);
     }
 
     void startServer(Server& server)
--- a/tests/unit/waiting_call_test.cpp
+++ b/tests/unit/waiting_call_test.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds lease { 1000 };
 
 /// Suspects that the test sets.
-class FakeSuspects : public SuspectRegistry {
+class FakeSuspects : public SuspectRegistry, public ControlAttachment {
 public:
     const SuspectMap& suspects() const override { return m_suspects; }
     const PeerAddress& controlMember() const override { return m_none; }
@@ -76,7 +76,8 @@
 
     ManualServer server { base.get() };
     FakeSuspects suspects;
-    Quarantine quarantine { settings, suspects, directory, peer, timers, log };
+    ChangeSubmitter changes { settings, suspects, peer, timers };
+    Quarantine quarantine { settings, suspects, directory, changes, timers, log };
     std::shared_ptr<std::optional<Answer>> running;
     std::optional<Answer> waiting;
 };
