Bound the unacknowledged time only where the peer may not be slow

A server that stopped reading a long request lost that one.

Cause: TCP_USER_TIMEOUT was set to 3 s on every socket, for the sake of links between daemons. It counts the time with a closed receive window too, though the peer's system acknowledges every probe. The idle timeout of the configuration and the deadline never came into play.

Why it works: no socket has the option by default. Callers' connections end by the idle timeout, counted from the last byte taken, long requests by their deadline. A short request to a server keeps the 3 s: it fits into any receive buffer, so that a missing acknowledgement means that the connection is silent, while a new one may work.

Answers are held longer for clients that do not read.

--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -76,7 +76,10 @@
     m_sent = m_stream.connected();
     m_sawStrayResponse = false;
     m_interimResponses = 0;
-    m_stream.write(render(request));
+    const auto bytes = render(request);
+    // A long request may fill the window of a server that is slow to read it; its deadline bounds it then.
+    m_stream.setUnacknowledgedTimeout(bytes.size() <= config::shortRequestBytes ? config::backendUnacknowledgedTimeout : std::chrono::milliseconds(0));
+    m_stream.write(bytes);
     m_request = std::move(request);
     m_request.body = {};
     m_reader.begin(m_request.method == "HEAD");
--- a/src/adapters/libevent_util.cpp
+++ b/src/adapters/libevent_util.cpp
@@ -1,7 +1,5 @@
 #include "adapters/libevent_util.h"
 
-#include "config.h"
-
 #include <event2/util.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -47,8 +45,6 @@
 {
     int noDelay = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof(noDelay));
-    unsigned timeout = static_cast<unsigned>(config::linkSuspendAfter.count());
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
 std::string drain(evbuffer* buffer)
--- a/src/adapters/libevent_util.h
+++ b/src/adapters/libevent_util.h
@@ -55,7 +55,7 @@
 /// Splits "ip:port" into host and port. \returns whether \p text is such an address.
 bool splitAddress(const std::string& text, std::string& host, std::uint16_t& port);
 
-/// Disables Nagle's algorithm and makes the connection fail if the peer acknowledges no data for linkSuspendAfter.
+/// Disables Nagle's algorithm.
 void configureSocket(evutil_socket_t fd);
 
 /// Removes the content of \p buffer and returns it.
--- a/src/adapters/tcp_stream.cpp
+++ b/src/adapters/tcp_stream.cpp
@@ -111,7 +111,7 @@
     if (m_fd < 0 || (source && bind(m_fd, source->get(), source->length) != 0)) {
         return false;
     }
-    detail::configureSocket(m_fd);
+    configure();
     if (connect(m_fd, peer.get(), peer.length) != 0 && errno != EINPROGRESS) {
         return false;
     }
@@ -123,12 +123,21 @@
 {
     m_fd = fd;
     m_connected = true;
-    detail::configureSocket(fd);
+    configure();
     watch();
 }
 
+void TcpStream::configure()
+{
+    detail::configureSocket(m_fd);
+    setUnacknowledgedTimeout(std::exchange(m_unacknowledgedTimeout, std::chrono::milliseconds(0)));
+}
+
 void TcpStream::setUnacknowledgedTimeout(std::chrono::milliseconds timeout)
 {
+    if (std::exchange(m_unacknowledgedTimeout, timeout) == timeout || m_fd < 0) {
+        return;
+    }
     const auto value = static_cast<unsigned>(timeout.count());
     setsockopt(m_fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
 }
--- a/src/adapters/tcp_stream.h
+++ b/src/adapters/tcp_stream.h
@@ -75,7 +75,8 @@
     /// Takes over an accepted connection.
     void adopt(evutil_socket_t fd);
 
-    /// Sets how long sent data may stay unacknowledged before the connection is treated as reset.
+    /// Sets how long sent data may stay unacknowledged before the connection is treated as reset; zero, the default: any time.
+    /// A peer that is alive and does not read for that long counts as well once its receive window is full.
     void setUnacknowledgedTimeout(std::chrono::milliseconds timeout);
 
     /// \returns the bytes received and not yet consumed.
@@ -109,6 +110,7 @@
 
     static void onReady(evutil_socket_t, short what, void* argument);
 
+    void configure();
     void watch();
     void finishConnect();
     void receive();
@@ -127,6 +129,7 @@
     bool m_reset = false; ///< A write has taken the error that a read would report.
     bool m_dirty = false;
     short m_watched = 0;
+    std::chrono::milliseconds m_unacknowledgedTimeout { 0 };
     detail::EventPtr m_event;
     std::string m_input;
     std::size_t m_consumed = 0;
--- a/src/config.h
+++ b/src/config.h
@@ -97,6 +97,11 @@
 inline constexpr std::size_t maxRefusedOnConnection = 16;
 /// Time limit to connect to the backend server beside a daemon.
 inline constexpr milliseconds backendConnectTimeout { 500 };
+/// Time for which the backend server's system may leave a short request unacknowledged: the connection is silent then, while a new
+/// one may work.
+inline constexpr milliseconds backendUnacknowledgedTimeout { 3000 };
+/// Size of a request, with its header, that the receive buffer of a connection takes in any case.
+inline constexpr std::size_t shortRequestBytes = 4 * 1024;
 /// Time without any response from a backend server after which a timed out request counts as a lost connection. A shorter
 /// silence occurs when requests with short deadlines time out at a slow server.
 inline constexpr milliseconds backendSilence { 500 };
--- a/tests/process/http_end_test.cpp
+++ b/tests/process/http_end_test.cpp
@@ -7,6 +7,8 @@
 #include "support/mesh.h"
 #include "support/raw_server.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <array>
@@ -28,6 +30,7 @@
 constexpr milliseconds exchangeTimeout { 1000 };
 constexpr milliseconds pauseOfCaller { 2000 }; ///< Longer than a stopping daemon listens.
 constexpr milliseconds stopBound { 20000 };
+constexpr milliseconds pauseOfPeer { 4500 }; ///< Longer than a daemon may be silent, shorter than a caller may be idle.
 
 /// A loop with what the adapters need, driven by the test.
 struct Loop {
@@ -424,6 +427,48 @@
     }
 }
 
+/// Guards against an answer that is cut off because its caller, whose system goes on acknowledging, reads nothing for seconds.
+BOOST_DATA_TEST_CASE(anAnswerIsKeptForACallerThatPauses, boost::unit_test::data::make({ "keep-alive", "close" }), connectionHeader)
+{
+    Loop loop;
+    pw::HttpServer server(loop.streams, loop.timers,
+        [](const std::shared_ptr<pw::HttpExchange>& exchange) { exchange->reply({ 200, {}, std::string(unsentBytes, 'a') }); });
+    const auto address = freeAddress();
+    std::string reason;
+    BOOST_REQUIRE(server.init(address, reason));
+    const RawConnection connection(address);
+    (void)connection.send(std::string("GET / HTTP/1.1\r\nHost: x\r\nConnection: ") + connectionHeader + "\r\n\r\n");
+    loop.run(pauseOfPeer);
+    BOOST_TEST(server.unfinished() == 1U);
+    std::atomic<std::size_t> taken = 0;
+    std::thread reader([&] { taken = connection.readAnswer(answerBound).size(); });
+    loop.runUntil([&] { return server.unfinished() == 0; });
+    reader.join();
+    BOOST_TEST(taken > unsentBytes);
+}
+
+/// Guards against a request that is cut off because its server, whose system goes on acknowledging, reads nothing for seconds.
+BOOST_AUTO_TEST_CASE(aRequestIsKeptForAServerThatPauses)
+{
+    const RawServer server(freeAddress(), [](const RawConnection& connection, std::size_t) {
+        std::this_thread::sleep_for(pauseOfPeer);
+        if (connection.readAnswer(answerBound).size() > unsentBytes) {
+            (void)connection.send(answerTo("a", 200, "whole"));
+        }
+    });
+    Client client(server);
+    auto request = named("a");
+    request.method = "POST";
+    request.body = std::string(unsentBytes, 'a');
+    std::optional<pw::BackendResult> result;
+    client.client.start(std::move(request), pauseOfPeer + answerBound, false, [&result](pw::BackendResult it) { result = std::move(it); });
+    client.loop.run(pauseOfPeer);
+    client.loop.runUntil([&result] { return result.has_value(); });
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->refusal.verdict == pw::Verdict::Ran), result->detail);
+    BOOST_TEST(result->response.body == "whole");
+}
+
 /// Guards against a connection that is kept for good for a caller that has stopped reading.
 BOOST_AUTO_TEST_CASE(anAnswerThatIsNoLongerReadIsCutOffAfterTheIdleTimeout)
 {
