Take a status outside of HTTP's ranges for no answer

On the native interface an order that a planned stop had given up, sent again with its id, was answered "HTTP/1.1 0 Status".

Cause: a status below 200 counted as interim and any other as final, the body of an interim answer or a 204 was left for the next exchange, a daemon wrote whatever status another daemon's answer held, and the refusal of a claimed request was stored with status 0.

Evidence, all failed before: HttpReaders/aStatusOrBodyThatIsNoneIsMalformed (24 messages in three pieces each), HttpEnds/anAnswerWithoutAFinalStatusIs- AFailureAtOnce (5 of 7 "response timed out", 2 passed on), CallerEndpoints/ anAnswerOfADaemonWithoutAFinalStatusIsAFailure (9 statuses) and aRefusalIs- StoredWithItsResponse (stored 0 for a 503).

Why it works: a status is judged where a message is read. What is neither interim (100, 102 to 199) nor final (200 to 599) is malformed, as is a body that the status rules out; a daemon's answer without a final status is a failure that may have run. Refusals are stored with the response they got.

--- a/src/adapters/backend_connection.cpp
+++ b/src/adapters/backend_connection.cpp
@@ -13,7 +13,6 @@
 
     constexpr Refusal neverConnected { Verdict::NotRun, Reason::Unreachable, {} };
     constexpr Refusal brokenOff { Verdict::MayHaveRun, Reason::BackendFailed, {} };
-    constexpr int firstFinalStatus = 200;
 
     constexpr HttpSizeLimits answerLimits { config::maxHeaderBytes, config::maxAnswerBytes };
 
@@ -126,7 +125,7 @@
 
 void BackendConnection::handleResponse(HttpResponse answer, bool keepsAlive)
 {
-    if (answer.status < firstFinalStatus) {
+    if (isInterimStatus(answer.status)) {
         if (++m_interimResponses > config::maxInterimResponses) {
             fail("too many interim answers");
             return;
--- a/src/adapters/codec_call.cpp
+++ b/src/adapters/codec_call.cpp
@@ -1,6 +1,7 @@
 #include "adapters/codec_call.h"
 
 #include "adapters/codec_packed.h"
+#include "adapters/http_status.h"
 #include "call.capnp.h"
 #include "config.h"
 
@@ -160,6 +161,9 @@
         answer.refusal.reason = readEnum<Reason>(message.getReason());
         answer.refusal.retryAfter = std::chrono::milliseconds(message.getRetryAfterMillis());
         answer.status = message.getStatus();
+        if (answer.isComplete() && !isFinalStatus(answer.status)) {
+            answer.refusal = { Verdict::MayHaveRun, Reason::BackendFailed, {} };
+        }
         answer.headers = readHeaders(message);
         answer.body = fromData(message.getBody());
         answer.attemptsUnused = message.getAttemptsUnused();
--- a/src/adapters/codec_claims.cpp
+++ b/src/adapters/codec_claims.cpp
@@ -1,6 +1,7 @@
 #include "adapters/codec_claims.h"
 
 #include "adapters/codec.h"
+#include "adapters/http_status.h"
 #include "claims.capnp.h"
 
 #include <algorithm>
@@ -164,6 +165,9 @@
         answer.refusal.verdict = readEnum<Verdict>(reader.getVerdict());
         answer.refusal.reason = readEnum<Reason>(reader.getReason());
         answer.refusal.retryAfter = std::chrono::milliseconds(reader.getRetryAfterMillis());
+        if (fetched.state == ClaimState::Answered && !isFinalStatus(answer.status)) {
+            fetched.state = ClaimState::Unknown;
+        }
         return fetched;
     }
 
--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -4,6 +4,7 @@
 #include "config.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace pw::detail {
@@ -35,11 +36,6 @@
         }
     }
 
-    bool hasNoBody(int status)
-    {
-        return status == http_status::noContent || status == http_status::notModified;
-    }
-
 } // namespace
 
 HttpConnection::HttpConnection(HttpServer& server, evutil_socket_t fd)
@@ -118,6 +114,7 @@
 
 void HttpConnection::answer(std::uint64_t slot, const HttpResponse& response)
 {
+    assert(isFinalStatus(response.status));
     auto& it = m_slots.at(slot - m_firstSlot);
     it.exchange = nullptr;
     // Callers repeat requests that follow a closing response, so none of those may be running.
--- a/src/adapters/http_reader.cpp
+++ b/src/adapters/http_reader.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http_reader.h"
 
 #include "adapters/chunk_framing.h"
+#include "adapters/http_status.h"
 #include "config.h"
 #include "core/header_rules.h"
 
@@ -97,6 +98,9 @@
 
         HttpFault fault() const { return m_limitFault == HttpFault::None ? faultOf(m_error) : m_limitFault; }
         bool begun() const { return m_begun; }
+        /// \returns whether the header announces a body that the status rules out. It was sent, or was not: the end of the response is
+        /// unknown.
+        bool hasForbiddenBody() const { return m_hasForbiddenBody; }
         Message& message() { return m_message; }
         const Message& message() const { return m_message; }
 
@@ -113,11 +117,14 @@
             }
         }
 
-        void on_response_impl(int status, beast::string_view, int version, error_code&) override
+        void on_response_impl(int status, beast::string_view, int version, error_code& ec) override
         {
             m_version = static_cast<unsigned>(version);
             if constexpr (!isRequest) {
                 m_message.status = status;
+                if (!isInterimStatus(status) && !isFinalStatus(status)) {
+                    ec = http::error::bad_status;
+                }
             }
         }
 
@@ -135,6 +142,8 @@
             const auto oldChunks = m_version < http11 && countHeader(m_message.headers, "Transfer-Encoding") > 0;
             if (oldChunks || !hasPlainFraming(m_message.headers)) {
                 ec = http::error::bad_transfer_encoding;
+            } else if constexpr (!isRequest) {
+                checkBody(ec);
             }
         }
 
@@ -162,6 +171,18 @@
         void on_finish_impl(error_code&) override { }
 
     private:
+        /// A response that must not have a body and announces one all the same is malformed, except that of a request which the
+        /// client has made conditional: it may state the length of what it leaves out.
+        void checkBody(error_code& ec)
+        {
+            const auto length = singleHeader(m_message.headers, "Content-Length");
+            const auto announced = countHeader(m_message.headers, "Transfer-Encoding") > 0 || (length && length->find_first_not_of('0') != std::string_view::npos);
+            m_hasForbiddenBody = announced && hasNoBody(m_message.status);
+            if (m_hasForbiddenBody && m_message.status != http_status::notModified) {
+                ec = http::error::bad_content_length;
+            }
+        }
+
         /// \returns whether the next bytes are a chunk-size line, preceded by the line end of the previous chunk.
         bool atChunkLine() const { return m_headerDone && this->chunked() && m_chunkLeft == 0; }
 
@@ -218,6 +239,7 @@
         HttpFault m_limitFault = HttpFault::None; ///< Fault of an exceeded limit.
         unsigned m_version = 0;
         bool m_headerDone = false;
+        bool m_hasForbiddenBody = false;
         bool m_begun = false;
     };
 
@@ -326,7 +348,7 @@
 
 bool HttpResponseReader::keepsAlive() const
 {
-    return m_parser->keep_alive();
+    return m_parser->keep_alive() && !m_parser->hasForbiddenBody();
 }
 
 HttpResponse HttpResponseReader::finish()
--- a/src/app/caller_endpoint.cpp
+++ b/src/app/caller_endpoint.cpp
@@ -20,11 +20,12 @@
     constexpr Refusal stopping { Verdict::NotRun, Reason::Leaving, config::stoppingRetryAfter };
     constexpr Refusal stoppedWhileRunning { Verdict::MayHaveRun, Reason::Leaving, {} };
 
-    /// Indexed by ClaimOutcome. The entries of the two outcomes that refuse nothing are unused.
+    /// Indexed by ClaimOutcome. The entry of ClaimOutcome::Granted, which refuses nothing, is unused; that of
+    /// ClaimOutcome::Answered stands for an answer that could not be fetched.
     constexpr std::array<Refusal, static_cast<std::size_t>(ClaimOutcome::Count)> claimRefusals { {
         {},
         { Verdict::MayHaveRun, Reason::DuplicateRunning, config::duplicateRetryAfter },
-        {},
+        { Verdict::MayHaveRun, Reason::DuplicateUnknown, {} },
         { Verdict::MayHaveRun, Reason::DuplicateUnknown, {} },
         { Verdict::NotRun, Reason::ClaimUnavailable, config::claimRetryAfter },
     } };
@@ -310,7 +311,7 @@
     recordOutlook(*incoming, answer);
     auto response = m_dependencies.protocol.answer(answer);
     if (incoming->claimed) {
-        m_dependencies.claims.finish(incoming->workspace, incoming->ask.requestId, toStoredAnswer(answer, response));
+        m_dependencies.claims.finish(incoming->workspace, incoming->ask.requestId, toStoredAnswer(answer.refusal, response));
         incoming->claimed = false;
     }
     reply(incoming, answer.refusal, response);
@@ -390,11 +391,11 @@
             { "crashes", m_dependencies.quarantine->crashesOf(incoming->digest) },
             { "mode", m_dependencies.quarantine->modeOf(incoming->digest) == SuspectMode::Held ? "held" : "trial" });
     }
-    if (incoming->claimed) {
-        incoming->claimed = false;
-        m_dependencies.claims.finish(incoming->workspace, incoming->ask.requestId, { 0, {}, {}, refusal });
+    const auto response = m_dependencies.protocol.refusal(refusal);
+    if (std::exchange(incoming->claimed, false)) {
+        m_dependencies.claims.finish(incoming->workspace, incoming->ask.requestId, toStoredAnswer(refusal, response));
     }
-    reply(incoming, refusal, m_dependencies.protocol.refusal(refusal));
+    reply(incoming, refusal, response);
 }
 
 void CallerEndpoint::reply(const IncomingPtr& incoming, const Refusal& refusal, const HttpResponse& response)
--- a/src/app/http_answer.cpp
+++ b/src/app/http_answer.cpp
@@ -48,12 +48,12 @@
     return response;
 }
 
-StoredAnswer toStoredAnswer(const Answer& answer, const HttpResponse& response)
+StoredAnswer toStoredAnswer(const Refusal& outcome, const HttpResponse& response)
 {
     StoredAnswer stored;
     stored.status = response.status;
     stored.body = response.body;
-    stored.refusal = answer.refusal;
+    stored.refusal = outcome;
     std::ranges::transform(response.headers, std::back_inserter(stored.headers), [](const HeaderLine& it) { return std::pair(it.name, it.value); });
     return stored;
 }
--- a/src/app/http_answer.h
+++ b/src/app/http_answer.h
@@ -13,8 +13,9 @@
 /// \returns the HTTP response for a refused request.
 HttpResponse refusalToHttp(const Refusal& refusal);
 
-/// \returns the part of \p response that is stored for repeats of the same request id.
-StoredAnswer toStoredAnswer(const Answer& answer, const HttpResponse& response);
+/// \returns what is stored of \p response for repeats of the same request id.
+/// \param outcome Reason::None for an answer of the backend server.
+StoredAnswer toStoredAnswer(const Refusal& outcome, const HttpResponse& response);
 
 /// \returns the HTTP response to a repeated request whose answer was stored.
 HttpResponse storedAnswerToHttp(const StoredAnswer& stored);
--- a/tests/process/http_end_test.cpp
+++ b/tests/process/http_end_test.cpp
@@ -324,6 +324,24 @@
     }
 }
 
+/// Guards against a caller that waits for its deadline, or gets an answer that is none, because the status of its answer is odd.
+BOOST_DATA_TEST_CASE(anAnswerWithoutAFinalStatusIsAFailureAtOnce, boost::unit_test::data::make({ 0, 1, 99, 101, 103, 600, 999 }), status)
+{
+    const RawServer server(freeAddress(), [status](const RawConnection& connection, std::size_t) {
+        (void)connection.readAnswer(answerBound);
+        auto answer = answerTo("a", 100 + status, "body");
+        answer.replace(answer.find(std::to_string(100 + status)), 3, std::to_string(1000 + status).substr(1));
+        (void)connection.send(answer);
+        bool closed = false;
+        (void)connection.readAll(answerBound, closed);
+    });
+    Client client(server);
+    const auto result = client.ask("a");
+    BOOST_TEST((result.refusal.verdict == pw::Verdict::MayHaveRun));
+    BOOST_TEST((result.refusal.reason == pw::Reason::BackendFailed));
+    BOOST_TEST(result.detail == "answer cannot be read");
+}
+
 BOOST_AUTO_TEST_CASE(interimAnswersWithoutEndAreAFailure)
 {
     const RawServer server(freeAddress(), [](const RawConnection& connection, std::size_t) {
--- a/tests/unit/caller_endpoint_test.cpp
+++ b/tests/unit/caller_endpoint_test.cpp
@@ -1,12 +1,16 @@
 #include "adapters/codec_call.h"
 #include "app/call_transport.h"
 #include "app/caller_endpoint.h"
+#include "app/http_answer.h"
 #include "app/native_protocol.h"
 #include "caller_contract.h"
+#include "core/header_rules.h"
 #include "support/fake_network.h"
 #include "support/fleet_fakes.h"
 #include "support/stub_server.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <event2/event.h>
@@ -67,9 +71,10 @@
         done(ClaimOutcome::Granted, std::nullopt);
     }
 
-    void finish(const std::string& /*workspace*/, const std::string& /*requestId*/, StoredAnswer /*answer*/) override { }
+    void finish(const std::string& /*workspace*/, const std::string& /*requestId*/, StoredAnswer answer) override { stored.push_back(std::move(answer)); }
 
     int claimed = 0;
+    std::vector<StoredAnswer> stored;
 };
 
 class CountingLog : public EventLog {
@@ -291,6 +296,35 @@
     BOOST_TEST(endpoint.outlook().trackedCount() == 0U);
 }
 
+/// Guards against an answer whose status is none, which a caller would take for the backend server's.
+BOOST_DATA_TEST_CASE_F(PlatformFixture, anAnswerOfADaemonWithoutAFinalStatusIsAFailure, boost::unit_test::data::make({ 0, 1, 99, 100, 101, 199, 600, 999, 1000 }), odd)
+{
+    status = odd;
+    const auto response = ask("POST /mute", "Authorization: Bearer k\r\nPistachiowheel-Request-Id: o\r\n");
+    BOOST_TEST(response.starts_with("HTTP/1.1 502"), response);
+    BOOST_TEST(static_cast<int>(last.refusal.verdict) == static_cast<int>(Verdict::MayHaveRun));
+}
+
+/// Guards against a repeated request whose stored answer is a refusal, and that gets an answer with the status 0.
+BOOST_FIXTURE_TEST_CASE(aRefusalIsStoredWithItsResponse, NativeFixture)
+{
+    holds = true;
+    const auto fd = connect();
+    sendRequest(fd, "POST /mute", key + "Pistachio-Request-Id: o\r\n");
+    runFor(10ms);
+    BOOST_REQUIRE(calls == 1);
+    endpoint.leave(StopSchedule(timers.now(), 6s));
+    endpoint.giveUp();
+    runFor(10ms);
+    auto ended = false;
+    const auto response = receive(fd, ended);
+    ::close(fd);
+    BOOST_REQUIRE(claims.stored.size() == 1U);
+    const auto repeated = storedAnswerToHttp(claims.stored.front());
+    BOOST_TEST(response.starts_with("HTTP/1.1 " + std::to_string(repeated.status)), response);
+    BOOST_TEST(singleHeader(repeated.headers, header::verdict).value_or("") == "may-have-run");
+}
+
 /// With a key the same route is a caller's own request.
 BOOST_FIXTURE_TEST_CASE(requestsOfCallersToAnOpenRouteAreRefused, PlatformFixture)
 {
--- a/tests/unit/http_reader_test.cpp
+++ b/tests/unit/http_reader_test.cpp
@@ -261,4 +261,64 @@
     BOOST_TEST((reader.fault() != pw::HttpFault::None));
 }
 
+/// A response with a complete header.
+struct StatusRow {
+    const char* name;
+    std::string text;
+    bool isRead; ///< As a response, interim or final.
+    bool keepsAlive;
+};
+
+std::ostream& operator<<(std::ostream& out, const StatusRow& row)
+{
+    return out << row.name;
+}
+
+const std::string bodyLines = "Content-Length: 2\r\n\r\nok";
+const std::string chunkLines = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+
+const std::vector<StatusRow> statusRows {
+    { "000", "HTTP/1.1 000 X\r\n" + bodyLines, false, false },
+    { "001", "HTTP/1.1 001 X\r\n" + bodyLines, false, false },
+    { "099", "HTTP/1.1 099 X\r\n" + bodyLines, false, false },
+    { "000 without a body", "HTTP/1.1 000 X\r\n\r\n", false, false },
+    { "600", "HTTP/1.1 600 X\r\n" + bodyLines, false, false },
+    { "999", "HTTP/1.1 999 X\r\n" + bodyLines, false, false },
+    { "two digits", "HTTP/1.1 20 X\r\n" + bodyLines, false, false },
+    { "four digits", "HTTP/1.1 2000 X\r\n" + bodyLines, false, false },
+    { "a sign", "HTTP/1.1 -20 X\r\n" + bodyLines, false, false },
+    { "letters", "HTTP/1.1 2x0 X\r\n" + bodyLines, false, false },
+    { "interim", "HTTP/1.1 100 Continue\r\n\r\n", true, true },
+    { "unknown interim", "HTTP/1.1 199 X\r\n\r\n", true, true },
+    { "interim with an empty body", "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n", true, true },
+    { "interim with a body", "HTTP/1.1 103 X\r\n" + bodyLines, false, false },
+    { "interim in chunks", "HTTP/1.1 103 X\r\n" + chunkLines, false, false },
+    { "another protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", false, false },
+    { "no content", "HTTP/1.1 204 X\r\n\r\n", true, true },
+    { "no content, with an empty body", "HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n", true, true },
+    { "no content, with a body", "HTTP/1.1 204 X\r\n" + bodyLines, false, false },
+    { "no content, in chunks", "HTTP/1.1 204 X\r\n" + chunkLines, false, false },
+    { "not modified", "HTTP/1.1 304 X\r\n\r\n", true, true },
+    { "not modified, with the length of what was not", "HTTP/1.1 304 X\r\nContent-Length: 2\r\n\r\n", true, false },
+    { "first final", "HTTP/1.1 200 X\r\n" + bodyLines, true, true },
+    { "last final", "HTTP/1.1 599 X\r\n" + bodyLines, true, true },
+};
+
+/// Guards against a status that is none, and against a body that a status rules out, which would be read as the next response.
+BOOST_DATA_TEST_CASE(aStatusOrBodyThatIsNoneIsMalformed, data::make(statusRows) * data::make(pieces), row, piece)
+{
+    pw::HttpResponseReader reader(limits);
+    reader.begin(false);
+    std::string_view left = row.text;
+    std::string input;
+    while (!left.empty() && !reader.complete() && reader.fault() == pw::HttpFault::None) {
+        input += left.substr(0, piece);
+        left.remove_prefix(std::min(piece, left.size()));
+        input.erase(0, reader.take(input));
+    }
+    BOOST_TEST(reader.complete() == row.isRead);
+    BOOST_TEST((reader.fault() == pw::HttpFault::Malformed) == !row.isRead);
+    BOOST_TEST((reader.complete() && reader.keepsAlive()) == row.keepsAlive);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
