Let a start with a lower start time take over from a silent one

What callers saw: the time of day of a server's VM jumped back between two starts. Found here: under another name such a server gets no work until its daemon is restarted.

Cause: starts were ordered by their start time alone, so that everything the second start said counted as late.

Why it works: what the current start says counts by its sequence number. A start that looks older is either over, with late announcements, or new with another clock; it takes over when it goes on announcing itself while the current one is silent. A leave under the current start's name takes it out of use too; a server that is alive is back with its next two announcements.

--- a/src/app/server_role.h
+++ b/src/app/server_role.h
@@ -12,6 +12,7 @@
 #include "core/server_demand.h"
 #include "core/server_pace.h"
 #include "core/slot_price_table.h"
+#include "core/start_order.h"
 #include "core/stop_schedule.h"
 #include "ports/events.h"
 #include "ports/fleet.h"
@@ -166,11 +167,11 @@
     void reportCrash();
     std::uint32_t usableSlots(std::uint32_t slots) const;
     bool announcesReturn(const Announcement& announcement) const;
-    bool isOutdated(const Announcement& announcement) const;
     bool hasLeft(const Announcement& announcement) const;
     bool mustWait(const Announcement& announcement) const;
     void onDeparturesChanged();
     void recordDeparture(const std::string& instance, std::uint64_t started);
+    void onUnprovenStart(const Announcement& announcement);
     void onServerStarted(const Announcement& announcement);
     void startLeaving();
     void refuseQueued(Reason reason);
@@ -228,6 +229,7 @@
     ContextTable m_contexts;
     ServerEntry m_entry;
     Announcement m_lastAnnouncement;
+    StartOrder m_starts;
     /// A start of a backend server that has left without being the current one.
     struct Departure {
         std::string instance;
--- a/src/app/server_role_registration.cpp
+++ b/src/app/server_role_registration.cpp
@@ -18,6 +18,11 @@
         return isIdentified ? rendezvousWeight(instance, std::to_string(started)) : 0;
     }
 
+    AnnouncedStart startOf(const Announcement& announcement)
+    {
+        return { announcement.instance, announcement.started, announcement.sequence };
+    }
+
     std::uint64_t backendIdOf(const Announcement& announcement)
     {
         return backendIdOf(announcement.instance, announcement.started);
@@ -35,13 +40,20 @@
         reason = "more than " + std::to_string(config::maxAnnouncedSlots) + " slots";
         return false;
     }
-    if (isOutdated(announcement) || hasLeft(announcement)) {
+    if (hasLeft(announcement)) {
         return true;
     }
     if (mustWait(announcement)) {
         m_heldAnnouncement = announcement;
         return true;
     }
+    const auto verdict = m_starts.judge(startOf(announcement), m_timers.now());
+    if (verdict == StartVerdict::Unproven) {
+        onUnprovenStart(announcement);
+    }
+    if (verdict == StartVerdict::Outdated || verdict == StartVerdict::Unproven) {
+        return true;
+    }
     if (!m_client.setAddress(announcement.address)) {
         reason = "not an ip:port address: " + announcement.address;
         return false;
@@ -57,6 +69,7 @@
         changed = true;
     }
     m_lastAnnouncement = announcement;
+    m_starts.accept(startOf(announcement));
     m_entry.service = announcement.service;
     m_entry.slots = announcement.slots;
     m_entry.connections = announcement.connections;
@@ -103,10 +116,14 @@
     return slots < config::minSlotsForHeadroom ? slots : slots - static_cast<std::uint32_t>(headroom);
 }
 
-bool ServerRole::isOutdated(const Announcement& announcement) const
+void ServerRole::onUnprovenStart(const Announcement& announcement)
 {
-    const auto isOlder = std::pair(announcement.started, announcement.sequence) < std::pair(m_lastAnnouncement.started, m_lastAnnouncement.sequence);
-    return announcement.started != 0 && isOlder;
+    PW_EVENT(m_log, Event::BackendStartUnproven, { "service", announcement.service }, { "instance", announcement.instance },
+        { "started", announcement.started }, { "current", m_lastAnnouncement.instance }, { "current_started", m_lastAnnouncement.started },
+        { "leaving", announcement.leaving });
+    if (announcement.leaving) {
+        onServerLeaving(announcement.instance, announcement.started);
+    }
 }
 
 /// Resets the state kept for the previous start of the backend server.
@@ -203,8 +220,14 @@
 {
     if (instance == m_lastAnnouncement.instance && (started == 0 || started == m_lastAnnouncement.started)) {
         onServerLeaving();
-    } else {
-        recordDeparture(instance, started);
+        return;
+    }
+    recordDeparture(instance, started);
+    const AnnouncedStart left { instance, started, 0 };
+    if (started != 0 && instance == m_lastAnnouncement.instance && !m_starts.isEarlier(left)) {
+        // The start that is known under this name may be over. If it is not, it takes over again by its announcements.
+        m_starts.accept(left);
+        onLeaseExpired();
     }
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -521,6 +521,11 @@
 inline constexpr milliseconds departureTimeout { 30000 };
 /// Time after which a leave that is not recorded is answered with an error. Platforms wait for the answer for 1 s.
 inline constexpr milliseconds leaveConfirmTimeout { 800 };
+/// Time for which a start of a backend server whose clock says that it is not the latest one has to announce itself before it takes
+/// over from a silent one: longer than the interval of announcements in which a server that is alive would have been heard.
+inline constexpr milliseconds startTakeoverTime { 1200 };
+/// Number of earlier starts of a backend server whose late announcements are recognized.
+inline constexpr std::size_t maxEarlierStarts = 16;
 /// Number of leave notices about unknown starts of backend servers that a daemon remembers.
 inline constexpr std::size_t maxDepartures = 16;
 /// Minimum time between two full views sent to one daemon.
--- a/src/ports/events.cpp
+++ b/src/ports/events.cpp
@@ -56,6 +56,7 @@
         { 418, "call-given-up", Level::Warning, false },
         { 410, "backend-crashed", Level::Warning, false },
         { 411, "suspect-isolated", Level::Info, true },
+        { 414, "backend-start-unproven", Level::Warning, false },
         { 412, "departure-recorded", Level::Info, false },
         { 413, "departure-unconfirmed", Level::Warning, false },
         { 500, "configuration-applied", Level::Info, false },
--- a/src/ports/events.h
+++ b/src/ports/events.h
@@ -71,6 +71,7 @@
     CallGivenUp,
     BackendCrashed,
     SuspectIsolated,
+    BackendStartUnproven,
     DepartureRecorded,
     DepartureUnconfirmed,
     ConfigurationApplied,
