Review case 12: a daemon ends when a client leaves

Cause: HttpConnection::drop() empties the list of pending answers before it tells the exchanges; an answer to one of them that is given in the same call chain is looked up in the empty list and throws. Done: a script in which a server crashes, and then a client with pipelined requests leaves another machine.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Clients leave while a server of the service that they ask is down, and the daemon beside them ends.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+set -uo pipefail
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.."
+if [ ! -x target/review-3/standins ] || [ ! -x target/pistachiowheeld ]; then
+    echo "build first: the build of deploy/system.toml, then review/build-3.sh" >&2
+    exit 2
+fi
+folder="$(mktemp -d)"
+trap 'rm -rf "$folder"' EXIT
+timeout -k 2 115 target/review-3/standins leave-after-crash "$folder" "$here/record.txt"
+case $? in
+0) exit 0 ;;
+1) exit 1 ;;
+*) exit 2 ;;
+esac
