--- a/review/standins-3/cases.h
+++ b/review/standins-3/cases.h
@@ -31,7 +31,7 @@
 /// The operator sends a configuration with a part of weight 0 for a service that it does not name.
 Verdict unknownPart(Record& record, const std::string& folder, bool trouble);
 
-/// A malformed heartbeat arrives after the server beside the daemon has said that it drains.
-Verdict foreignBeat(Record& record, const std::string& folder, bool trouble);
+/// Heartbeats of the server's earlier start arrive after the server has said that it drains.
+Verdict lateBeats(Record& record, const std::string& folder, bool trouble);
 
 } // namespace review
--- a/review/standins-3/give_up.cpp
+++ b/review/standins-3/give_up.cpp
@@ -9,9 +9,9 @@
 namespace review {
 namespace {
 
-    constexpr int slots = 20;
-    constexpr double orderSeconds = 0.6;
-    constexpr int ordersAtOnce = 150;
+    constexpr int slots = 40;
+    constexpr double orderSeconds = 0.354; ///< Slots and work as of the `curtail-order` of llanw-grid-large.
+    constexpr int ordersAtOnce = 300;
     constexpr int leavesEach = 4; ///< Every fourth client leaves.
     constexpr double leaveAfter = 0.3;
     constexpr int bursts = 3;
--- a/review/standins-3/foreign_beat.cpp
+++ b/review/standins-3/late_beats.cpp
@@ -11,10 +11,12 @@
 
     constexpr double drainSeconds = 2;
     constexpr double stayAfterDraining = 10;
+    constexpr double firstArrival = 0.1; ///< After the acknowledgement: 3.6 s late.
+    constexpr double betweenArrivals = 1.3; ///< The next regular heartbeat comes 1.5 s after the acknowledged one.
 
 } // namespace
 
-Verdict foreignBeat(Record& record, const std::string& folder, bool trouble)
+Verdict lateBeats(Record& record, const std::string& folder, bool trouble)
 {
     Deployment deployment(record, folder, { "prices", "prices", "prices" });
     if (!deployment.start()) {
@@ -37,14 +39,21 @@
         clients.emplace_back([&, n] { keepAsking(record, attempts, deployment.sidecars[n % 3].outbound(), "price" + std::to_string(n), "/prices/a", 0.05, stop); });
     }
     sleepUntil(now() + 5);
-    const auto drainedAt = prices1.drain();
+    std::vector<std::string> underWay;
+    for (const double sentBefore : { 1.5, 0.0 }) {
+        underWay.push_back(prices1.beatBody("ready"));
+        record.line("heartbeat sent " + std::to_string(sentBefore) + " s ago and still under way: " + underWay.back());
+    }
+    prices1.crash();
     sleepUntil(now() + 0.5);
+    prices1.restart("i-prices-1");
+    sleepUntil(now() + 1);
+    const auto drainedAt = prices1.drain();
     if (trouble && drainedAt > 0) {
-        auto body = prices1.beatBody("ready");
-        const auto at = body.find(":") + 1;
-        body.replace(at, body.find(",") - at, "\"" + body.substr(at, body.find(",") - at) + "\"");
-        record.line("a heartbeat of another writer, whose field born has another type: " + body);
-        record.line("it is answered " + std::to_string(prices1.post("heartbeat", body)));
+        for (std::size_t n = 0; n < underWay.size(); ++n) {
+            sleepUntil(drainedAt + firstArrival + static_cast<double>(n) * betweenArrivals);
+            record.line("late heartbeat " + std::to_string(n + 1) + " arrives and is answered " + std::to_string(prices1.post("heartbeat", underWay[n])));
+        }
     }
     sleepUntil(drainedAt + stayAfterDraining);
     stop = true;
--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -15,7 +15,7 @@
         { "kept-connection-limit", keptConnectionLimit },
         { "long-bodies", longBodies },
         { "unknown-part", unknownPart },
-        { "foreign-beat", foreignBeat },
+        { "late-beats", lateBeats },
     };
     const auto it = argc == 4 ? cases.find(argv[1]) : cases.end();
     if (it == cases.end()) {
--- a/review/standins-3/server.cpp
+++ b/review/standins-3/server.cpp
@@ -76,6 +76,7 @@
     m_running = 0;
     m_stopping = false;
     m_draining = false;
+    m_drainAcknowledged = 0;
     return start();
 }
 
@@ -218,7 +219,12 @@
 void Server::beat()
 {
     while (!m_stopping) {
-        post("heartbeat", beatBody(m_draining ? "draining" : "ready"));
+        const bool isDraining = m_draining;
+        const auto status = post("heartbeat", beatBody(isDraining ? "draining" : "ready"));
+        if (isDraining && status == 200 && m_drainAcknowledged == 0) {
+            m_drainAcknowledged = now();
+            m_record.line("draining of " + m_instance + " is acknowledged");
+        }
         const auto next = now() + beatSeconds;
         while (now() < next && !m_stopping) {
             sleepUntil(now() + 0.02);
@@ -229,14 +235,11 @@
 double Server::drain()
 {
     m_draining = true;
-    for (int attempt = 0; attempt < 10; ++attempt) {
-        m_record.line("server " + m_instance + " says draining");
-        if (post("heartbeat", beatBody("draining")) == 200) {
-            m_record.line("draining of " + m_instance + " is acknowledged");
-            return now();
-        }
+    const auto end = now() + 4 * beatSeconds;
+    while (m_drainAcknowledged == 0 && now() < end) {
+        sleepUntil(now() + 0.005);
     }
-    return 0;
+    return m_drainAcknowledged;
 }
 
 std::vector<Run> Server::runs() const
--- a/review/standins-3/server.h
+++ b/review/standins-3/server.h
@@ -43,7 +43,7 @@
     void crash();
     /// Starts again as a new incarnation under the id \p instance.
     bool restart(const std::string& instance);
-    /// Says `draining` from now on. \returns the time at which that was acknowledged, or 0.
+    /// Says `draining` in its next heartbeats. \returns the time at which one of them was acknowledged, or 0.
     double drain();
     std::vector<Run> runs() const;
     /// \returns a heartbeat of this server as it would send it now.
@@ -70,6 +70,7 @@
     std::atomic<int> m_running = 0;
     std::atomic<int> m_sequence = 0;
     std::atomic<bool> m_draining = false;
+    std::atomic<double> m_drainAcknowledged = 0;
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_listener = -1;
     mutable std::mutex m_mutex;
