Part the requests of a closed connection from it before their callers are told

Callers saw their kept connections reset without an answer, though sound servers were at work for them: the daemon beside them had ended with signal 6, because another caller with several requests at once had left.

Cause: HttpConnection::drop() took the list of requests away and told one request after the other that its caller had gone, while all of them still pointed to the connection. The first one cancels its run, the server role starts the next queued call, that one is refused (a suspect, expired, another service) and answered within the same call chain, and HttpConnection::answer() looks it up in the empty list.

All requests are now parted from the connection before the first one is told, so that an answer given meanwhile goes nowhere, whoever gives it. The list holds them weakly: a handler may also release another request, which would have been used after its end.

--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -97,7 +97,7 @@
     const auto number = m_firstSlot + m_slots.size();
     const auto bodiless = request.method == "HEAD";
     auto exchange = std::make_shared<HttpExchange>(m_server.m_pending, *this, number, std::move(request));
-    m_slots.push_back({ exchange.get(), keepsAlive, bodiless, {}, false });
+    m_slots.push_back({ exchange, keepsAlive, bodiless, {}, false });
     m_closing = !keepsAlive;
     m_server.m_handler(std::move(exchange));
 }
@@ -108,7 +108,7 @@
     const auto response = m_server.m_faultAnswer ? m_server.m_faultAnswer(status, what)
                                                  : HttpResponse { status, {}, std::string(what) + "\n" };
     m_closing = true;
-    m_slots.push_back({ nullptr, false, false, render(response, false, true), true });
+    m_slots.push_back({ {}, false, false, render(response, false, true), true });
     sendResponses();
 }
 
@@ -116,7 +116,7 @@
 {
     assert(isFinalStatus(response.status));
     auto& it = m_slots.at(slot - m_firstSlot);
-    it.exchange = nullptr;
+    it.exchange.reset();
     // Callers repeat requests that follow a closing response, so none of those may be running.
     it.closes = !it.keepsAlive || (m_server.m_leaving && slot + 1 == m_firstSlot + m_slots.size());
     m_closing = m_closing || it.closes;
@@ -235,13 +235,18 @@
         return;
     }
     m_closing = true;
-    auto slots = std::exchange(m_slots, {});
+    const auto slots = std::exchange(m_slots, {});
     m_server.remove(this);
-    std::ranges::for_each(slots, [](const Slot& it) {
-        if (it.exchange) {
-            it.exchange->connectionEnded();
-        }
-    });
+    const auto forEachExchange = [&slots](void (HttpExchange::*action)()) {
+        std::ranges::for_each(slots, [action](const Slot& it) {
+            if (const auto exchange = it.exchange.lock()) {
+                ((*exchange).*action)();
+            }
+        });
+    };
+    // A notified handler may respond to other requests of this connection, or release them.
+    forEachExchange(&HttpExchange::detach);
+    forEachExchange(&HttpExchange::notifyDisconnected);
 }
 
 } // namespace pw::detail
--- a/src/adapters/http_connection.h
+++ b/src/adapters/http_connection.h
@@ -3,6 +3,7 @@
 #include "adapters/http_server.h"
 
 #include <deque>
+#include <memory>
 
 namespace pw::detail {
 
@@ -27,13 +28,13 @@
 
     TimePoint lastProgress() const { return m_lastProgress; }
 
-    /// Closes the connection immediately and notifies the pending requests.
+    /// Closes the connection immediately and notifies the pending requests, whose responses are dropped from then on.
     void drop();
 
 private:
     /// A pipelined request; slots are kept in the order of arrival.
     struct Slot {
-        HttpExchange* exchange = nullptr; ///< Null once the response is set.
+        std::weak_ptr<HttpExchange> exchange; ///< Empty once the response is set.
         bool keepsAlive = true;
         bool bodiless = false;
         std::string answer; ///< Serialized response; empty until set.
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -39,9 +39,8 @@
     }
 }
 
-void HttpExchange::connectionEnded()
+void HttpExchange::notifyDisconnected()
 {
-    m_connection = nullptr;
     if (auto gone = std::exchange(m_gone, nullptr)) {
         gone();
     }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -42,7 +42,9 @@
 private:
     friend class detail::HttpConnection;
 
-    void connectionEnded();
+    /// Makes reply() have no effect on the connection any more.
+    void detach() { m_connection = nullptr; }
+    void notifyDisconnected();
 
     std::shared_ptr<std::size_t> m_pending; ///< Null once answered.
     detail::HttpConnection* m_connection; ///< Null once the connection has ended.
