Handle no request within the response to an earlier one

HttpExchange::reply() read the next request of its connection, and so called the server's handler, wherever it was called from. It did so only where a request was waiting for the response: behind 64 others, or while the daemon leaves. A loop over waiting requests that answers them could so be changed by the request that it let in. By reading, one such loop ends a control daemon: OperatorRequestHandler::processPending() gives up expired requests one by one, and a new one completes those that the loop has yet to end (m_requests.at()).

A request that had to wait is now read in the next iteration of the event loop.

Disconnects/aResponseDoesNotHandleTheNextRequest: 65 instead of 64 requests taken on; passes. Requests that fit into the window of 64 are handled as before, at once.

--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -47,6 +47,11 @@
     m_stream.adopt(fd);
 }
 
+HttpConnection::~HttpConnection()
+{
+    m_server.m_timers.cancel(m_readTimer);
+}
+
 void HttpConnection::streamReadable()
 {
     if (m_closing) {
@@ -59,10 +64,7 @@
 
 void HttpConnection::readRequests()
 {
-    // A handler may respond synchronously, which calls this function again.
-    if (std::exchange(m_reading, true)) {
-        return;
-    }
+    m_reading = true;
     while (!m_closing && mayTakeRequest() && !m_stream.input().empty()) {
         m_stream.consume(m_reader.take(m_stream.input()));
         if (m_reader.fault() != HttpFault::None) {
@@ -138,10 +140,24 @@
         }
     }
     if (!m_reading) {
-        readRequests();
+        updateReading();
+        readLater();
     }
 }
 
+/// Takes the requests that had to wait for this response. Not at once: a response may be given in the middle of a loop or change,
+/// where the handler must not be called.
+void HttpConnection::readLater()
+{
+    if (m_readTimer || m_closing || m_stream.input().empty()) {
+        return;
+    }
+    m_readTimer = m_server.m_timers.after(Duration::zero(), [this] {
+        m_readTimer = 0;
+        readRequests();
+    });
+}
+
 /// Closes the sending side first and discards further input, so that a reset does not destroy the last response.
 void HttpConnection::beginClose()
 {
@@ -235,6 +251,7 @@
         return;
     }
     m_closing = true;
+    m_server.m_timers.cancel(std::exchange(m_readTimer, 0));
     const auto slots = std::exchange(m_slots, {});
     m_server.remove(this);
     const auto forEachExchange = [&slots](void (HttpExchange::*action)()) {
--- a/src/adapters/http_connection.h
+++ b/src/adapters/http_connection.h
@@ -11,6 +11,9 @@
 class HttpConnection final : public StreamUser {
 public:
     HttpConnection(HttpServer& server, evutil_socket_t fd);
+    ~HttpConnection() override;
+    HttpConnection(const HttpConnection&) = delete;
+    HttpConnection& operator=(const HttpConnection&) = delete;
 
     void streamReadable() override;
     void streamEnded(StreamEnd end) override;
@@ -42,6 +45,7 @@
     };
 
     void readRequests();
+    void readLater();
     bool mayTakeRequest() const;
     void take(HttpRequest request, bool keepsAlive);
     void refuse(int status, std::string_view what);
@@ -59,7 +63,8 @@
     TimePoint m_lastProgress;
     std::uint64_t m_bytesSent = 0; ///< Bytes sent when m_lastProgress was last updated for them.
     std::optional<TimePoint> m_requestBegan;
-    bool m_reading = false;
+    TimerId m_readTimer = 0; ///< Pending while requests are to be read that arrived earlier.
+    bool m_reading = false; ///< Within readRequests().
     bool m_closing = false; ///< No further requests are read.
     bool m_dropped = false;
     bool m_sentContinue = false; ///< "100 Continue" was sent for the request being read.
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -33,7 +33,7 @@
 
     const HttpRequest& request() const { return m_request; }
 
-    /// Sends the response, after those to earlier requests on the connection. Further calls have no effect.
+    /// Sends the response, after those to earlier requests on the connection. Further calls have no effect. Calls no handler.
     void reply(const HttpResponse& response);
 
     /// Sets a handler that is called if the caller disconnects before the response is sent.
--- a/tests/unit/disconnect_test.cpp
+++ b/tests/unit/disconnect_test.cpp
@@ -1,4 +1,5 @@
 #include "adapters/http_server.h"
+#include "config.h"
 #include "support/fake_network.h"
 #include "support/raw_caller.h"
 #include "support/stub_server.h"
@@ -75,4 +76,17 @@
     }
 }
 
+/// Guards against a loop over requests that changes because one of them is answered.
+BOOST_FIXTURE_TEST_CASE(aResponseDoesNotHandleTheNextRequest, Fixture)
+{
+    RawCaller caller(address);
+    for (std::size_t n = 0; n <= config::maxPipelinedRequests; ++n) {
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    runUntil([this] { return exchanges.size() == config::maxPipelinedRequests; });
+    exchanges.front()->reply({ 200, {}, "" });
+    BOOST_TEST(exchanges.size() == config::maxPipelinedRequests);
+    runUntil([this] { return exchanges.size() == config::maxPipelinedRequests + 1; });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
